--- a/stoatford/adapter.py
+++ b/loftweir/adapter.py
@@ -1,6 +1,6 @@
 """The simulator's wire: lines in, events to the balancers, actions out. No decision is made here.
 
-Run as ``python -m stoatford.adapter``. Malformed input ends the process with a message on standard error
+Run as ``python -m loftweir.adapter``. Malformed input ends the process with a message on standard error
 that names the line, the field and the reason; standard output carries nothing but the wire.
 """
 
@@ -10,8 +10,8 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import TextIO, TypeVar
 
-from stoatford import interface as api
-from stoatford.balance import Balancer
+from loftweir import interface as api
+from loftweir.balance import Balancer
 
 T = TypeVar("T")
 
@@ -386,7 +386,7 @@
     try:
         Adapter().run(sys.stdin, sys.stdout)
     except WireError as error:
-        print(f"stoatford.adapter: {error}", file=sys.stderr)
+        print(f"loftweir.adapter: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/stoatford/balance.py
+++ b/loftweir/balance.py
@@ -10,7 +10,7 @@
 
 from random import Random
 
-from stoatford.interface import (
+from loftweir.interface import (
     Action,
     Attempt,
     AttemptEnded,
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,7 +1,7 @@
 """Small makers of settings, servers and requests for the tests."""
 
-from stoatford.balance import Balancer
-from stoatford.interface import (
+from loftweir.balance import Balancer
+from loftweir.interface import (
     Attempt,
     AttemptEnded,
     Effect,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from stoatford.adapter import Adapter, WireError
+from loftweir.adapter import Adapter, WireError
 
 ROOT = Path(__file__).parent.parent
 SETTINGS = """
@@ -117,7 +117,7 @@
 
 def process(text, hash_seed="0"):
     env = dict(os.environ, PYTHONHASHSEED=hash_seed)
-    command = [sys.executable, "-m", "stoatford.adapter"]
+    command = [sys.executable, "-m", "loftweir.adapter"]
     return subprocess.run(command, input=text, capture_output=True, text=True, cwd=ROOT, env=env, check=False)
 
 
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -2,7 +2,7 @@
 
 from support import MS, SECOND, attempts, ended, endpoint, full, make, of, request
 
-from stoatford.interface import Effect, Outcome, Refuse, RequestClass, Timer, TimerFired
+from loftweir.interface import Effect, Outcome, Refuse, RequestClass, Timer, TimerFired
 
 NEAR = tuple(endpoint(f"a{i}") for i in range(6))
 FAR = tuple(endpoint(f"b{i}", zone="b") for i in range(6))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,7 +2,7 @@
 
 from support import SECOND, endpoint, make, of
 
-from stoatford.interface import MembershipUpdate, Timer, TimerFired, UpdateKind, Watch
+from loftweir.interface import MembershipUpdate, Timer, TimerFired, UpdateKind, Watch
 
 ASK_WITHIN = 10 * SECOND
 REMEMBERED = MembershipUpdate(UpdateKind.REMEMBERED, (endpoint("a1"),))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -4,7 +4,7 @@
 
 from support import SECOND, attempts, endpoint, full, make, request
 
-from stoatford.interface import Lifecycle
+from loftweir.interface import Lifecycle
 
 
 def test_sends_stay_in_the_zone_and_are_even():
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from support import CLASSES, MS, SECOND, endpoint, make
 
-from stoatford.interface import (
+from loftweir.interface import (
     Attempt,
     AttemptEnded,
     Cancel,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,7 +3,7 @@
 import pytest
 from support import MS, SECOND, attempts, changes, ended, endpoint, full, make, of, request
 
-from stoatford.interface import ClientGone, Fail, Lifecycle, Outcome, Refuse, StreamStarted, Timer, TimerFired
+from loftweir.interface import ClientGone, Fail, Lifecycle, Outcome, Refuse, StreamStarted, Timer, TimerFired
 
 FLEET = (
     endpoint("a1", cell=1),
