--- /dev/null
+++ b/loftweir/__main__.py
@@ -0,0 +1,76 @@
+"""Starts one real sidecar: reads its environment and its configuration, and runs it.
+
+Run as ``python -m loftweir``. A configuration that can't be used ends it with one line on standard error.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import ujson
+
+from loftweir.adapter import WireError, read_settings
+from loftweir.interface import UpdateKind
+from loftweir.net.discovery import read_list
+from loftweir.net.http import host_and_port
+from loftweir.net.loop import Loop, log
+from loftweir.net.sidecar import Sidecar
+
+
+def flatten(value: Any, path: str = "") -> Iterator[str]:
+    """Nested settings as the path=value pairs that the adapter's reader takes."""
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            yield from flatten(inner, f"{path}.{key}" if path else str(key))
+    elif isinstance(value, list) and any(isinstance(item, dict) for item in value):
+        yield f"{path}.count={len(value)}"
+        for number, item in enumerate(value):
+            yield from flatten(item, f"{path}.{number}")
+    elif isinstance(value, list):
+        yield f"{path}={','.join(map(scalar, value))}"
+    else:
+        yield f"{path}={scalar(value)}"
+
+
+def scalar(value: Any) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, float) and value.is_integer():
+        return str(int(value))
+    return "-" if value is None else str(value)
+
+
+def build(loop: Loop, environment: Mapping[str, str]) -> Sidecar:
+    """A started sidecar; a ValueError, KeyError or OSError says what is wrong with its configuration."""
+    with open(environment["RELAY_CONFIG"], encoding="utf-8") as file:
+        config = ujson.load(file)
+    listen = environment.get("RELAY_LISTEN") or config["listen"]
+    discovery = environment.get("RELAY_DISCOVERY") or config["discovery"]
+    host_and_port(listen)
+    host_and_port(discovery)
+    settings = read_settings(flatten(config["settings"]))
+    known, addresses = read_list(config["known"], UpdateKind.REMEMBERED)
+    sidecar = Sidecar(loop, settings, int(str(config["seed"]), 16), discovery)
+    sidecar.start(listen, known, addresses)
+    return sidecar
+
+
+def main() -> int:
+    loop = Loop()
+    try:
+        build(loop, os.environ)
+    except KeyError as error:
+        log(f"cannot start: {error.args[0]} is missing")
+        return 2
+    except (WireError, ValueError, TypeError, AttributeError, OSError) as error:
+        log(f"cannot start: {error}")
+        return 2
+    loop.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/loftweir/adapter.py
+++ b/loftweir/adapter.py
@@ -170,6 +170,8 @@
             over_share_worth=p.number("overShareWorth", 1.0),
             cross_zone_cost=p.number("costs.crossZone", 0.0),
             tick=p.integer("quantum", 0),
+            connect_timeout=p.integer("allowed.connectTimeout", 250_000_000),
+            conn_idle=p.integer("allowed.connIdle", 5_000_000_000),
         )
     except ValueError as error:
         raise WireError(f"field settings: {error}") from None
--- a/loftweir/interface.py
+++ b/loftweir/interface.py
@@ -280,6 +280,8 @@
     over_share_worth: float = 1.0
     cross_zone_cost: float = 0.0
     tick: int = 0
+    connect_timeout: int = 250_000_000  # a connection that is not up by then has failed
+    conn_idle: int = 5_000_000_000  # a connection idle for this long is closed by the server
 
     def __post_init__(self) -> None:
         for name, wrong in self._faults():
@@ -294,6 +296,8 @@
             ("balancers", "" if self.balancers >= 1 else "must be 1 or more"),
             ("me", "" if 0 <= self.me < self.balancers else "must be from 0 to balancers - 1"),
             ("max_attempts", "" if self.max_attempts >= 1 else "must be 1 or more"),
+            ("connect_timeout", "" if self.connect_timeout > 0 else "must be above 0"),
+            ("conn_idle", "" if self.conn_idle > 0 else "must be above 0"),
             ("tick", "" if self.tick >= 0 else "must not be negative"),
             ("safety.answer_grace", "" if s.answer_grace >= 0 else "must not be negative"),
             ("safety.drain_grace", "" if s.drain_grace >= 0 else "must not be negative"),
--- /dev/null
+++ b/loftweir/net/discovery.py
@@ -0,0 +1,138 @@
+"""Discovery: the whole list once, and the watch that goes on from it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import h11
+import ujson
+
+from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, UpdateKind
+from loftweir.net.http import Channel, TookTooLong, TooLarge
+from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Task, log
+from loftweir.net.provider import NotUp, connect
+
+PATH = "/catalog/members"
+WAIT = 10 * SECOND  # how long discovery may hold a watch with no news
+SILENT_AFTER = 2 * SECOND  # past its wait, a call that has no answer is taken for failed
+CONNECT_WITHIN = SECOND
+LIFECYCLES = {"active": Lifecycle.READY, "leaving": Lifecycle.DRAINING, "left": Lifecycle.GONE}
+
+
+class CallFailed(Exception):
+    """A call to discovery that brought no list: says why."""
+
+
+def read_list(data: Any, kind: UpdateKind | None = None) -> tuple[MembershipUpdate, dict[str, str]]:
+    """A list in discovery's form, and where each provider on it listens.
+
+    The name is the provider's identity everywhere; the address is only where this sidecar connects.
+    """
+    endpoints, addresses = [], {}
+    for entry in data["endpoints"]:
+        name = str(entry["name"])
+        endpoints.append(
+            Endpoint(
+                address=name,
+                zone=str(entry["zone"]),
+                kind=str(entry["type"]),
+                cell=int(entry["group"]),
+                lifecycle=LIFECYCLES[entry["status"]],
+                weight=float(entry["weight"]),
+                started_at=int(entry["since_ms"]) * MS,
+            )
+        )
+        addresses[name] = str(entry["address"])
+    if kind is None:
+        kind = UpdateKind.FULL if data["snapshot"] else UpdateKind.CHANGES
+    return MembershipUpdate(kind, tuple(endpoints), int(data["index"])), addresses
+
+
+class Discovery:
+    """Calls discovery as the balancer asks, and hands over what it tells."""
+
+    def __init__(
+        self, loop: Loop, address: str, told: Callable[[MembershipUpdate, dict[str, str]], None]
+    ) -> None:
+        self.loop = loop
+        self.address = address
+        self.told = told
+        self.version = 0  # of the list held; 0: none
+        self.watching: Task | None = None
+
+    def watch(self, on: bool) -> None:
+        if self.watching is not None:
+            self.watching.cancel()
+        self.watching = self.loop.spawn(self._follow(), self._crashed) if on else None
+
+    def fetch(self) -> None:
+        self.loop.spawn(self._fetch(), self._crashed)
+
+    def _crashed(self, _: Exception) -> None:
+        self._fail()
+
+    def _fail(self) -> None:
+        self.told(MembershipUpdate(UpdateKind.FAILED), {})
+
+    def _fetch(self) -> Coroutine[None]:
+        try:
+            channel = yield from self._connect()
+            try:
+                update, addresses = yield from self._call(channel, PATH, 0)
+            finally:
+                channel.close()
+        except CallFailed as error:
+            log(f"discovery: list failed: {error}")
+            self._fail()
+        else:
+            self.told(update, addresses)
+
+    def _follow(self) -> Coroutine[None]:
+        """One call after another over one connection: the next starts at once, so that the watch goes on."""
+        try:
+            channel = yield from self._connect()
+            try:
+                while True:
+                    target = f"{PATH}?after={self.version}&wait_ms={WAIT // MS}" if self.version else PATH
+                    update, addresses = yield from self._call(channel, target, WAIT if self.version else 0)
+                    self.version = update.version
+                    self.told(update, addresses)
+                    if not channel.finished():
+                        channel.close()
+                        channel = yield from self._connect()
+                    else:
+                        channel.http.start_next_cycle()
+            finally:
+                channel.close()
+        except CallFailed as error:
+            log(f"discovery: watch failed: {error}")
+            self._fail()
+
+    def _connect(self) -> Coroutine[Channel]:
+        try:
+            return (yield from connect(self.loop, self.address, CONNECT_WITHIN, self.loop.now() + SECOND))
+        except NotUp:
+            raise CallFailed("not up") from None
+
+    def _call(
+        self, channel: Channel, target: str, wait: int
+    ) -> Coroutine[tuple[MembershipUpdate, dict[str, str]]]:
+        until = self.loop.now() + wait + SILENT_AFTER
+        try:
+            request = h11.Request(method="GET", target=target, headers=[("host", self.address)])
+            yield from channel.send(request, [], until)
+            head = yield from channel.next_event(until)
+            if not isinstance(head, h11.Response):
+                raise CallFailed("no answer")
+            body = yield from channel.body(until)
+        except TookTooLong:
+            raise CallFailed("silent") from None
+        except (OSError, h11.RemoteProtocolError, TooLarge) as error:
+            raise CallFailed(f"broken: {error}") from None
+        if head.status_code != 200:
+            raise CallFailed(f"answered {head.status_code}")
+        try:
+            return read_list(ujson.loads(b"".join(body)))
+        except (ValueError, KeyError, TypeError) as error:
+            raise CallFailed(f"not a list: {error!r}") from None
--- /dev/null
+++ b/loftweir/net/loop.py
@@ -0,0 +1,166 @@
+"""The event loop: epoll, generators as coroutines, and one library timer for each wait.
+
+A coroutine yields a `Wait` and is sent back the epoll events that ended it, 0 when its time was up, or
+`WOKEN` when another coroutine woke it. Nothing here knows of HTTP or of the balancer.
+"""
+
+from __future__ import annotations
+
+import sched
+import select
+import sys
+import time
+from collections import deque
+from collections.abc import Callable, Generator
+from socket import socket
+from typing import Any, NamedTuple, TypeVar
+
+T = TypeVar("T")
+MS = 1_000_000
+SECOND = 1_000 * MS
+WOKEN = -1
+READABLE, WRITABLE, HUNG_UP = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
+LONGEST_POLL = 60.0  # epoll's time-out is a 32-bit number of milliseconds
+
+
+class Wait(NamedTuple):
+    """What a coroutine waits for: events on a socket, a point in time, or both."""
+
+    sock: socket | None
+    mask: int
+    until: int | None
+
+
+Coroutine = Generator[Wait, int, T]
+
+
+def log(text: str) -> None:
+    print(f"loftweir: {' '.join(text.split())}", file=sys.stderr, flush=True)
+
+
+class Task:
+    """A running coroutine. It waits (`wait` is set), is due to go on (`due` is set), runs, or is over."""
+
+    __slots__ = ("loop", "coroutine", "crashed", "wait", "timer", "fd", "due", "over")
+
+    def __init__(
+        self, loop: Loop, coroutine: Coroutine[None], crashed: Callable[[Exception], None] | None
+    ) -> None:
+        self.loop = loop
+        self.coroutine = coroutine
+        self.crashed = crashed
+        self.wait: Wait | None = None
+        self.timer: sched.Event | None = None
+        self.fd = -1
+        self.due: int | None = None
+        self.over = False
+
+    def wake(self) -> None:
+        """Ends the wait of another coroutine; does nothing to one that does not wait."""
+        if self.wait is not None:
+            self.resume(WOKEN)
+
+    def cancel(self) -> None:
+        """Ends a coroutine where it waits; its `finally` clauses run."""
+        if not self.over:
+            self.over = True
+            self.disarm()
+            self.coroutine.close()
+
+    def resume(self, value: int) -> None:
+        self.disarm()
+        self.due = value
+        self.loop.ready.append(self)
+
+    def arm(self, wait: Wait) -> None:
+        self.wait = wait
+        if wait.sock is not None:
+            self.fd = wait.sock.fileno()
+            self.loop.epoll.register(self.fd, wait.mask)
+            self.loop.waiting[self.fd] = self
+        if wait.until is not None:
+            self.timer = self.loop.timers.enterabs(wait.until, 0, self.time_out)
+
+    def time_out(self) -> None:
+        self.timer = None
+        self.resume(0)
+
+    def disarm(self) -> None:
+        if self.wait is None:
+            return
+        if self.wait.sock is not None:
+            del self.loop.waiting[self.fd]
+            self.loop.epoll.unregister(self.fd)
+        if self.timer is not None:
+            self.loop.timers.cancel(self.timer)
+            self.timer = None
+        self.wait = None
+
+    def step(self) -> None:
+        if self.over:
+            return
+        value, self.due = self.due, None
+        try:
+            # A generator that has not begun takes None only.
+            wait = next(self.coroutine) if value is None else self.coroutine.send(value)
+            self.arm(wait)
+        except StopIteration:
+            self.over = True
+        except Exception as error:
+            # One broken coroutine must not end the process: its owner answers for it.
+            self.over = True
+            self.disarm()
+            self.coroutine.close()
+            log(f"broken coroutine {self.coroutine!r}: {error!r} {where(error)}")
+            if self.crashed is not None:
+                self.crashed(error)
+
+
+def where(error: BaseException) -> str:
+    """The innermost line of a traceback, for a log of one line."""
+    at = error.__traceback__
+    while at is not None and at.tb_next is not None:
+        at = at.tb_next
+    return "" if at is None else f"at {at.tb_frame.f_code.co_filename}:{at.tb_lineno}"
+
+
+class Loop:
+    """Runs coroutines on epoll; `now` is Unix time in nanoseconds that only goes forward."""
+
+    def __init__(self) -> None:
+        self.epoll = select.epoll()
+        # Set once: the system's clock may be put back while this runs, and the balancer's may not.
+        self.offset = time.time_ns() - time.monotonic_ns()
+        self.timers = sched.scheduler(self.now, lambda _: None)
+        self.waiting: dict[int, Task] = {}
+        self.ready: deque[Task] = deque()
+        self.stopped = False
+
+    def now(self) -> int:
+        return time.monotonic_ns() + self.offset
+
+    def spawn(
+        self, coroutine: Coroutine[None], crashed: Callable[[Exception], None] | None = None
+    ) -> Task:
+        task = Task(self, coroutine, crashed)
+        self.ready.append(task)
+        return task
+
+    def after(self, delay: int, call: Callable[..., None], *arguments: Any) -> None:
+        self.timers.enterabs(self.now() + delay, 0, call, arguments)
+
+    def run(self) -> None:
+        while not self.stopped:
+            delay = self.timers.run(blocking=False)
+            while self.ready:
+                self.ready.popleft().step()
+                delay = 0  # what ran may have set a nearer timer: look again before sleeping
+            seconds = LONGEST_POLL if delay is None else min(LONGEST_POLL, max(0, delay) / SECOND)
+            # Every event is taken off its task before any task runs: a descriptor that one task closes
+            # and another opens again must not be handed an event of its former life.
+            for fd, mask in self.epoll.poll(seconds):
+                self.waiting[fd].resume(mask)
+
+
+def sleep(until: int) -> Coroutine[None]:
+    yield Wait(None, 0, until)
--- /dev/null
+++ b/loftweir/net/provider.py
@@ -0,0 +1,192 @@
+"""Providers: the pool of warm connections to them, and invoker calls over those connections.
+
+An invoker call is one Attempt of the balancer. It ends with exactly one outcome, and says "never ran" only
+where the protocol proves it. Nothing here sends a second time: that is the balancer's to decide.
+"""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import h11
+
+from loftweir.interface import Outcome, Settings
+from loftweir.net.http import Channel, TookTooLong, TooLarge, host_and_port, passed_on, value_of
+from loftweir.net.loop import MS, READABLE, WRITABLE, Coroutine, Loop, Task, Wait
+
+if TYPE_CHECKING:
+    from loftweir.net.consumer import Invocation
+
+Answer = tuple[h11.Response, list[bytes]]
+# A provider counts idle time from its own last byte; closing this much earlier, nothing is written too late.
+IDLE_MARGIN = 500 * MS
+OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class NotUp(Exception):
+    """No connection: carries the outcome, which proves that nothing ran."""
+
+    def __init__(self, outcome: Outcome) -> None:
+        self.outcome = outcome
+
+
+def connect(loop: Loop, address: str, connect_timeout: int, until: int) -> Coroutine[Channel]:
+    """A new connection, up within `connect_timeout`."""
+    host, port = host_and_port(address)
+    try:
+        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        # Our own shortage says nothing of the provider: it must not be blamed for it.
+        lacking = error.errno in OUT_OF_DESCRIPTORS
+        raise NotUp(Outcome.NOT_SENT if lacking else Outcome.CONNECT_FAILED) from None
+    try:
+        channel = Channel(sock, h11.CLIENT, address)
+        fault = sock.connect_ex((host, port))
+        if fault == errno.EINPROGRESS:
+            up_by = loop.now() + connect_timeout
+            if not (yield Wait(sock, WRITABLE, min(up_by, until))):
+                raise NotUp(Outcome.CONNECT_FAILED if up_by <= until else Outcome.NOT_SENT)
+            fault = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if fault:
+            raise NotUp(Outcome.CONNECT_FAILED)
+    except BaseException:
+        sock.close()
+        raise
+    return channel
+
+
+class Providers:
+    """Where each provider is, and the connections to it that wait for their next use."""
+
+    def __init__(self, loop: Loop, settings: Settings) -> None:
+        self.loop = loop
+        self.connect_timeout = settings.connect_timeout
+        self.rest_for = max(settings.conn_idle // 2, settings.conn_idle - IDLE_MARGIN)
+        self.addresses: dict[str, str] = {}
+        self.idle: dict[str, list[tuple[Channel, Task]]] = {}
+
+    def moved(self, name: str, address: str) -> None:
+        """The list names an address: connections to another one lead to a process that is gone."""
+        if self.addresses.get(name, address) != address:
+            self.close_idle(name)
+        self.addresses[name] = address
+
+    def take(self, name: str) -> Channel | None:
+        """The warm connection used last, if one still stands."""
+        idle = self.idle.get(name, [])
+        while idle:
+            channel, task = idle.pop()
+            task.cancel()
+            # Closed by the provider, and epoll had no turn to say so yet: a request on it would be lost.
+            if not channel.broken():
+                return channel
+            channel.close()
+        return None
+
+    def rest(self, name: str, channel: Channel) -> None:
+        if channel.address != self.addresses.get(name):
+            channel.close()
+            return
+        task = self.loop.spawn(self._watch_idle(name, channel))
+        self.idle.setdefault(name, []).append((channel, task))
+
+    def _watch_idle(self, name: str, channel: Channel) -> Coroutine[None]:
+        """Closes a resting connection before the provider does, or as soon as the provider has."""
+        yield Wait(channel.sock, READABLE, self.loop.now() + self.rest_for)
+        self.idle[name] = [entry for entry in self.idle[name] if entry[0] is not channel]
+        channel.close()
+
+    def close_idle(self, name: str) -> None:
+        for channel, task in self.idle.pop(name, []):
+            task.cancel()
+            channel.close()
+
+
+class InvokerCall:
+    """One attempt at one provider, from the balancer's Attempt to its outcome."""
+
+    __slots__ = ("invocation", "number", "provider", "give_up_at", "started_at", "task", "ended")
+
+    def __init__(
+        self,
+        invocation: Invocation,
+        provider: str,
+        give_up_at: int,
+        started_at: int,
+        ended: Callable[[InvokerCall, Outcome, Answer | None], None],
+    ) -> None:
+        self.invocation = invocation
+        self.number = len(invocation.calls)
+        self.provider = provider
+        self.give_up_at = min(give_up_at or invocation.deadline, invocation.deadline)
+        self.started_at = started_at
+        self.ended = ended
+        self.task: Task | None = None
+
+    def run(self, providers: Providers) -> Coroutine[None]:
+        try:
+            outcome, answer = yield from self._exchange(providers)
+        except NotUp as error:
+            outcome, answer = error.outcome, None
+        self.ended(self, outcome, answer)
+
+    def crashed(self, _: Exception) -> None:
+        self.ended(self, Outcome.UNKNOWN, None)
+
+    def _exchange(self, providers: Providers) -> Coroutine[tuple[Outcome, Answer | None]]:
+        loop = providers.loop
+        channel = providers.take(self.provider)
+        if channel is None:
+            address = providers.addresses[self.provider]
+            channel = yield from connect(loop, address, providers.connect_timeout, self.give_up_at)
+        reusable = False
+        try:
+            if not self.invocation.open:
+                reusable = True  # the consumer went while the connection came up: spare the provider
+                return Outcome.NOT_SENT, None
+            try:
+                yield from channel.send(*self._message(loop.now()), self.give_up_at)
+            except TookTooLong:
+                return Outcome.NOT_SENT, None
+            except OSError:
+                return Outcome.CONNECT_FAILED, None  # before the last byte: it can't have run
+            try:
+                head = yield from channel.next_event(self.give_up_at)
+                while isinstance(head, h11.InformationalResponse):
+                    head = yield from channel.next_event(self.give_up_at)
+                if not isinstance(head, h11.Response):
+                    return Outcome.RESET, None
+                body = yield from channel.body(self.give_up_at)
+            except TookTooLong:
+                return Outcome.TIMED_OUT, None
+            except TooLarge:
+                return Outcome.ERROR, None
+            except (OSError, h11.RemoteProtocolError):
+                return Outcome.RESET, None
+            if channel.finished():
+                channel.http.start_next_cycle()
+                reusable = True
+            if head.status_code == 200:
+                return Outcome.OK, (head, body)
+            declined = head.status_code in (503, 504) and value_of(head, b"srv-declined") == b"1"
+            return Outcome.FULL if declined else Outcome.ERROR, None
+        finally:
+            # Given up, broken or cancelled: closed before the balancer hears of it, so that whatever it
+            # sends next is the only copy out.
+            if reusable:
+                providers.rest(self.provider, channel)
+            else:
+                channel.close()
+
+    def _message(self, now: int) -> tuple[h11.Request, list[bytes]]:
+        head, body = self.invocation.head, self.invocation.body
+        headers = passed_on(head)
+        headers.append((b"req-deadline-ms", b"%d" % max(1, (self.give_up_at - now) // MS)))
+        if body or head.method != b"GET":
+            headers.append((b"content-length", b"%d" % sum(map(len, body))))
+        if head.http_version == b"1.0" and value_of(head, b"host") is None:
+            headers.append((b"host", b"service.internal"))
+        return h11.Request(method=head.method, target=head.target, headers=headers), body
--- /dev/null
+++ b/loftweir/net/sidecar.py
@@ -0,0 +1,163 @@
+"""The sidecar: owns the Balancer, tells it what happens on the sockets, and carries out what it decides."""
+
+from __future__ import annotations
+
+import signal
+import socket
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from loftweir import interface as api
+from loftweir.balance import Balancer
+from loftweir.net.consumer import Consumer, Invocation, accept, listen, plain
+from loftweir.net.discovery import Discovery
+from loftweir.net.loop import MS, READABLE, SECOND, Coroutine, Loop, Wait, log, where
+from loftweir.net.provider import Answer, InvokerCall, Providers
+
+ACCEPT_AFTER_TERM = 700 * MS
+
+
+class Sidecar:
+    """One real sidecar. Events go in by `tell`, in order; actions are carried out in order."""
+
+    def __init__(self, loop: Loop, settings: api.Settings, seed: int, discovery: str) -> None:
+        self.loop = loop
+        self.settings = settings
+        self.balancer = Balancer(settings, seed)
+        self.providers = Providers(loop, settings)
+        self.discovery = Discovery(loop, discovery, self.listed)
+        self.invocations: dict[str, Invocation] = {}
+        self.consumers: set[Consumer] = set()
+        self.listener: socket.socket | None = None
+        self.stopping = False
+        self.events: deque[api.Event] = deque()
+        self.telling = False
+        self.carry_out: dict[type, Callable[[Any], None]] = {
+            api.Attempt: self._attempt,
+            api.Refuse: self._reject,
+            api.Fail: self._fail,
+            api.Cancel: self._cancel,
+            api.Timer: lambda a: loop.after(a.delay, self.tell, api.TimerFired(a.tag)),
+            api.Watch: lambda a: self.discovery.watch(a.on),
+            api.FetchList: lambda a: self.discovery.fetch(),
+            api.CloseIdle: lambda a: self.providers.close_idle(a.server),
+            api.Log: lambda a: log(a.text),
+        }
+
+    # ---- events ---------------------------------------------------------------------------------
+
+    def tell(self, event: api.Event) -> None:
+        """Hands one event to the balancer and carries out its actions; what these raise waits its turn."""
+        self.events.append(event)
+        if self.telling:
+            return
+        self.telling = True
+        while self.events:
+            event = self.events.popleft()
+            try:
+                for action in self.balancer.handle(self.loop.now(), [event]):
+                    self.carry_out[type(action)](action)
+            except Exception as error:
+                # The decision code broke on this event: what it was about is answered, the rest goes on.
+                log(f"broken decision on {type(event).__name__}: {error!r} {where(error)}")
+                invocation = self.invocations.get(getattr(event, "request_id", getattr(event, "id", "")))
+                if invocation is not None and invocation.open:
+                    invocation.close(plain(500, "failed"))
+        self.telling = False
+
+    def take(self, invocation: Invocation) -> None:
+        self.invocations[invocation.id] = invocation
+        self.tell(invocation.event())
+
+    def leave(self, invocation: Invocation) -> None:
+        """The consumer's side is done with it, answered or not. An invoker call still out runs on: giving
+        it up would stop no work, and read to its end its connection can be used again."""
+        if invocation.open:
+            invocation.close(invocation.answer)
+            self.tell(api.ClientGone(invocation.id))
+        self._forget(invocation)
+
+    def _forget(self, invocation: Invocation) -> None:
+        # The id stays known while a call is out: the same id again would be a second copy.
+        if not invocation.open and all(call.task is None for call in invocation.calls):
+            self.invocations.pop(invocation.id, None)
+
+    def listed(self, update: api.MembershipUpdate, addresses: dict[str, str]) -> None:
+        for name, address in addresses.items():
+            self.providers.moved(name, address)
+        self.tell(update)
+
+    def ended(self, call: InvokerCall, outcome: api.Outcome, answer: Answer | None) -> None:
+        call.task = None
+        invocation = call.invocation
+        if answer is not None and invocation.open:
+            invocation.close(answer)
+        elapsed = self.loop.now() - call.started_at
+        self.tell(
+            api.AttemptEnded(invocation.id, call.number, call.provider, outcome, elapsed, not invocation.open)
+        )
+        self._forget(invocation)
+
+    # ---- actions --------------------------------------------------------------------------------
+
+    def _attempt(self, action: api.Attempt) -> None:
+        invocation = self.invocations[action.request_id]
+        now = self.loop.now()
+        call = InvokerCall(invocation, action.server, action.give_up_at, now, self.ended)
+        invocation.calls.append(call)
+        call.task = self.loop.spawn(call.run(self.providers), call.crashed)
+
+    def _reject(self, action: api.Refuse) -> None:
+        """A rejection says that trying again is harmless, and after how long it may help."""
+        after = min(action.retry_after, self.settings.max_retry_after)
+        headers = [("retry-after", f"{after / SECOND:.3f}")] if after > 0 else []
+        self._close(action.request_id, plain(503, "rejected", *headers))
+
+    def _fail(self, action: api.Fail) -> None:
+        self._close(action.request_id, plain(502, "failed"))
+
+    def _close(self, request_id: str, answer: Answer) -> None:
+        invocation = self.invocations.get(request_id)
+        if invocation is not None and invocation.open:
+            invocation.close(answer)
+
+    def _cancel(self, action: api.Cancel) -> None:
+        call = self.invocations[action.request_id].calls[action.attempt]
+        if call.task is not None:
+            call.task.cancel()
+            self.ended(call, api.Outcome.CANCELLED, None)
+
+    # ---- life -----------------------------------------------------------------------------------
+
+    def ready(self) -> bool:
+        return not self.stopping and bool(self.balancer.servers)
+
+    def start(self, address: str, known: api.MembershipUpdate, addresses: dict[str, str]) -> None:
+        self.discovery.version = known.version
+        self.listed(known, addresses)
+        self.listener = listen(address)
+        accepting = self.loop.spawn(accept(self, self.listener))
+        woken, wakes = socket.socketpair()
+        woken.setblocking(False)
+        wakes.setblocking(False)
+        signal.set_wakeup_fd(wakes.fileno(), warn_on_full_buffer=False)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: None)
+
+        def stop() -> Coroutine[None]:
+            yield Wait(woken, READABLE, None)
+            self.stopping = True
+            log("stopping")
+            yield Wait(None, 0, self.loop.now() + ACCEPT_AFTER_TERM)
+            accepting.cancel()
+            listener.close()
+            for consumer in [c for c in self.consumers if c.quiet()]:
+                consumer.close()
+            while self.consumers:
+                yield Wait(None, 0, self.loop.now() + 5 * MS)
+            wakes.close()
+            self.loop.stopped = True
+
+        listener = self.listener
+        self.loop.spawn(stop())
