Say when to come back; rest no connection of a silent provider; tests on sockets

Seen while the program was tried by hand and by its new tests, all started as a process on free ports: - rejections carried no Retry-After, since the module named none (balance.py, _end). It now names a wait that grows with the part turned away, up to the class's aim and the site's limit. - a time-out left the other warm connections of a vanished machine in the pool (provider.py, _exchange); the next request on them would be swallowed too.

--- a/loftweir/__main__.py
+++ b/loftweir/__main__.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import os
+import resource
 import sys
 from collections.abc import Iterator, Mapping
 from typing import Any
@@ -51,6 +52,11 @@
     discovery = environment.get("RELAY_DISCOVERY") or config["discovery"]
     host_and_port(listen)
     host_and_port(discovery)
+    # The platform counts descriptors: running into a limit of its own, the sidecar can make room.
+    sockets = int(config["limits"]["sockets"])
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if sockets < soft or soft == resource.RLIM_INFINITY:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, hard))
     settings = read_settings(flatten(config["settings"]))
     known, addresses = read_list(config["known"], UpdateKind.REMEMBERED)
     sidecar = Sidecar(loop, settings, int(str(config["seed"]), 16), discovery)
--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -473,9 +473,20 @@
             or call.cls.effect is Effect.REPEATABLE
             or (call.cls.effect is Effect.BY_KEY and call.cls.scope is Scope.ALL)
         )
-        self.actions.append(Refuse(call.id) if harmless else Fail(call.id))
+        self.actions.append(Refuse(call.id, self._come_back(call.cls)) if harmless else Fail(call.id))
         self._forget(call.id)
 
+    def _come_back(self, cls: RequestClass) -> int:
+        """When a new try has a better chance: the more is turned away now, the later, up to the class's aim.
+
+        What is turned away moves by time in units of the aim (`_press`): sooner, a try meets the same crowd.
+        """
+        if not self.settings.retry_after:
+            return 0
+        deck = self.near if self.near.servers else self.far
+        away = 1 - deck.warmth * (1 - deck.pressure)
+        return min(self.settings.max_retry_after, int(cls.aim * max(away, 1 / PRESSURE_AIMS)))
+
     def _forget(self, request_id: str) -> None:
         self.calls.pop(request_id, None)
         self.held.pop(request_id, None)
--- a/loftweir/net/consumer.py
+++ b/loftweir/net/consumer.py
@@ -175,7 +175,10 @@
         if http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self.channel.sock.sendmsg(http.send_with_data_passthrough(go_on) or [])
-        body = yield from self.channel.body(sidecar.loop.now() + BODY_WITHIN)
+        try:
+            body = yield from self.channel.body(sidecar.loop.now() + BODY_WITHIN)
+        except TookTooLong:
+            return plain(408, "the body did not come")
         path = head.target.partition(b"?")[0]
         if path == b"/_health":
             return plain(200, "ready") if sidecar.ready() else plain(503, "not ready")
@@ -243,6 +246,7 @@
             continue
         except OSError as error:
             log(f"accept failed: {error}")
+            sidecar.spare()
             yield Wait(None, 0, sidecar.loop.now() + 100 * MS)
             continue
         consumer = Consumer(sidecar, sock)
--- a/loftweir/net/discovery.py
+++ b/loftweir/net/discovery.py
@@ -10,13 +10,14 @@
 
 from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, UpdateKind
 from loftweir.net.http import Channel, TookTooLong, TooLarge
-from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Task, log
+from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Task, Wait, log
 from loftweir.net.provider import NotUp, connect
 
 PATH = "/catalog/members"
 WAIT = 10 * SECOND  # how long discovery may hold a watch with no news
 SILENT_AFTER = 2 * SECOND  # past its wait, a call that has no answer is taken for failed
 CONNECT_WITHIN = SECOND
+CALLS_APART = 100 * MS  # at least, from call to call; a watch goes on where the next call is within 200 ms
 LIFECYCLES = {"active": Lifecycle.READY, "leaving": Lifecycle.DRAINING, "left": Lifecycle.GONE}
 
 
@@ -93,11 +94,18 @@
         try:
             channel = yield from self._connect()
             try:
+                first = True
                 while True:
+                    asked_at = self.loop.now()
                     target = f"{PATH}?after={self.version}&wait_ms={WAIT // MS}" if self.version else PATH
                     update, addresses = yield from self._call(channel, target, WAIT if self.version else 0)
-                    self.version = update.version
-                    self.told(update, addresses)
+                    # The first answer of a watch is told with or without news: the watch stands.
+                    if first or update.endpoints or update.version != self.version:
+                        self.version = update.version
+                        self.told(update, addresses)
+                    first = False
+                    # One that answers at once with no news would be called in a tight loop.
+                    yield Wait(None, 0, asked_at + CALLS_APART)
                     if not channel.finished():
                         channel.close()
                         channel = yield from self._connect()
--- a/loftweir/net/provider.py
+++ b/loftweir/net/provider.py
@@ -99,6 +99,10 @@
         self.idle[name] = [entry for entry in self.idle[name] if entry[0] is not channel]
         channel.close()
 
+    def close_all_idle(self) -> None:
+        for name in list(self.idle):
+            self.close_idle(name)
+
     def close_idle(self, name: str) -> None:
         for channel, task in self.idle.pop(name, []):
             task.cancel()
@@ -161,6 +165,9 @@
                     return Outcome.RESET, None
                 body = yield from channel.body(self.give_up_at)
             except TookTooLong:
+                # A machine that vanished leaves its warm connections open and silent. Only a new one can
+                # tell, and one that does not come up proves that nothing ran: rest no longer on these.
+                providers.close_idle(self.provider)
                 return Outcome.TIMED_OUT, None
             except TooLarge:
                 return Outcome.ERROR, None
--- a/loftweir/net/sidecar.py
+++ b/loftweir/net/sidecar.py
@@ -115,7 +115,9 @@
         self._close(action.request_id, plain(503, "rejected", *headers))
 
     def _fail(self, action: api.Fail) -> None:
-        self._close(action.request_id, plain(502, "failed"))
+        invocation = self.invocations.get(action.request_id)
+        late = invocation is not None and self.loop.now() >= invocation.deadline
+        self._close(action.request_id, plain(504 if late else 502, "failed"))
 
     def _close(self, request_id: str, answer: Answer) -> None:
         invocation = self.invocations.get(request_id)
@@ -128,6 +130,12 @@
             call.task.cancel()
             self.ended(call, api.Outcome.CANCELLED, None)
 
+    def spare(self) -> None:
+        """Out of descriptors: closes what only waits for its next use."""
+        self.providers.close_all_idle()
+        for consumer in [c for c in self.consumers if c.quiet()]:
+            consumer.close()
+
     # ---- life -----------------------------------------------------------------------------------
 
     def ready(self) -> bool:
--- /dev/null
+++ b/tests/scene.py
@@ -0,0 +1,254 @@
+"""The one helper of the tests on sockets: the real program as a process, with toy parties round it."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+from contextlib import suppress
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+MS, SECOND = 1_000_000, 1_000_000_000
+READ, ONCE, KEYED = "status-read", "apply-submit", "place-confirm"
+
+
+def profile(name, effect, scope="all"):
+    times = {"target": 600 * MS, "hardLimit": 3 * SECOND, "window": 12 * SECOND}
+    return {"name": name, "effect": effect, "dedupScope": scope, "stream": False, **times}
+
+
+SETTINGS = {
+    "zone": "a",
+    "dcs": ["a", "b"],
+    "discovery": "ask",
+    "profiles": [profile(READ, "repeatable"), profile(ONCE, "once"), profile(KEYED, "by_key", "zone")],
+    "allowed": {
+        "connIdle": 2 * SECOND,
+        "connectTimeout": 250 * MS,
+        "maxAttempts": 3,
+        "maxRetryAfter": 1500 * MS,
+        "retryAfter": True,
+        "secondCopies": False,
+    },
+    "safety": {
+        "askWithin": 2 * SECOND,
+        "coldFrom": 0.14,
+        "fall": SECOND,
+        "fallMultiple": 2.5,
+        "graceToAnswer": 20 * MS,
+        "stopSendingWithin": 750 * MS,
+        "warmWithin": 24 * SECOND,
+    },
+}
+
+
+def eventually(check, seconds=10):
+    """Polls until `check` holds; what it last gave is returned either way."""
+    end = time.monotonic() + seconds
+    while not (found := check()) and time.monotonic() < end:
+        time.sleep(0.01)
+    return found
+
+
+def listener():
+    return socket.create_server(("127.0.0.1", 0))
+
+
+def address_of(sock):
+    return "{}:{}".format(*sock.getsockname())
+
+
+def reply(status, body=b"", *headers):
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *headers, "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
+class Party:
+    """A server that hands each request to `self.answer`; bytes are sent, None closes the connection."""
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.seen = []  # (head, body, number of its connection)
+        self.ends = []  # numbers of the connections that have ended
+        self.sockets = []
+        self.listener = listener()
+        self.address = address_of(self.listener)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            self.sockets.append(sock)
+            threading.Thread(target=self._serve, args=(sock, len(self.sockets)), daemon=True).start()
+
+    def _serve(self, sock, number):
+        try:
+            file = sock.makefile("rb")
+            while line := file.readline():
+                head = line.decode()
+                while (line := file.readline().decode()) not in ("\r\n", ""):
+                    head += line
+                fields = dict(field.lower().split(": ", 1) for field in head.splitlines()[1:])
+                body = file.read(int(fields.get("content-length", 0)))
+                self.seen.append((head, body, number))
+                data = self.answer(head, body)
+                if data is None:
+                    break
+                sock.sendall(data)
+        except OSError:
+            pass
+        self.ends.append(number)
+        for end in (lambda: sock.shutdown(socket.SHUT_RDWR), sock.close):
+            with suppress(OSError):
+                end()
+
+    def close(self):
+        """The process dies: its port refuses and its connections end."""
+        for sock in (self.listener, *self.sockets):
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
+
+
+class Catalog(Party):
+    """Discovery: a list that tests change, and watches that wait for a change."""
+
+    def __init__(self):
+        self.index, self.entries, self.changed = 1, [], []
+        self.calls_fail = False
+        self.news = threading.Condition()
+        super().__init__(self._catalog)
+
+    def _catalog(self, head, _):
+        query = dict(part.split("=") for part in head.split()[1].partition("?")[2].split("&") if part)
+        with self.news:
+            after = int(query.get("after", 0))
+            waited = self.news.wait_for(
+                lambda: self.calls_fail or self.index > after, int(query.get("wait_ms", 0)) / 1000
+            )
+            if self.calls_fail:
+                return reply(503)
+            entries = (self.changed if waited else []) if after else self.entries
+            return reply(200, as_list(self.index, entries, not after))
+
+    def change(self, *entries):
+        with self.news:
+            self.index, self.changed = self.index + 1, list(entries)
+            self.news.notify_all()
+
+    def fail(self, on):
+        with self.news:
+            self.calls_fail = on
+            self.news.notify_all()
+
+
+def as_list(index, entries, whole):
+    return json.dumps({"index": index, "snapshot": whole, "endpoints": entries}).encode()
+
+
+def entry(name, address, zone="a", status="active", since_ms=0):
+    place = {"name": name, "address": address, "zone": zone, "type": "m", "group": 0}
+    return {**place, "status": status, "weight": 1.0, "since_ms": since_ms}
+
+
+class Scene(unittest.TestCase):
+    """Starts the program with the providers a test names; all of it ends with the test."""
+
+    def start(self, *answers, known=None, **changes):
+        self.catalog = Catalog()
+        self.providers = [Party(answer) for answer in answers]
+        for party in (self.catalog, *self.providers):
+            self.addCleanup(party.close)
+        self.entries = [entry(f"s{n}", p.address) for n, p in enumerate(self.providers)]
+        self.catalog.entries = self.entries if known is None else known
+        with listener() as free:
+            self.listen = address_of(free)
+        config = {
+            "name": "n0",
+            "listen": self.listen,
+            "discovery": self.catalog.address,
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "known": json.loads(as_list(1, self.catalog.entries, True)),
+            "settings": SETTINGS,
+        }
+        self.run_program(json.dumps(config | changes))
+        if not changes and self.catalog.entries:
+            self.assertEqual(eventually(lambda: self.health() == 200), True, self.log())
+
+    def run_program(self, config):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = Path(folder.name, "config.json")
+        path.write_text(config, encoding="utf-8")
+        self.errors = Path(folder.name, "log")
+        with self.errors.open("wb") as errors:
+            environment = os.environ | {"RELAY_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
+            self.program = subprocess.Popen(
+                [sys.executable, "-m", "loftweir"], env=environment, stderr=errors, cwd=folder.name
+            )
+        self.addCleanup(self.program.wait, 10)
+        self.addCleanup(self.program.kill)
+
+    def log(self):
+        return self.errors.read_text()
+
+    def client(self):
+        client = http.client.HTTPConnection(self.listen, timeout=10)
+        self.addCleanup(client.close)
+        return client
+
+    def health(self):
+        try:
+            return self.ask("GET", "/_health")[0]
+        except OSError:
+            return 0
+
+    def ask(self, method, target, headers=None, body=None, client=None):
+        client = client or self.client()
+        chunked = "Transfer-Encoding" in (headers or {})
+        client.request(method, target, body, headers or {}, encode_chunked=chunked)
+        response = client.getresponse()
+        return response.status, response.read(), response
+
+    def invoke(self, kind=READ, deadline_ms=2000, target="/api", body=None, client=None, request_id=None):
+        headers = {"Req-Id": request_id or os.urandom(8).hex(), "Req-Kind": kind}
+        headers["Req-Deadline-Ms"] = str(deadline_ms)
+        if kind == KEYED:
+            headers["Idempotency-Key"] = os.urandom(8).hex()
+        method = "GET" if kind == READ else "POST"
+        return self.ask(method, target, headers, body if body or kind == READ else b"{}", client)
+
+    def raw(self, data):
+        """Sends bytes on a fresh connection, gives back all that comes until its end."""
+        host, port = self.listen.split(":")
+        with socket.create_connection((host, int(port)), timeout=10) as sock:
+            sock.sendall(data)
+            return b"".join(iter(lambda: sock.recv(65536), b""))
+
+    def terminate(self):
+        self.program.send_signal(signal.SIGTERM)
+
+
+def ok(head, body):
+    return reply(200, b"served " + body)
+
+
+def held(gate):
+    """An answer that waits until the test opens the gate."""
+
+    def answer(head, body):
+        gate.wait(10)
+        return ok(head, body)
+
+    return answer
--- /dev/null
+++ b/tests/test_consumer.py
@@ -0,0 +1,112 @@
+"""What the application sees: whole answers, plain words on bad input, one answer for each invocation."""
+
+import os
+import socket
+import threading
+import unittest
+
+from scene import KEYED, ONCE, READ, Scene, eventually, held, ok, reply
+
+
+class ConsumerTest(Scene):
+    def test_an_invocation_is_passed_on_unchanged_and_its_answer_comes_back_whole(self):
+        answer = os.urandom(64 * 1024)
+        self.start(lambda head, body: reply(200, answer, "Content-Type: text/x"))
+        body = os.urandom(64 * 1024)
+        headers = {"Req-Id": "r-1", "Req-Kind": KEYED, "Idempotency-Key": "k-1", "Req-Deadline-Ms": "2000"}
+        status, got, response = self.ask("POST", "/api?a=1&b=%20", headers, body)
+        self.assertEqual((status, got, response.getheader("Content-Type")), (200, answer, "text/x"))
+        ((head, sent, _),) = self.providers[0].seen
+        self.assertEqual(head.splitlines()[0], "POST /api?a=1&b=%20 HTTP/1.1")
+        self.assertEqual(sent, body)
+        fields = dict(line.lower().split(": ", 1) for line in head.splitlines()[1:])
+        self.assertEqual((fields["req-id"], fields["idempotency-key"]), ("r-1", "k-1"))
+        self.assertLessEqual(int(fields["req-deadline-ms"]), 2000)
+
+    def test_a_chunked_body_is_taken(self):
+        self.start(ok)
+        headers = {"Req-Id": "r", "Req-Kind": ONCE, "Transfer-Encoding": "chunked"}
+        self.assertEqual(self.ask("POST", "/api", headers, iter([b"ab", b"c"]))[:2], (200, b"served abc"))
+
+    def test_both_sides_reuse_their_connections(self):
+        self.start(ok)
+        client = self.client()
+        for _ in range(5):
+            self.assertEqual(self.invoke(client=client)[0], 200)
+        self.assertEqual({number for _, _, number in self.providers[0].seen}, {1})
+
+    def test_bad_input_gets_a_plain_final_answer(self):
+        self.start(ok)
+        good = {"Req-Id": "r", "Req-Kind": READ, "Req-Deadline-Ms": "500"}
+        for status, method, target, changed in (
+            (400, "GET", "/api", {"Req-Id": ""}),
+            (400, "GET", "/api", {"Req-Kind": "nothing-like-it"}),
+            (400, "GET", "/api", {"Req-Deadline-Ms": "soon"}),
+            (400, "GET", "/api", {"Req-Deadline-Ms": "0"}),
+            (400, "POST", "/api", {"Req-Kind": KEYED}),
+            (404, "GET", "/apix", {}),
+            (405, "PUT", "/api", {}),
+            (404, "HEAD", "/", {}),
+        ):
+            with self.subTest(target=target, **changed):
+                self.assertEqual(self.ask(method, target, good | changed)[0], status)
+        self.assertEqual(self.providers[0].seen, [])
+        self.assertEqual(self.invoke()[0], 200)
+
+    def test_malformed_http_is_answered_400_and_closed(self):
+        self.start(ok)
+        for data in (b"nonsense", b"GET /api HTTP/1.1\r\nBad Header", b"GET /api HTTP/1.1", b"\x00\xff" * 9):
+            self.assertTrue(self.raw(data + b"\r\n\r\n").startswith(b"HTTP/1.1 400 "), data)
+        endless = b"GET /api HTTP/1.1\r\nX: " + b"x" * 99999
+        self.assertTrue(self.raw(endless).startswith(b"HTTP/1.1 431 "))
+        self.assertEqual(self.health(), 200)
+
+    def test_a_body_over_the_limit_is_answered_413(self):
+        self.start(ok)
+        head = b"POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: r\r\nReq-Kind: apply-submit\r\n"
+        answer = self.raw(head + b"Content-Length: 90000\r\n\r\n" + b"x" * 90000)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 413 "))
+        self.assertEqual(self.providers[0].seen, [])
+
+    def test_expect_continue_is_honoured(self):
+        self.start(ok)
+        head = b"POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: r\r\nReq-Kind: apply-submit\r\n"
+        host, port = self.listen.split(":")
+        with socket.create_connection((host, int(port)), timeout=10) as sock:
+            sock.sendall(head + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+            self.assertTrue(sock.recv(4096).startswith(b"HTTP/1.1 100 "))
+            sock.sendall(b"{}")
+            self.assertTrue(sock.recv(4096).startswith(b"HTTP/1.1 200 "))
+
+    def test_when_the_consumer_goes_its_call_is_drained_and_the_connection_used_again(self):
+        gate = threading.Event()
+        self.start(held(gate))
+        client = self.client()
+        client.request("GET", "/api", headers={"Req-Id": "r", "Req-Kind": READ})
+        self.assertTrue(eventually(lambda: self.providers[0].seen))
+        client.close()
+        gate.set()
+        self.assertTrue(eventually(lambda: self.invoke()[0] == 200))
+        self.assertTrue(eventually(lambda: self.invoke()[0] == 200))
+        self.assertEqual(self.providers[0].ends, [])
+
+    def test_an_id_that_is_still_out_is_not_sent_a_second_time(self):
+        """The same id again would run twice, and two of one id would mix up the balancer's attempts."""
+        gate = threading.Event()
+        self.start(held(gate))
+        first = self.client()
+        first.request("POST", "/api", b"{}", {"Req-Id": "twin", "Req-Kind": ONCE})
+        self.assertTrue(eventually(lambda: self.providers[0].seen))
+        self.assertEqual(self.invoke(ONCE, request_id="twin")[0], 400)
+        gate.set()
+        self.assertEqual(first.getresponse().status, 200)
+        self.assertEqual(len(self.providers[0].seen), 1)
+
+    def test_only_the_given_address_listens(self):
+        self.start(ok)
+        with self.assertRaises(ConnectionRefusedError):
+            socket.create_connection(("127.0.0.9", int(self.listen.split(":")[1])), timeout=10)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -134,3 +134,26 @@
     play = Play(lambda server: Outcome.CONNECT_FAILED if server.startswith("a") else Outcome.OK)
     play.run(60, gap=200 * MS)
     assert sum(s.startswith("b") for s in play.run(60, gap=200 * MS)) > 40
+
+
+def test_a_refusal_says_when_to_come_back_later_the_more_is_turned_away():
+    calm = Play(None, retry_after=True, max_retry_after=150 * MS, max_attempts=1)
+    (first,) = attempts(calm.balancer.handle(calm.now, [request("one")]))
+    (early,) = of(Refuse, calm.balancer.handle(calm.now + MS, [ended(first, Outcome.FULL)]))
+    waits = [early.retry_after]
+    for i in range(400):
+        calm.now += 20 * MS
+        for action in calm.balancer.handle(calm.now, [request(f"r{i}")]):
+            if isinstance(action, Refuse):
+                waits.append(action.retry_after)
+            for again in attempts([action]):
+                turned_away = calm.balancer.handle(calm.now, [ended(again, Outcome.FULL)])
+                waits += [refusal.retry_after for refusal in of(Refuse, turned_away)]
+    assert 0 < waits[0] < waits[-1] == max(waits) <= 150 * MS
+
+
+def test_where_clients_are_told_nothing_no_wait_is_named():
+    balancer = make(max_attempts=1)
+    balancer.handle(0, [full(endpoint("a1"))])
+    (first,) = attempts(balancer.handle(SECOND, [request("r")]))
+    assert of(Refuse, balancer.handle(SECOND + MS, [ended(first, Outcome.FULL)])) == [Refuse("r", 0)]
--- /dev/null
+++ b/tests/test_life.py
@@ -0,0 +1,79 @@
+"""Start, discovery, broken parts and the end of the process."""
+
+import threading
+import time
+import unittest
+
+from scene import ONCE, Scene, entry, eventually, held, ok
+
+
+class LifeTest(Scene):
+    def test_a_bad_configuration_ends_it_with_one_line(self):
+        for config in ("{", "[]", "{}", '{"listen": "nowhere", "discovery": "127.0.0.1:1"}'):
+            with self.subTest(config=config):
+                self.run_program(config)
+                self.assertNotEqual(self.program.wait(10), 0)
+                self.assertEqual(len(self.log().splitlines()), 1, self.log())
+
+    def test_it_is_ready_only_once_it_knows_a_provider(self):
+        self.start(ok, known=[])
+        self.assertTrue(eventually(lambda: self.health() == 503))
+        self.catalog.entries = self.entries
+        self.catalog.change(*self.entries)
+        self.assertTrue(eventually(lambda: self.health() == 200))
+
+    def test_a_drain_is_kept_and_the_watch_goes_on(self):
+        self.start(ok, ok)
+        self.assertTrue(eventually(lambda: self.catalog.seen))
+        for number, leaving in enumerate((self.entries[0], self.entries[0] | {"status": "active"})):
+            self.catalog.change(leaving | {"status": ("leaving", "active")[number]})
+            self.assertTrue(eventually(lambda n=number: len(self.catalog.seen) > n + 1))
+            before = len(self.providers[0].seen)
+            for _ in range(6):
+                self.assertEqual(self.invoke()[0], 200)
+            self.assertEqual(len(self.providers[0].seen) > before, bool(number))
+        self.assertEqual(self.catalog.ends, [], "one connection carries the watch")
+
+    def test_failed_calls_to_discovery_are_made_again_and_the_old_list_serves_on(self):
+        self.start(ok)
+        self.assertTrue(eventually(lambda: self.catalog.seen))
+        self.catalog.fail(True)
+        self.assertTrue(eventually(lambda: "discovery" in self.log()))
+        self.assertEqual(self.invoke()[0], 200)
+        calls = len(self.catalog.seen)
+        self.catalog.fail(False)
+        self.catalog.change(entry("s0", self.providers[0].address, status="leaving"))
+        self.assertTrue(eventually(lambda: len(self.catalog.seen) > calls + 1, 15))
+
+    def test_a_discovery_without_patience_is_not_called_in_a_tight_loop(self):
+        self.start(ok)
+        listed = self.catalog.answer
+        self.catalog.answer = lambda head, body: listed(head.replace("wait_ms=", "wait_ms=0&was="), body)
+        self.catalog.change()
+        self.assertTrue(eventually(lambda: len(self.catalog.seen) > 3))
+        calls = len(self.catalog.seen)
+        time.sleep(1)
+        self.assertLess(len(self.catalog.seen) - calls, 20)
+
+    def test_a_planned_end_answers_all_that_was_taken_and_takes_more_for_a_while(self):
+        gate = threading.Event()
+        self.start(held(gate))
+        waiting, idle = self.client(), self.client()
+        self.assertEqual(self.ask("GET", "/_health", client=idle)[0], 200)
+        waiting.request("POST", "/api", b"{}", {"Req-Id": "r", "Req-Kind": ONCE})
+        self.assertTrue(eventually(lambda: self.providers[0].seen))
+        self.terminate()
+        self.assertTrue(eventually(lambda: "stopping" in self.log()))
+        self.assertEqual(self.health(), 503)
+        late = self.client()
+        late.request("GET", "/api", headers={"Req-Id": "late", "Req-Kind": "status-read"})
+        self.assertTrue(eventually(lambda: len(self.providers[0].seen) == 2))
+        time.sleep(1)
+        self.assertIsNone(self.program.poll(), "two answers are owed")
+        gate.set()
+        self.assertEqual([c.getresponse().status for c in (waiting, late)], [200, 200])
+        self.assertEqual(self.program.wait(10), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_provider.py
@@ -0,0 +1,119 @@
+"""Invoker calls: what proves that nothing ran, what may have, and how connections are kept."""
+
+import threading
+import time
+import unittest
+
+from scene import KEYED, ONCE, READ, Scene, entry, eventually, held, listener, ok, reply
+
+
+def declined(head, body):
+    return reply(503, b"", "Srv-Declined: 1")
+
+
+def silent(head, body):
+    time.sleep(5)
+
+
+class ProviderTest(Scene):
+    def refusing(self, answer=ok):
+        """One provider that serves and one whose port refuses."""
+        with listener() as gone:
+            address = "{}:{}".format(*gone.getsockname())
+        self.start(answer)
+        self.catalog.change(entry("gone", address))
+        self.assertTrue(eventually(lambda: len(self.catalog.seen) > 1))
+
+    def test_what_never_ran_is_sent_elsewhere_and_served(self):
+        self.refusing()
+        for _ in range(4):
+            self.assertEqual(self.invoke(ONCE)[0], 200)
+
+    def test_declined_is_sent_elsewhere(self):
+        self.start(declined, ok)
+        self.assertEqual([self.invoke(ONCE)[0] for _ in range(4)], [200] * 4)
+        self.assertTrue(self.providers[0].seen)
+
+    def test_what_may_have_run_is_failed_not_repeated_and_never_a_rejection(self):
+        for answer in (lambda h, b: reply(503), lambda h, b: reply(500), lambda h, b: None):
+            with self.subTest(answer=answer):
+                self.start(answer, answer)
+                self.assertEqual(self.invoke(ONCE)[0], 502)
+                self.assertEqual(sum(len(p.seen) for p in self.providers), 1)
+
+    def test_a_safe_read_is_tried_again_after_a_break(self):
+        self.start(lambda h, b: None, ok)
+        self.assertEqual([self.invoke(READ)[0] for _ in range(4)], [200] * 4)
+        self.assertTrue(self.providers[0].seen)
+
+    def test_a_rejection_says_when_to_come_back(self):
+        self.start(declined)
+        status, _, response = self.invoke(ONCE)
+        self.assertEqual(status, 503)
+        self.assertGreater(float(response.getheader("Retry-After")), 0)
+        self.assertLessEqual(float(response.getheader("Retry-After")), 1.5)
+
+    def test_silence_is_answered_by_the_deadline_with_the_call_given_up(self):
+        self.start(silent)
+        for kind, status in ((ONCE, 504), (KEYED, 504), (READ, 503)):
+            began = time.monotonic()
+            self.assertEqual(self.invoke(kind, deadline_ms=400)[0], status)
+            self.assertGreater(time.monotonic() - began, 0.35)
+
+    def test_a_closed_warm_connection_is_noticed_before_it_is_used(self):
+        """A request written to it would come back as a reset, which may have run."""
+        self.start(ok)
+        self.assertEqual(self.invoke(ONCE)[0], 200)
+        for sock in self.providers[0].sockets:
+            sock.shutdown(2)
+        self.assertEqual(self.invoke(ONCE)[0], 200)
+        self.assertEqual([number for _, _, number in self.providers[0].seen], [1, 2])
+
+    def test_a_resting_connection_is_closed_before_the_provider_would(self):
+        self.start(ok)
+        self.assertEqual(self.invoke()[0], 200)
+        began = time.monotonic()
+        self.assertTrue(eventually(lambda: self.providers[0].ends))
+        self.assertLess(time.monotonic() - began, 2.0)  # connIdle
+
+    def test_a_slow_reader_gets_the_whole_body_through_short_writes(self):
+        self.start(ok)
+        provider = self.providers[0]
+        provider.listener.setsockopt(1, 8, 2048)  # SOL_SOCKET, SO_RCVBUF: inherited by its connections
+        body = bytes(range(256)) * 250
+        self.assertEqual(self.invoke(ONCE, body=body)[:2], (200, b"served " + body))
+
+    def test_an_answer_over_the_limit_is_a_failure(self):
+        self.start(lambda h, b: reply(200, b"x" * 70000))
+        self.assertEqual(self.invoke(ONCE)[0], 502)
+
+    def test_a_moved_provider_is_called_at_its_new_address(self):
+        self.start(ok, ok)
+        self.catalog.change(entry("s1", self.providers[1].address, status="left"))
+        self.assertTrue(eventually(lambda: len(self.catalog.seen) > 1))
+        self.assertEqual(self.invoke()[0], 200)
+        self.catalog.change(entry("s0", self.providers[1].address))
+        self.assertTrue(eventually(lambda: self.invoke()[0] == 200 and self.providers[1].seen))
+
+    def test_a_time_out_closes_the_warm_connections_too(self):
+        """A machine that vanished leaves its connections open and silent: only a new one can tell, and a
+        new one that does not come up proves that nothing ran."""
+        gate = threading.Event()
+        self.start(ok)
+        provider = self.providers[0]
+        provider.answer = held(gate)
+        clients = [self.client() for _ in range(2)]
+        for number, client in enumerate(clients):
+            client.request("GET", "/api", headers={"Req-Id": f"w{number}", "Req-Kind": READ})
+        self.assertTrue(eventually(lambda: len(provider.seen) == 2))
+        gate.set()
+        self.assertEqual([c.getresponse().status for c in clients], [200, 200])
+        provider.answer = silent
+        self.assertEqual(self.invoke(ONCE, deadline_ms=300)[0], 504)
+        provider.answer = ok
+        self.assertTrue(eventually(lambda: self.invoke(ONCE)[0] == 200))
+        self.assertEqual(provider.seen[-1][2], 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
