--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -47,6 +47,7 @@
 WORTH_MEMORY = 64  # requests over which the mean worth is taken
 MIN_WORTH = 1e-9  # a class may be worth nothing
 RETRY_PART, RETRY_BURST = 0.25, 5.0  # further attempts earned by each request, and how many may be saved up
+COME_BACK, LEAST_AWAY = 0.25, 0.2  # of the aim, at full pressure; and the least pressure counted for it
 DISCOVERY_TAG = "discovery"
 REQUEST_TAG = "request:"
 LATE_TAG = "late:"
@@ -477,15 +478,16 @@
         self._forget(call.id)
 
     def _come_back(self, cls: RequestClass) -> int:
-        """When a new try has a better chance: the more is turned away now, the later, up to the class's aim.
+        """How long a client should stay away: the longer, the more is turned away now.
 
-        What is turned away moves by time in units of the aim (`_press`): sooner, a try meets the same crowd.
+        Never longer than a part of its aim: what is turned away comes by chance, so that a new try has a
+        chance of its own soon, and one that comes too late to be in time only adds to the next crowd.
         """
         if not self.settings.retry_after:
             return 0
         deck = self.near if self.near.servers else self.far
         away = 1 - deck.warmth * (1 - deck.pressure)
-        return min(self.settings.max_retry_after, int(cls.aim * max(away, 1 / PRESSURE_AIMS)))
+        return min(self.settings.max_retry_after, int(cls.aim * COME_BACK * max(away, LEAST_AWAY)))
 
     def _forget(self, request_id: str) -> None:
         self.calls.pop(request_id, None)
