Pass heads on in their own case; one broken action does not swallow the next

Read through: an action that could not be carried out ended the list it stood in (sidecar.py, tell), so that a later answer in it was lost; each is now carried out by itself. Header names were written in lower case and fields named by Connection went on (http.py, passed_on).

--- a/loftweir/net/consumer.py
+++ b/loftweir/net/consumer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import h11
@@ -30,7 +31,9 @@
     """An answer of the sidecar's own."""
     body = f"{text}\n".encode()
     return h11.Response(
-        status_code=status, headers=[("content-type", "text/plain; charset=utf-8"), *headers]
+        status_code=status,
+        reason=HTTPStatus(status).phrase,
+        headers=[("content-type", "text/plain; charset=utf-8"), *headers],
     ), [body]
 
 
--- a/loftweir/net/http.py
+++ b/loftweir/net/http.py
@@ -36,7 +36,9 @@
 
 def passed_on(head: h11.Request | h11.Response) -> list[tuple[bytes, bytes]]:
     """The end-to-end fields of a head, as they came."""
-    return [field for field in head.headers if field[0] not in OF_THE_HOP]
+    named = {name.strip() for name in (value_of(head, b"connection") or b"").lower().split(b",")}
+    fields = zip(head.headers, head.headers.raw_items(), strict=True)
+    return [raw for (name, _), raw in fields if name not in OF_THE_HOP and name not in named]
 
 
 def host_and_port(address: str) -> tuple[str, int]:
--- a/loftweir/net/loop.py
+++ b/loftweir/net/loop.py
@@ -160,7 +160,3 @@
             # and another opens again must not be handed an event of its former life.
             for fd, mask in self.epoll.poll(seconds):
                 self.waiting[fd].resume(mask)
-
-
-def sleep(until: int) -> Coroutine[None]:
-    yield Wait(None, 0, until)
--- a/loftweir/net/sidecar.py
+++ b/loftweir/net/sidecar.py
@@ -56,16 +56,25 @@
         while self.events:
             event = self.events.popleft()
             try:
-                for action in self.balancer.handle(self.loop.now(), [event]):
-                    self.carry_out[type(action)](action)
+                actions = self.balancer.handle(self.loop.now(), [event])
             except Exception as error:
-                # The decision code broke on this event: what it was about is answered, the rest goes on.
-                log(f"broken decision on {type(event).__name__}: {error!r} {where(error)}")
-                invocation = self.invocations.get(getattr(event, "request_id", getattr(event, "id", "")))
-                if invocation is not None and invocation.open:
-                    invocation.close(plain(500, "failed"))
+                self._broken(event, error)
+                continue
+            for action in actions:
+                try:
+                    self.carry_out[type(action)](action)
+                except Exception as error:
+                    self._broken(action, error)
         self.telling = False
 
+    def _broken(self, thing: api.Event | api.Action, error: Exception) -> None:
+        """A decision that broke, or can't be carried out: what it was about is answered, the rest goes on."""
+        log(f"broken decision on {type(thing).__name__}: {error!r} {where(error)}")
+        invocation = self.invocations.get(getattr(thing, "request_id", getattr(thing, "id", "")))
+        if invocation is not None and invocation.open:
+            invocation.close(plain(500, "failed"))
+            self.events.append(api.ClientGone(invocation.id))
+
     def take(self, invocation: Invocation) -> None:
         self.invocations[invocation.id] = invocation
         self.tell(invocation.event())
--- a/tests/test_consumer.py
+++ b/tests/test_consumer.py
@@ -14,6 +14,7 @@
         self.start(lambda head, body: reply(200, answer, "Content-Type: text/x"))
         body = os.urandom(64 * 1024)
         headers = {"Req-Id": "r-1", "Req-Kind": KEYED, "Idempotency-Key": "k-1", "Req-Deadline-Ms": "2000"}
+        headers |= {"Connection": "keep-alive, X-Hop", "X-Hop": "1", "X-End": "2"}
         status, got, response = self.ask("POST", "/api?a=1&b=%20", headers, body)
         self.assertEqual((status, got, response.getheader("Content-Type")), (200, answer, "text/x"))
         ((head, sent, _),) = self.providers[0].seen
@@ -22,6 +23,7 @@
         fields = dict(line.lower().split(": ", 1) for line in head.splitlines()[1:])
         self.assertEqual((fields["req-id"], fields["idempotency-key"]), ("r-1", "k-1"))
         self.assertLessEqual(int(fields["req-deadline-ms"]), 2000)
+        self.assertEqual((fields["x-end"], fields.get("x-hop")), ("2", None))
 
     def test_a_chunked_body_is_taken(self):
         self.start(ok)
