Keep accepting after a reset connection; say a shortage of descriptors once in 10 s

Read through: a connection that was reset before it was looked at could have ended the accepting coroutine (consumer.py, accept), and with it the service; a shortage wrote ten lines a second. loop.py, arm: a wait that could not be set up was taken down all the same.

--- a/loftweir/net/consumer.py
+++ b/loftweir/net/consumer.py
@@ -21,6 +21,7 @@
 BODY_WITHIN = 10 * SECOND
 WRITE_WITHIN = 5 * SECOND
 LINGER_FOR = SECOND
+LOG_APART = 10 * SECOND
 
 
 class Malformed(Exception):
@@ -242,6 +243,7 @@
 
 def accept(sidecar: Sidecar, listener: socket.socket) -> Coroutine[None]:
     """Takes connections until the sidecar stops; out of descriptors, it leaves them waiting a moment."""
+    quiet_until = 0
     while True:
         try:
             sock, _ = listener.accept()
@@ -251,10 +253,17 @@
         except ConnectionAbortedError:
             continue
         except OSError as error:
-            log(f"accept failed: {error}")
+            now = sidecar.loop.now()
+            if now >= quiet_until:  # a shortage may last, and comes round ten times a second
+                log(f"accept failed: {error}")
+                quiet_until = now + LOG_APART
             sidecar.spare()
-            yield Wait(None, 0, sidecar.loop.now() + 100 * MS)
+            yield Wait(None, 0, now + 100 * MS)
+            continue
+        try:
+            consumer = Consumer(sidecar, sock)
+        except OSError:  # reset before it was looked at: no reason to stop accepting
+            sock.close()
             continue
-        consumer = Consumer(sidecar, sock)
         consumer.task = sidecar.loop.spawn(consumer.serve())
         sidecar.consumers.add(consumer)
--- a/loftweir/net/loop.py
+++ b/loftweir/net/loop.py
@@ -73,11 +73,11 @@
         self.loop.ready.append(self)
 
     def arm(self, wait: Wait) -> None:
-        self.wait = wait
         if wait.sock is not None:
             self.fd = wait.sock.fileno()
             self.loop.epoll.register(self.fd, wait.mask)
             self.loop.waiting[self.fd] = self
+        self.wait = wait  # last: a wait that could not be set up must not be taken down
         if wait.until is not None:
             self.timer = self.loop.timers.enterabs(wait.until, 0, self.time_out)
 
