--- a/tests/test_consumer.py
+++ b/tests/test_consumer.py
@@ -2,6 +2,7 @@
 
 import os
 import socket
+import struct
 import threading
 import unittest
 
@@ -104,6 +105,14 @@
         self.assertEqual(first.getresponse().status, 200)
         self.assertEqual(len(self.providers[0].seen), 1)
 
+    def test_connections_reset_at_once_do_not_end_the_accepting(self):
+        self.start(ok)
+        host, port = self.listen.split(":")
+        for _ in range(50):
+            with socket.create_connection((host, int(port)), timeout=10) as sock:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.assertEqual(self.invoke()[0], 200)
+
     def test_only_the_given_address_listens(self):
         self.start(ok)
         with self.assertRaises(ConnectionRefusedError):
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -61,6 +61,13 @@
         self.catalog.change(entry("s0", self.providers[0].address, status="leaving"))
         self.assertTrue(eventually(lambda: len(self.catalog.seen) > calls + 1, 15))
 
+    def test_a_silent_discovery_is_given_up_and_called_again(self):
+        self.start(ok, known=[])
+        listed, self.catalog.answer = self.catalog.answer, lambda head, body: time.sleep(5)
+        self.assertTrue(eventually(lambda: "silent" in self.log()), self.log())
+        self.catalog.answer, self.catalog.entries = listed, self.entries
+        self.assertTrue(eventually(lambda: self.health() == 200))
+
     def test_a_discovery_without_patience_is_not_called_in_a_tight_loop(self):
         self.start(ok)
         listed = self.catalog.answer
--- a/tests/test_provider.py
+++ b/tests/test_provider.py
@@ -1,10 +1,11 @@
 """Invoker calls: what proves that nothing ran, what may have, and how connections are kept."""
 
+import socket
 import threading
 import time
 import unittest
 
-from scene import KEYED, ONCE, READ, Scene, entry, eventually, held, listener, ok, reply
+from scene import KEYED, ONCE, READ, Scene, address_of, entry, eventually, held, listener, ok, reply
 
 
 def declined(head, body):
@@ -19,7 +20,7 @@
     def refusing(self, answer=ok):
         """One provider that serves and one whose port refuses."""
         with listener() as gone:
-            address = "{}:{}".format(*gone.getsockname())
+            address = address_of(gone)
         self.start(answer)
         self.catalog.change(entry("gone", address))
         self.assertTrue(eventually(lambda: len(self.catalog.seen) > 1))
@@ -29,6 +30,20 @@
         for _ in range(4):
             self.assertEqual(self.invoke(ONCE)[0], 200)
 
+    def test_a_connection_that_does_not_come_up_is_given_up_and_the_call_sent_elsewhere(self):
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
+            waiting = [socket.socket() for _ in range(4)]  # the kernel drops what comes after these
+            for sock in waiting:
+                self.addCleanup(sock.close)
+                sock.setblocking(False)
+                sock.connect_ex(full.getsockname())
+            self.start(ok)
+            self.catalog.change(entry("full", address_of(full)))
+            self.assertTrue(eventually(lambda: len(self.catalog.seen) > 1))
+            began = time.monotonic()
+            self.assertEqual([self.invoke(ONCE)[0] for _ in range(3)], [200] * 3)
+            self.assertGreater(time.monotonic() - began, 0.2, "the call to it was waited for")
+
     def test_declined_is_sent_elsewhere(self):
         self.start(declined, ok)
         self.assertEqual([self.invoke(ONCE)[0] for _ in range(4)], [200] * 4)
