Move to the new file's discovery on SIGHUP instead of dying of it

Sidecar.start installed handlers for SIGTERM and SIGINT only, and its stop() took any byte on the wake-up pipe for a stop, so a handler alone would have ended the process too.

Now the pipe's bytes are read as signal numbers. SIGHUP reads the whole file again; `discovery` in it holds although RELAY_DISCOVERY is set. The watch moves at once and with the whole list; the old watch is read on until the new one has answered, because what discovery has written to it counts as told. A file that can't be used is logged and changes nothing.

The four new tests fail with the change taken out. Ruled out: a failing first call at the new address (none seen).

--- a/loftweir/__main__.py
+++ b/loftweir/__main__.py
@@ -14,7 +14,7 @@
 import ujson
 
 from loftweir.adapter import WireError, read_settings
-from loftweir.interface import UpdateKind
+from loftweir.interface import Settings, UpdateKind
 from loftweir.net.discovery import read_list
 from loftweir.net.http import host_and_port
 from loftweir.net.loop import Loop, log
@@ -44,10 +44,17 @@
     return "-" if value is None else str(value)
 
 
-def build(loop: Loop, environment: Mapping[str, str]) -> Sidecar:
-    """A started sidecar; a ValueError, KeyError or OSError says what is wrong with its configuration."""
+def read_config(environment: Mapping[str, str]) -> tuple[Any, Settings]:
+    """The configuration, once all of it can be used; an exception says what is wrong with it."""
     with open(environment["RELAY_CONFIG"], encoding="utf-8") as file:
         config = ujson.load(file)
+    int(config["limits"]["sockets"])
+    return config, read_settings(flatten(config["settings"]))
+
+
+def build(loop: Loop, environment: Mapping[str, str]) -> Sidecar:
+    """A started sidecar; a ValueError, KeyError or OSError says what is wrong with its configuration."""
+    config, settings = read_config(environment)
     listen = environment.get("RELAY_LISTEN") or config["listen"]
     discovery = environment.get("RELAY_DISCOVERY") or config["discovery"]
     host_and_port(listen)
@@ -57,10 +64,16 @@
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if sockets < soft or soft == resource.RLIM_INFINITY:
         resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, hard))
-    settings = read_settings(flatten(config["settings"]))
     known, addresses = read_list(config["known"], UpdateKind.REMEMBERED)
     sidecar = Sidecar(loop, settings, int(str(config["seed"]), 16), discovery)
-    sidecar.start(listen, known, addresses)
+
+    def reload() -> str:
+        # The environment is that of the start and can't be replaced: the file's word is newer.
+        address = str(read_config(environment)[0]["discovery"])
+        host_and_port(address)
+        return address
+
+    sidecar.start(listen, known, addresses, reload)
     return sidecar
 
 
--- a/loftweir/net/discovery.py
+++ b/loftweir/net/discovery.py
@@ -66,11 +66,34 @@
         # fetched over and over, and every sidecar's calls queued behind these.
         self.version: int | None = None
         self.watching: Task | None = None
+        self.before: Task | None = None  # the watch at the address left, until the one that follows it stands
 
     def watch(self, on: bool) -> None:
-        if self.watching is not None:
-            self.watching.cancel()
-        self.watching = self.loop.spawn(self._follow(), self._crashed) if on else None
+        if on and self.watching is not None and not self.watching.over:
+            return  # one stands, or is being set up since discovery moved: asked again, news would be late
+        if not on:
+            self._drop_before()
+            if self.watching is not None:
+                self.watching.cancel()
+        self.watching = self.loop.spawn(self._follow(self.version), self._crashed) if on else None
+
+    def move(self, address: str) -> None:
+        """Calls discovery at another address from now on, and at once: what it has to tell is soon taken for
+        told. The whole list comes first, since versions may be counted anew there. News that are on their way
+        over the old watch are told already: it is read until the new one has answered."""
+        if address == self.address:
+            return
+        self.address = address
+        if self.before is None or self.before.over:
+            self.before = self.watching
+        elif self.watching is not None:
+            self.watching.cancel()  # it has told nothing yet
+        self.watching = self.loop.spawn(self._follow(None), self._crashed)
+
+    def _drop_before(self) -> None:
+        if self.before is not None:
+            self.before.cancel()
+            self.before = None
 
     def fetch(self) -> None:
         self.loop.spawn(self._fetch(), self._crashed)
@@ -94,8 +117,9 @@
         else:
             self.told(update, addresses)
 
-    def _follow(self) -> Coroutine[None]:
+    def _follow(self, version: int | None) -> Coroutine[None]:
         """One call after another over one connection: the next starts at once, so that the watch goes on."""
+        address = self.address
         try:
             channel = yield from self._connect()
             try:
@@ -103,12 +127,14 @@
                 while True:
                     asked_at = self.loop.now()
                     target, wait = PATH, 0
-                    if self.version is not None:
-                        target, wait = f"{PATH}?after={self.version}&wait_ms={WAIT // MS}", WAIT
+                    if version is not None:
+                        target, wait = f"{PATH}?after={version}&wait_ms={WAIT // MS}", WAIT
                     update, addresses = yield from self._call(channel, target, wait)
+                    if address == self.address:
+                        self._drop_before()
                     # The first answer of a watch is told with or without news: the watch stands.
-                    if first or update.endpoints or update.version != self.version:
-                        self.version = update.version
+                    if first or update.endpoints or update.version != version:
+                        self.version = version = update.version
                         self.told(update, addresses)
                     first = False
                     # One that answers at once with no news would be called in a tight loop.
@@ -121,8 +147,9 @@
             finally:
                 channel.close()
         except CallFailed as error:
-            log(f"discovery: watch failed: {error}")
-            self._fail()
+            if address == self.address:  # else it was left, and another goes on
+                log(f"discovery: watch failed: {error}")
+                self._fail()
 
     def _connect(self) -> Coroutine[Channel]:
         try:
--- a/loftweir/net/sidecar.py
+++ b/loftweir/net/sidecar.py
@@ -12,7 +12,7 @@
 from loftweir.balance import Balancer
 from loftweir.net.consumer import Consumer, Invocation, accept, listen, plain
 from loftweir.net.discovery import Discovery
-from loftweir.net.loop import MS, READABLE, SECOND, Coroutine, Loop, Wait, log, where
+from loftweir.net.loop import MS, READABLE, SECOND, Coroutine, Loop, Task, Wait, log, where
 from loftweir.net.provider import Answer, InvokerCall, Providers
 
 ACCEPT_AFTER_TERM = 700 * MS
@@ -153,34 +153,61 @@
     def ready(self) -> bool:
         return not self.stopping and bool(self.balancer.servers)
 
-    def start(self, address: str, known: api.MembershipUpdate, addresses: dict[str, str]) -> None:
+    def start(
+        self,
+        address: str,
+        known: api.MembershipUpdate,
+        addresses: dict[str, str],
+        reload: Callable[[], str],
+    ) -> None:
+        """`reload` reads the configuration again and gives discovery's address."""
         if known.endpoints:
             self.discovery.version = known.version
-        self.listed(known, addresses)
-        self.listener = listen(address)
-        accepting = self.loop.spawn(accept(self, self.listener))
         woken, wakes = socket.socketpair()
         woken.setblocking(False)
         wakes.setblocking(False)
         signal.set_wakeup_fd(wakes.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, lambda *_: None)
+        self.listed(known, addresses)
+        self.listener = listen(address)
+        accepting = self.loop.spawn(accept(self, self.listener))
+        self.loop.spawn(self._obey(woken, wakes, accepting, reload))
 
-        def stop() -> Coroutine[None]:
+    def _obey(
+        self, woken: socket.socket, wakes: socket.socket, accepting: Task, reload: Callable[[], str]
+    ) -> Coroutine[None]:
+        """Reads the numbers of the signals that came. One that sets off nothing is no reason to stop."""
+        while True:
             yield Wait(woken, READABLE, None)
-            self.stopping = True
-            log("stopping")
-            yield Wait(None, 0, self.loop.now() + ACCEPT_AFTER_TERM)
-            accepting.cancel()
-            listener.close()
-            for consumer in [c for c in self.consumers if c.quiet()]:
-                consumer.close()
-            # What was taken is answered within its deadline; half a request is not waited for.
-            last = self.loop.now() + max(c.deadline for c in self.settings.classes.values()) + SECOND
-            while self.consumers and self.loop.now() < last:
-                yield Wait(None, 0, self.loop.now() + 5 * MS)
-            wakes.close()
-            self.loop.stopped = True
-
-        listener = self.listener
-        self.loop.spawn(stop())
+            for number in woken.recv(4096):
+                if number == signal.SIGHUP:
+                    self._reload(reload)
+                elif number in (signal.SIGTERM, signal.SIGINT) and not self.stopping:
+                    self.stopping = True
+                    log("stopping")
+                    self.loop.spawn(self._stop(accepting, wakes))
+
+    def _reload(self, reload: Callable[[], str]) -> None:
+        """SIGHUP. What can't be used changes nothing: the sidecar serves on with what it has."""
+        try:
+            address = reload()
+        except Exception as error:
+            log(f"reload failed, the old configuration stays: {error!r}")
+            return
+        log(f"reloaded: discovery at {address}")
+        self.discovery.move(address)
+
+    def _stop(self, accepting: Task, wakes: socket.socket) -> Coroutine[None]:
+        yield Wait(None, 0, self.loop.now() + ACCEPT_AFTER_TERM)
+        accepting.cancel()
+        if self.listener is not None:
+            self.listener.close()
+        for consumer in [c for c in self.consumers if c.quiet()]:
+            consumer.close()
+        # What was taken is answered within its deadline; half a request is not waited for.
+        last = self.loop.now() + max(c.deadline for c in self.settings.classes.values()) + SECOND
+        while self.consumers and self.loop.now() < last:
+            yield Wait(None, 0, self.loop.now() + 5 * MS)
+        wakes.close()
+        self.loop.stopped = True
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -164,6 +164,8 @@
 class Scene(unittest.TestCase):
     """Starts the program with the providers a test names; all of it ends with the test."""
 
+    environment: dict[str, str] = {}
+
     def start(self, *answers, known=None, fault="", **changes):
         self.catalog = Catalog()
         self.providers = [Party(answer) for answer in answers]
@@ -173,7 +175,8 @@
         self.catalog.entries = self.entries if known is None else known
         with listener() as free:
             self.listen = address_of(free)
-        config = {
+        self.environment = {"RELAY_DISCOVERY": self.catalog.address}
+        self.config = {
             "name": "n0",
             "listen": self.listen,
             "discovery": self.catalog.address,
@@ -182,7 +185,8 @@
             "known": json.loads(as_list(0, self.catalog.entries, True)),
             "settings": SETTINGS,
         }
-        self.run_program(json.dumps(config | changes), fault)
+        self.config |= changes
+        self.run_program(json.dumps(self.config), fault)
         if not changes and self.catalog.entries:
             self.assertEqual(eventually(lambda: self.health() == 200), True, self.log())
 
@@ -190,12 +194,13 @@
         """`fault` is code run before the program, to break a part of it."""
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        path = Path(folder.name, "config.json")
-        path.write_text(config, encoding="utf-8")
+        self.path = Path(folder.name, "config.json")
+        self.path.write_text(config, encoding="utf-8")
         self.errors = Path(folder.name, "log")
         Path(folder.name, "sitecustomize.py").write_text(fault, encoding="utf-8")
         with self.errors.open("wb") as errors:
-            environment = os.environ | {"RELAY_CONFIG": str(path), "PYTHONPATH": f"{folder.name}:{ROOT}"}
+            environment = os.environ | {"RELAY_CONFIG": str(self.path), "PYTHONPATH": f"{folder.name}:{ROOT}"}
+            environment |= self.environment
             self.program = subprocess.Popen(
                 [sys.executable, "-m", "loftweir"], env=environment, stderr=errors, cwd=folder.name
             )
@@ -241,6 +246,11 @@
     def terminate(self):
         self.program.send_signal(signal.SIGTERM)
 
+    def reload(self, config):
+        """Replaces the configuration and tells the program."""
+        self.path.write_text(config, encoding="utf-8")
+        self.program.send_signal(signal.SIGHUP)
+
 
 def ok(head, body):
     return reply(200, b"served " + body)
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -1,10 +1,11 @@
 """Start, discovery, broken parts and the end of the process."""
 
+import json
 import threading
 import time
 import unittest
 
-from scene import ONCE, Scene, entry, eventually, held, ok
+from scene import ONCE, Catalog, Scene, entry, eventually, held, ok
 
 BREAK = """
 whole = getattr(part, name)
@@ -78,6 +79,70 @@
         time.sleep(1)
         self.assertLess(len(self.catalog.seen) - calls, 20 * (time.monotonic() - began))
 
+    def move(self, catalog):
+        self.reload(json.dumps(self.config | {"discovery": catalog.address}))
+
+    def served_by(self, number):
+        before = [len(p.seen) for p in self.providers]
+        statuses = [self.invoke()[0] for _ in range(4)]
+        got = [len(p.seen) - b for p, b in zip(self.providers, before, strict=True)]
+        return statuses == [200] * 4 and got[number] == 4
+
+    def moves(self, old, new, number):
+        old.index = 7 - number  # no version of the new one's
+        new.entries = [self.entries[number]]
+        self.move(new)
+        self.assertTrue(eventually(lambda: self.served_by(number), 4), self.log())
+        old.change()  # its toy writes, and so finds its reader gone
+        self.assertTrue(eventually(lambda: old.ends, 4), "the old watch ends")
+        self.assertTrue(eventually(lambda: "after=" in new.seen[-1][0], 4), "the new one goes on")
+
+    def test_sighup_moves_to_the_discovery_of_the_new_file_at_once_each_time(self):
+        """Also with RELAY_DISCOVERY set, and with an older list there: what it tells counts 4 s later."""
+        self.start(ok, ok)
+        self.assertTrue(eventually(lambda: self.catalog.seen))
+        other = Catalog()
+        self.addCleanup(other.close)
+        self.moves(self.catalog, other, 0)
+        self.moves(other, self.catalog, 1)
+        self.assertIsNone(self.program.poll())
+
+    def test_what_the_old_discovery_tells_while_the_new_one_is_silent_counts(self):
+        self.start(ok, ok)
+        self.assertTrue(eventually(lambda: self.catalog.seen))
+        silent = Catalog()
+        self.addCleanup(silent.close)
+        silent.answer = lambda head, body: time.sleep(9)
+        self.move(silent)
+        self.assertTrue(eventually(lambda: silent.seen, 4))
+        self.catalog.change(self.entries[0] | {"status": "leaving"})
+        self.assertTrue(eventually(lambda: self.served_by(1), 1.5))
+
+    def test_a_bad_new_file_is_logged_and_the_old_discovery_kept(self):
+        self.start(ok, ok)
+        self.assertTrue(eventually(lambda: self.catalog.seen))
+        for number, bad in enumerate(("{", json.dumps(self.config | {"discovery": "nowhere"}))):
+            self.reload(bad)
+            self.assertTrue(eventually(lambda n=number: self.log().count("reload failed") == n + 1))
+        self.catalog.change(self.entries[0] | {"status": "leaving"})
+        self.assertTrue(eventually(lambda: self.served_by(1)))
+        self.assertEqual(self.catalog.ends, [])
+
+    def test_sighup_near_sigterm_harms_nothing(self):
+        gate = threading.Event()
+        self.start(held(gate))
+        waiting = self.client()
+        waiting.request("POST", "/api", b"{}", {"Req-Id": "r", "Req-Kind": ONCE})
+        self.assertTrue(eventually(lambda: self.providers[0].seen))
+        for _ in range(3):
+            self.move(self.catalog)
+            self.terminate()
+        self.assertTrue(eventually(lambda: "stopping" in self.log()))
+        self.move(self.catalog)
+        gate.set()
+        self.assertEqual(waiting.getresponse().status, 200)
+        self.assertEqual(self.program.wait(10), 0)
+
     def test_one_broken_part_is_logged_and_answered_and_the_process_lives(self):
         for fault, status in (
             ("net.provider import InvokerCall as part; name = '_message'", 502),
