Reject what could hide a request, never read an answer from bytes behind another

Bad clients pipelined hundreds of requests or sent the same again at once on one connection, and half a request held its descriptor for 10 or 120 s.

Now a request with both lengths is rejected from its head, a 4xx closes its connection, a body too large is rejected unread, the first request has 2.5 s from the opening on and a later one 2.5 s from its first byte. A connection with bytes behind its answer is not used again. 1xx answers ahead are counted, a body in tiny chunks gives way to the rest of the loop, and an answer whose head can be read but not written is a 502 instead of a broken coroutine.

Ruled out: spoilt heads and lengths were already failed invoker calls; load reports are not read at all.

--- a/loftweir/net/consumer.py
+++ b/loftweir/net/consumer.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import socket
+from enum import IntEnum
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import h11
 
 from loftweir.interface import Effect, Request, Settings
-from loftweir.net.http import Channel, TookTooLong, TooLarge, host_and_port, passed_on, value_of
+from loftweir.net.http import BODY_LIMIT, Channel, TookTooLong, TooLarge, host_and_port, passed_on, value_of
 from loftweir.net.loop import HUNG_UP, MS, READABLE, SECOND, WOKEN, Coroutine, Task, Wait, log, where
 from loftweir.net.provider import Answer, InvokerCall
 
@@ -17,16 +18,32 @@
     from loftweir.net.sidecar import Sidecar
 
 BACKLOG = 512
-IDLE_FOR = 120 * SECOND  # a consumer's connection with no request on it
-BODY_WITHIN = 10 * SECOND
+# Times for what a consumer owes: the first request on a new connection from its opening on, a later one from
+# its first byte on. One that says nothing holds a descriptor, and is closed like one that stops halfway.
+REQUEST_WITHIN = 2500 * MS
+IDLE_FOR = 5 * SECOND  # between requests
 WRITE_WITHIN = 5 * SECOND
-LINGER_FOR = SECOND
+LINGER_FOR, LINGER_BYTES = SECOND, 1024 * 1024
 LOG_APART = 10 * SECOND
 
 
 class Malformed(Exception):
     """A request that can't be served as it stands: says why."""
 
+    def __init__(self, why: str, status: int = 400, *headers: tuple[str, str]) -> None:
+        super().__init__(why)
+        self.status = status
+        self.headers = headers
+
+
+class Stage(IntEnum):
+    """Where a consumer's connection stands. Where room is short, the lowest stage is closed first."""
+
+    SILENT = 0  # nothing has come on it yet
+    IDLE = 1  # between requests
+    BEGUN = 2  # part of a request has come
+    BUSY = 3  # a whole one has, or its answer is being written
+
 
 def plain(status: int, text: str, *headers: tuple[str, str]) -> Answer:
     """An answer of the sidecar's own."""
@@ -54,7 +71,7 @@
         "open",
     )
 
-    def __init__(self, head: h11.Request, body: list[bytes], settings: Settings, now: int) -> None:
+    def __init__(self, head: h11.Request, settings: Settings) -> None:
         self.id = text_of(head, b"req-id")
         self.class_name = text_of(head, b"req-kind")
         cls = settings.classes.get(self.class_name)
@@ -70,8 +87,8 @@
         else:
             raise Malformed("Req-Deadline-Ms is not a whole number above 0")
         self.head = head
-        self.body = body
-        self.deadline = now + self.patience
+        self.body: list[bytes] = []
+        self.deadline = 0  # counted from the last byte of the body
         self.task: Task | None = None
         self.answer: Answer | None = None
         self.calls: list[InvokerCall] = []
@@ -109,11 +126,12 @@
         self.channel = Channel(sock, h11.SERVER)
         self.task: Task | None = None
         self.method = b""
-        self.busy = False
+        self.stage = Stage.SILENT
+        self.since = sidecar.loop.now()
 
-    def quiet(self) -> bool:
-        """Whether nothing has come that is not answered: closing the connection loses no request."""
-        if self.busy or self.channel.http.trailing_data[0]:
+    def quiet(self, most: Stage = Stage.IDLE) -> bool:
+        """Whether no whole request has come that is not answered: closing the connection loses none."""
+        if self.stage > most or (most is Stage.IDLE and self.channel.more()):
             return False
         try:
             return not self.channel.sock.recv(1, socket.MSG_PEEK)
@@ -129,28 +147,40 @@
     def serve(self) -> Coroutine[None]:
         now = self.sidecar.loop.now
         channel = self.channel
+        until, idle_until = self.since + REQUEST_WITHIN, self.since + REQUEST_WITHIN
         try:
             while True:
-                self.busy, self.method = False, b""
+                if not channel.more() and not (yield Wait(channel.sock, READABLE, idle_until)):
+                    return
+                if self.stage is not Stage.SILENT:
+                    until = now() + REQUEST_WITHIN
+                self.stage, self.method = Stage.BEGUN, b""
                 try:
-                    head = yield from channel.next_event(now() + IDLE_FOR)
+                    head = yield from channel.next_event(until)
                     if not isinstance(head, h11.Request):
                         return
-                    self.busy, self.method = True, head.method
-                    answer = yield from self._answer(head)
+                    self.method = head.method
+                    answer = yield from self._answer(head, until)
                 except h11.RemoteProtocolError as error:
                     answer = plain(error.error_status_hint, "malformed HTTP")
+                except Malformed as error:
+                    answer = plain(error.status, str(error), *error.headers)
                 except TooLarge:
                     answer = plain(413, "a body holds 64 KiB at most")
-                except (TookTooLong, OSError):
+                except TookTooLong:
+                    answer = plain(408, "the request did not come")
+                except OSError:
                     raise
                 except Exception as error:
                     # A fault of the program's own: this request is answered failed, the process lives.
                     log(f"broken invocation: {error!r} {where(error)}")
                     answer = plain(500, "failed")
+                self.stage = Stage.BUSY
                 if not (yield from self._write(answer)):
                     return
                 channel.http.start_next_cycle()
+                self.stage, self.since = Stage.IDLE, now()
+                idle_until = self.since + IDLE_FOR
         except (TookTooLong, OSError):
             pass
         finally:
@@ -162,48 +192,62 @@
         http, channel = self.channel.http, self.channel
         if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return False
-        head, body = answer
-        headers = [*passed_on(head), (b"content-length", b"%d" % sum(map(len, body)))]
-        ends = self.sidecar.stopping or http.their_state is not h11.DONE
-        if ends:
-            headers.append((b"connection", b"close"))
-        if self.method == b"HEAD":
-            body = []
-        response = h11.Response(status_code=head.status_code, headers=headers, reason=head.reason)
+        try:
+            response, body = self._framed(answer)
+        except h11.LocalProtocolError as error:  # a provider's head that can be read but not written
+            log(f"unwritable answer: {error}")
+            response, body = self._framed(plain(502, "failed"))
         yield from channel.send(response, body, self.sidecar.loop.now() + WRITE_WITHIN)
         if channel.finished():
             return True
-        # Closing with something unread resets the connection, and the answer with it: read it off first.
+        # Closing with something unread resets the connection, and the answer with it: read it off first, but
+        # not without end.
         channel.sock.shutdown(socket.SHUT_WR)
-        until = self.sidecar.loop.now() + LINGER_FOR
-        while (yield Wait(channel.sock, READABLE, until)) and channel.sock.recv(65536):
-            pass
+        until, left = self.sidecar.loop.now() + LINGER_FOR, LINGER_BYTES
+        while left > 0 and (yield Wait(channel.sock, READABLE, until)):
+            read = len(channel.sock.recv(65536))
+            left = left - read if read else 0
         return False
 
-    def _answer(self, head: h11.Request) -> Coroutine[Answer]:
+    def _framed(self, answer: Answer) -> Answer:
+        head, body = answer
+        headers = [*passed_on(head), (b"content-length", b"%d" % sum(map(len, body)))]
+        # One who sends what can't be served may have sent more of it, or may go on at full speed: each
+        # further one costs it a new connection.
+        faulty = 400 <= head.status_code < 500
+        if self.sidecar.stopping or faulty or self.channel.http.their_state is not h11.DONE:
+            headers.append((b"connection", b"close"))
+        response = h11.Response(status_code=head.status_code, headers=headers, reason=head.reason)
+        return response, [] if self.method == b"HEAD" else body
+
+    def _answer(self, head: h11.Request, until: int) -> Coroutine[Answer]:
+        """The head is looked at first: what can't be served is not waited for."""
         sidecar, http = self.sidecar, self.channel.http
-        if http.they_are_waiting_for_100_continue:
-            go_on = h11.InformationalResponse(status_code=100, headers=[])
-            self.channel.sock.sendmsg(http.send_with_data_passthrough(go_on) or [])
-        try:
-            body = yield from self.channel.body(sidecar.loop.now() + BODY_WITHIN)
-        except TookTooLong:
-            return plain(408, "the body did not come")
+        length = value_of(head, b"content-length")
+        if length is not None and value_of(head, b"transfer-encoding") is not None:
+            # Whoever reads it by the other length finds another request in the body.
+            raise Malformed("Content-Length and Transfer-Encoding together")
+        if length is not None and int(length) > BODY_LIMIT:
+            raise TooLarge
         path = head.target.partition(b"?")[0]
         if path == b"/_health":
+            yield from self.channel.body(until)
             return plain(200, "ready") if sidecar.ready() else plain(503, "not ready")
         if path != b"/api":
-            return plain(404, "no such path")
+            raise Malformed("no such path", 404)
         if head.method not in (b"GET", b"POST"):
-            return plain(405, "GET or POST", ("allow", "GET, POST"))
-        try:
-            invocation = Invocation(head, body, sidecar.settings, sidecar.loop.now())
-        except Malformed as error:
-            return plain(400, str(error))
+            raise Malformed("GET or POST", 405, ("allow", "GET, POST"))
+        invocation = Invocation(head, sidecar.settings)
+        if http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            self.channel.sock.sendmsg(http.send_with_data_passthrough(go_on) or [])
+        invocation.body = yield from self.channel.body(until)
         if invocation.id in sidecar.invocations:
             # A second copy of something still out: neither sent (it could run twice) nor called a rejection.
-            return plain(400, "Req-Id is in use")
+            raise Malformed("Req-Id is in use")
+        invocation.deadline = sidecar.loop.now() + invocation.patience
         invocation.task = self.task
+        self.stage = Stage.BUSY
         try:
             yield from self._wait(invocation)
         finally:
--- a/loftweir/net/http.py
+++ b/loftweir/net/http.py
@@ -18,6 +18,9 @@
     (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade")
     + (b"content-length", b"expect", b"srv-declined", b"srv-load", b"req-deadline-ms")
 )
+# A message means something else without these: naming them in its Connection field takes none of them off.
+OF_THE_MESSAGE = frozenset((b"host", b"req-id", b"req-kind", b"idempotency-key", b"content-type"))
+PARTS_A_TURN = 32  # a body in tiny chunks must not keep the loop from all else
 
 Headers = Iterable[tuple[bytes, bytes]]
 
@@ -37,6 +40,7 @@
 def passed_on(head: h11.Request | h11.Response) -> list[tuple[bytes, bytes]]:
     """The end-to-end fields of a head, as they came."""
     named = {name.strip() for name in (value_of(head, b"connection") or b"").lower().split(b",")}
+    named -= OF_THE_MESSAGE
     fields = zip(head.headers, head.headers.raw_items(), strict=True)
     return [raw for (name, _), raw in fields if name not in OF_THE_HOP and name not in named]
 
@@ -67,12 +71,16 @@
         """Whether one exchange is whole on both sides and another may follow."""
         return self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
 
+    def more(self) -> bool:
+        """Whether bytes behind the last message have been read already: the socket does not show them."""
+        return bool(self.http.trailing_data[0])
+
     def broken(self) -> bool:
         """Whether a connection that should be quiet has been closed, or has something unasked to read."""
         try:
             self.sock.recv(1)
         except BlockingIOError:
-            return False
+            return self.more()
         except OSError:
             pass
         return True
@@ -104,6 +112,8 @@
             if size > BODY_LIMIT:
                 raise TooLarge
             parts.append(bytes(event.data))
+            if len(parts) % PARTS_A_TURN == 0:
+                yield Wait(None, 0, 0)
 
     def send(
         self, head: h11.Request | h11.Response, body: Sequence[bytes], until: int | None
--- a/loftweir/net/provider.py
+++ b/loftweir/net/provider.py
@@ -23,6 +23,7 @@
 Answer = tuple[h11.Response, list[bytes]]
 # A provider counts idle time from its own last byte; closing this much earlier, nothing is written too late.
 IDLE_MARGIN = 500 * MS
+INFORMATION = 16  # answers 1xx ahead of one final answer; more are an answer that never comes
 OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -163,9 +164,10 @@
             except OSError:
                 return Outcome.CONNECT_FAILED, None  # before the last byte: it can't have run
             try:
-                head = yield from channel.next_event(self.give_up_at)
-                while isinstance(head, h11.InformationalResponse):
+                for _ in range(INFORMATION):
                     head = yield from channel.next_event(self.give_up_at)
+                    if not isinstance(head, h11.InformationalResponse):
+                        break
                 if not isinstance(head, h11.Response):
                     return Outcome.RESET, None
                 body = yield from channel.body(self.give_up_at)
@@ -178,7 +180,8 @@
                 return Outcome.ERROR, None
             except (OSError, h11.RemoteProtocolError):
                 return Outcome.RESET, None
-            if channel.finished():
+            # What came behind the answer, a second copy or noise, would be taken for the next one's.
+            if channel.finished() and not channel.more():
                 channel.http.start_next_cycle()
                 reusable = True
             if head.status_code == 200:
--- a/loftweir/net/sidecar.py
+++ b/loftweir/net/sidecar.py
@@ -10,7 +10,7 @@
 
 from loftweir import interface as api
 from loftweir.balance import Balancer
-from loftweir.net.consumer import Consumer, Invocation, accept, listen, plain
+from loftweir.net.consumer import Consumer, Invocation, Stage, accept, listen, plain
 from loftweir.net.discovery import Discovery
 from loftweir.net.loop import MS, READABLE, SECOND, Coroutine, Loop, Task, Wait, log, where
 from loftweir.net.provider import Answer, InvokerCall, Providers
@@ -203,9 +203,9 @@
         accepting.cancel()
         if self.listener is not None:
             self.listener.close()
-        for consumer in [c for c in self.consumers if c.quiet()]:
-            consumer.close()
         # What was taken is answered within its deadline; half a request is not waited for.
+        for consumer in [c for c in self.consumers if c.quiet(Stage.BEGUN)]:
+            consumer.close()
         last = self.loop.now() + max(c.deadline for c in self.settings.classes.values()) + SECOND
         while self.consumers and self.loop.now() < last:
             yield Wait(None, 0, self.loop.now() + 5 * MS)
--- a/tests/test_consumer.py
+++ b/tests/test_consumer.py
@@ -4,7 +4,9 @@
 import socket
 import struct
 import threading
+import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 from scene import KEYED, ONCE, READ, Scene, eventually, held, ok, reply
 
@@ -71,6 +73,41 @@
         self.assertTrue(answer.startswith(b"HTTP/1.1 413 "))
         self.assertEqual(self.providers[0].seen, [])
 
+    def test_what_could_hide_another_request_is_rejected_and_the_connection_closed(self):
+        self.start(ok)
+        head = b"POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: r\r\nReq-Kind: apply-submit\r\n"
+        hidden = b"0\r\n\r\n" + head.replace(b"Req-Id: r", b"Req-Id: in") + b"Content-Length: 0\r\n\r\n"
+        both = b"Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n" % len(hidden)
+        behind_a_bad_one = head.replace(b"submit", b"nothing") + b"Content-Length: 0\r\n\r\n" + head
+        for data in (head + both + hidden, behind_a_bad_one + b"Content-Length: 0\r\n\r\n"):
+            answer = self.raw(data)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 400 "), answer)
+            self.assertEqual(answer.count(b"HTTP/1.1"), 1)
+        self.assertEqual(self.providers[0].seen, [])
+
+    def test_who_sends_nothing_or_half_a_request_gets_an_error_or_a_close_within_3_s(self):
+        self.start(ok)
+        head = b"POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: r\r\nReq-Kind: apply-submit\r\n"
+        halves = {b"": b"", head: b"HTTP/1.1 408 ", head + b"Content-Length: 9\r\n\r\nx": b"HTTP/1.1 408 "}
+        with ThreadPoolExecutor() as pool:
+            began = time.monotonic()
+            for start, answer in zip(halves.values(), pool.map(self.raw, halves), strict=True):
+                self.assertTrue(answer.startswith(start) and bool(answer) == bool(start), answer)
+            self.assertLess(time.monotonic() - began, 5)
+
+    def test_a_body_known_to_be_too_large_is_not_waited_for(self):
+        self.start(ok)
+        head = b"POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: r\r\nReq-Kind: apply-submit\r\n"
+        began = time.monotonic()
+        self.assertTrue(self.raw(head + b"Content-Length: 60000000\r\n\r\nx").startswith(b"HTTP/1.1 413 "))
+        self.assertLess(time.monotonic() - began, 2)
+
+    def test_what_a_request_needs_is_passed_on_though_its_connection_field_names_it(self):
+        self.start(ok)
+        headers = {"Req-Id": "r", "Req-Kind": READ, "Connection": "host, req-id"}
+        self.assertEqual(self.ask("GET", "/api", headers)[0], 200)
+        self.assertIn("req-id: r", self.providers[0].seen[0][0].lower())
+
     def test_expect_continue_is_honoured(self):
         self.start(ok)
         head = b"POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: r\r\nReq-Kind: apply-submit\r\n"
--- a/tests/test_provider.py
+++ b/tests/test_provider.py
@@ -102,6 +102,32 @@
         self.start(lambda h, b: reply(200, b"x" * 70000))
         self.assertEqual(self.invoke(ONCE)[0], 502)
 
+    def test_what_comes_behind_an_answer_is_not_the_next_ones(self):
+        number = iter(range(100))
+        for behind in (reply(200, b"a second copy"), b"noise"):
+            self.start(lambda h, b, behind=behind: reply(200, b"own %d" % next(number)) + behind)
+            answers = [self.invoke()[1] for _ in range(5)]
+            self.assertEqual(len(set(answers)), 5)
+            self.assertTrue(all(a.startswith(b"own ") for a in answers), answers)
+
+    def test_a_spoilt_answer_is_a_failure_and_the_next_is_served(self):
+        spoilt = [b"\xe2\x00\r\n\r\n", b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n", b"HTTP/1.1 2x0 OK\r\n\r\n"]
+        spoilt += [b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 9\r\n\r\nabc"]
+        spoilt += [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nzz\r\n"]
+        spoilt += [b"HTTP/1.1 200 OK\r\n" + b"X-Pad: pppppppp\r\n" * 9999, b"HTTP/1.1 102 X\r\n\r\n" * 999]
+        spoilt += [b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 200000]
+        self.start(lambda h, b: spoilt[int(b)] if b.isdigit() else ok(h, b))
+        for number in range(len(spoilt)):
+            # Now and then one is turned away: a zone that fails as a whole lets its traffic go.
+            self.assertTrue(eventually(lambda n=number: self.invoke(ONCE, body=b"%d" % n)[0] == 502), number)
+            self.assertTrue(eventually(lambda: self.invoke(ONCE)[0] == 200))
+
+    def test_answers_ahead_and_a_load_report_of_noise_harm_nothing(self):
+        ahead = b"HTTP/1.1 102 X\r\n\r\n" * 3
+        self.start(lambda h, b: ahead + reply(200, b"x", "Srv-Load: ,,=\xff;inflight=many"))
+        self.assertEqual([self.invoke(ONCE)[:2] for _ in range(3)], [(200, b"x")] * 3)
+        self.assertEqual({number for _, _, number in self.providers[0].seen}, {1})
+
     def test_a_moved_provider_is_called_at_its_new_address(self):
         self.start(ok, ok)
         self.catalog.change(entry("s1", self.providers[1].address, status="left"))
