Share descriptors out between consumers and providers, keep nothing of a provider that went

Providers kept the addresses of all that had ever been listed, and the connections of one that a whole list omits.

Now consumers have half of limits.sockets and providers the rest; a new connection over its part takes the place of one that holds no request, silent ones first. Addresses and resting connections go with the provider, and an address belongs to the name that took it last.

--- a/loftweir/__main__.py
+++ b/loftweir/__main__.py
@@ -65,7 +65,7 @@
     if sockets < soft or soft == resource.RLIM_INFINITY:
         resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, hard))
     known, addresses = read_list(config["known"], UpdateKind.REMEMBERED)
-    sidecar = Sidecar(loop, settings, int(str(config["seed"]), 16), discovery)
+    sidecar = Sidecar(loop, settings, int(str(config["seed"]), 16), discovery, sockets)
 
     def reload() -> str:
         # The environment is that of the start and can't be replaced: the file's word is newer.
--- a/loftweir/net/consumer.py
+++ b/loftweir/net/consumer.py
@@ -25,6 +25,7 @@
 WRITE_WITHIN = 5 * SECOND
 LINGER_FOR, LINGER_BYTES = SECOND, 1024 * 1024
 LOG_APART = 10 * SECOND
+RETRY_ACCEPT = 5 * MS
 
 
 class Malformed(Exception):
@@ -39,6 +40,7 @@
 class Stage(IntEnum):
     """Where a consumer's connection stands. Where room is short, the lowest stage is closed first."""
 
+    ENDING = -1  # its last answer is out, what comes is not looked at any more
     SILENT = 0  # nothing has come on it yet
     IDLE = 1  # between requests
     BEGUN = 2  # part of a request has come
@@ -129,8 +131,13 @@
         self.stage = Stage.SILENT
         self.since = sidecar.loop.now()
 
+    def rank(self) -> tuple[int, int]:
+        return self.stage, self.since
+
     def quiet(self, most: Stage = Stage.IDLE) -> bool:
         """Whether no whole request has come that is not answered: closing the connection loses none."""
+        if self.stage is Stage.ENDING:
+            return True
         if self.stage > most or (most is Stage.IDLE and self.channel.more()):
             return False
         try:
@@ -203,6 +210,7 @@
         # Closing with something unread resets the connection, and the answer with it: read it off first, but
         # not without end.
         channel.sock.shutdown(socket.SHUT_WR)
+        self.stage, self.since = Stage.ENDING, self.sidecar.loop.now()
         until, left = self.sidecar.loop.now() + LINGER_FOR, LINGER_BYTES
         while left > 0 and (yield Wait(channel.sock, READABLE, until)):
             read = len(channel.sock.recv(65536))
@@ -286,28 +294,37 @@
 
 
 def accept(sidecar: Sidecar, listener: socket.socket) -> Coroutine[None]:
-    """Takes connections until the sidecar stops; out of descriptors, it leaves them waiting a moment."""
+    """Takes connections until the sidecar stops. Out of room it closes what holds no request, and where all
+    do, leaves new ones waiting a moment."""
     quiet_until = 0
     while True:
         try:
-            sock, _ = listener.accept()
+            if len(sidecar.consumers) < sidecar.most_consumers:
+                fault = None
+                sock, _ = listener.accept()
+            else:
+                fault = "as many connections as there is room for"
         except BlockingIOError:
             yield Wait(listener, READABLE, None)
             continue
         except ConnectionAbortedError:
             continue
         except OSError as error:
-            now = sidecar.loop.now()
-            if now >= quiet_until:  # a shortage may last, and comes round ten times a second
-                log(f"accept failed: {error}")
-                quiet_until = now + LOG_APART
-            sidecar.spare()
-            yield Wait(None, 0, now + 100 * MS)
-            continue
-        try:
-            consumer = Consumer(sidecar, sock)
-        except OSError:  # reset before it was looked at: no reason to stop accepting
-            sock.close()
+            fault = f"accept failed: {error}"
+            sidecar.providers.spare()
+        if fault is None:
+            try:
+                consumer = Consumer(sidecar, sock)
+            except OSError:  # reset before it was looked at: no reason to stop accepting
+                sock.close()
+                continue
+            consumer.task = sidecar.loop.spawn(consumer.serve())
+            sidecar.consumers.add(consumer)
             continue
-        consumer.task = sidecar.loop.spawn(consumer.serve())
-        sidecar.consumers.add(consumer)
+        yield Wait(listener, READABLE, None)
+        now = sidecar.loop.now()
+        if now >= quiet_until:  # a shortage may last, and comes round many times a second
+            log(fault)
+            quiet_until = now + LOG_APART
+        if not sidecar.spare():
+            yield Wait(None, 0, now + RETRY_ACCEPT)
--- a/loftweir/net/provider.py
+++ b/loftweir/net/provider.py
@@ -67,52 +67,93 @@
 class Providers:
     """Where each provider is, and the connections to it that wait for their next use."""
 
-    def __init__(self, loop: Loop, settings: Settings) -> None:
+    def __init__(self, loop: Loop, settings: Settings, most: int) -> None:
         self.loop = loop
         self.connect_timeout = settings.connect_timeout
         self.rest_for = max(settings.conn_idle // 2, settings.conn_idle - IDLE_MARGIN)
-        self.addresses: dict[str, str] = {}
-        self.idle: dict[str, list[tuple[Channel, Task]]] = {}
+        self.most = most  # connections, in use and at rest
+        self.open = 0
+        self.addresses: dict[str, str] = {}  # of those that may be sent to
+        self.idle: dict[str, dict[Channel, Task]] = {}
+        self.resting: dict[Channel, str] = {}  # the same connections, the longest at rest first
 
     def moved(self, name: str, address: str) -> None:
-        """The list names an address: connections to another one lead to a process that is gone."""
-        if self.addresses.get(name, address) != address:
-            self.close_idle(name)
+        """The list names an address: connections to another one lead to a process that is gone, and so do
+        those of another provider that had this one."""
+        for other, its_address in list(self.addresses.items()):
+            if (its_address == address) is not (other == name):
+                self.forget(other)
         self.addresses[name] = address
 
+    def forget(self, name: str) -> None:
+        """One that is gone or drains: nothing more is sent to it, and nothing of it is kept."""
+        self.addresses.pop(name, None)
+        self.close_idle(name)
+
+    def connect(self, name: str, until: int) -> Coroutine[Channel]:
+        address = self.addresses.get(name)
+        if address is None:  # gone since the call was decided on
+            raise NotUp(Outcome.NOT_SENT)
+        if self.open >= self.most and not self.spare():
+            raise NotUp(Outcome.NOT_SENT)
+        self.open += 1
+        try:
+            return (yield from connect(self.loop, address, self.connect_timeout, until))
+        except BaseException:
+            self.open -= 1
+            raise
+
+    def close(self, channel: Channel) -> None:
+        self.open -= 1
+        channel.close()
+
+    def spare(self) -> bool:
+        """Makes room: closes the connection that has been at rest for longest."""
+        channel = next(iter(self.resting), None)
+        if channel is not None:
+            self._wake(channel, self.resting[channel])
+            self.close(channel)
+        return channel is not None
+
+    def _wake(self, channel: Channel, name: str) -> None:
+        """Takes a connection from its rest."""
+        del self.resting[channel]
+        idle = self.idle[name]
+        idle.pop(channel).cancel()
+        if not idle:
+            del self.idle[name]
+
     def take(self, name: str) -> Channel | None:
         """The warm connection used last, if one still stands."""
-        idle = self.idle.get(name, [])
-        while idle:
-            channel, task = idle.pop()
-            task.cancel()
+        while idle := self.idle.get(name):
+            channel = next(reversed(idle))
+            self._wake(channel, name)
             # Closed by the provider, and epoll had no turn to say so yet: a request on it would be lost.
             if not channel.broken():
                 return channel
-            channel.close()
+            self.close(channel)
         return None
 
     def rest(self, name: str, channel: Channel) -> None:
         if channel.address != self.addresses.get(name):
-            channel.close()
+            self.close(channel)
             return
-        task = self.loop.spawn(self._watch_idle(name, channel))
-        self.idle.setdefault(name, []).append((channel, task))
+        self.resting[channel] = name
+        self.idle.setdefault(name, {})[channel] = self.loop.spawn(self._watch_idle(name, channel))
 
     def _watch_idle(self, name: str, channel: Channel) -> Coroutine[None]:
         """Closes a resting connection before the provider does, or as soon as the provider has."""
         yield Wait(channel.sock, READABLE, self.loop.now() + self.rest_for)
-        self.idle[name] = [entry for entry in self.idle[name] if entry[0] is not channel]
-        channel.close()
-
-    def close_all_idle(self) -> None:
-        for name in list(self.idle):
-            self.close_idle(name)
+        del self.resting[channel]
+        del self.idle[name][channel]
+        if not self.idle[name]:
+            del self.idle[name]
+        self.close(channel)
 
     def close_idle(self, name: str) -> None:
-        for channel, task in self.idle.pop(name, []):
-            task.cancel()
-            channel.close()
+        for channel in list(self.idle.get(name, ())):
+            self._wake(channel, name)
+            self.close(channel)
 
 
 class InvokerCall:
@@ -150,8 +191,7 @@
         loop = providers.loop
         channel = providers.take(self.provider)
         if channel is None:
-            address = providers.addresses[self.provider]
-            channel = yield from connect(loop, address, providers.connect_timeout, self.give_up_at)
+            channel = yield from providers.connect(self.provider, self.give_up_at)
         reusable = False
         try:
             if not self.invocation.open:
@@ -194,7 +234,7 @@
             if reusable:
                 providers.rest(self.provider, channel)
             else:
-                channel.close()
+                providers.close(channel)
 
     def _message(self, now: int) -> tuple[h11.Request, list[bytes]]:
         head, body = self.invocation.head, self.invocation.body
--- a/loftweir/net/sidecar.py
+++ b/loftweir/net/sidecar.py
@@ -16,16 +16,22 @@
 from loftweir.net.provider import Answer, InvokerCall, Providers
 
 ACCEPT_AFTER_TERM = 700 * MS
+OTHER_SOCKETS = 16  # the standard streams, epoll, the listener, signals, discovery, and a few to spare
 
 
 class Sidecar:
     """One real sidecar. Events go in by `tell`, in order; actions are carried out in order."""
 
-    def __init__(self, loop: Loop, settings: api.Settings, seed: int, discovery: str) -> None:
+    def __init__(
+        self, loop: Loop, settings: api.Settings, seed: int, discovery: str, sockets: int
+    ) -> None:
         self.loop = loop
         self.settings = settings
         self.balancer = Balancer(settings, seed)
-        self.providers = Providers(loop, settings)
+        # Descriptors are shared out: however many connections consumers open, providers are reached, and the
+        # other way round. An invocation needs one of each kind.
+        self.most_consumers = max(sockets // 2, 1)
+        self.providers = Providers(loop, settings, max(sockets - self.most_consumers - OTHER_SOCKETS, 1))
         self.discovery = Discovery(loop, discovery, self.listed)
         self.invocations: dict[str, Invocation] = {}
         self.consumers: set[Consumer] = set()
@@ -93,8 +99,15 @@
             self.invocations.pop(invocation.id, None)
 
     def listed(self, update: api.MembershipUpdate, addresses: dict[str, str]) -> None:
-        for name, address in addresses.items():
-            self.providers.moved(name, address)
+        ready = [e for e in update.endpoints if e.lifecycle is api.Lifecycle.READY]
+        gone = {e.address for e in update.endpoints} - {e.address for e in ready}
+        if update.kind in (api.UpdateKind.FULL, api.UpdateKind.REMEMBERED):
+            gone |= self.providers.addresses.keys() - addresses.keys()  # a whole list merely omits them
+        for name in gone:
+            self.providers.forget(name)
+        # Where two have one address, it is the later one's.
+        for endpoint in sorted(ready, key=lambda e: e.started_at):
+            self.providers.moved(endpoint.address, addresses[endpoint.address])
         self.tell(update)
 
     def ended(self, call: InvokerCall, outcome: api.Outcome, answer: Answer | None) -> None:
@@ -142,11 +155,14 @@
             call.task.cancel()
             self.ended(call, api.Outcome.CANCELLED, None)
 
-    def spare(self) -> None:
-        """Out of descriptors: closes what only waits for its next use."""
-        self.providers.close_all_idle()
-        for consumer in [c for c in self.consumers if c.quiet()]:
-            consumer.close()
+    def spare(self, most: Stage = Stage.BEGUN) -> bool:
+        """Makes room for a consumer: ends a connection whose last answer is out, else closes one that holds
+        no whole request. One that never said anything goes first; in each stage, the one longest there."""
+        for consumer in sorted((c for c in self.consumers if c.stage <= most), key=Consumer.rank):
+            if consumer.quiet(most):
+                consumer.close()
+                return True
+        return False
 
     # ---- life -----------------------------------------------------------------------------------
 
--- a/tests/test_provider.py
+++ b/tests/test_provider.py
@@ -136,6 +136,26 @@
         self.catalog.change(entry("s0", self.providers[1].address))
         self.assertTrue(eventually(lambda: self.invoke()[0] == 200 and self.providers[1].seen))
 
+    def test_one_that_is_gone_or_omitted_keeps_no_connection(self):
+        self.start(ok, ok, ok)
+        self.assertEqual([self.invoke()[0] for _ in range(9)], [200] * 9)
+        self.catalog.entries = self.entries[2:]
+        self.catalog.change(self.entries[0] | {"status": "left"})
+        self.assertTrue(eventually(lambda: self.providers[0].ends, 1))
+        self.catalog.whole = True
+        self.catalog.change()
+        self.assertTrue(eventually(lambda: self.providers[1].ends, 1))
+        self.assertEqual(self.providers[2].ends, [])
+
+    def test_an_address_passes_to_a_new_name_and_the_old_connections_with_it(self):
+        self.start(ok)
+        provider = self.providers[0]
+        self.assertEqual(self.invoke()[0], 200)
+        self.catalog.change(entry("new", provider.address, since_ms=1), self.entries[0])
+        self.assertTrue(eventually(lambda: provider.ends == [1]))
+        self.assertEqual([self.invoke()[0] for _ in range(3)], [200] * 3)
+        self.assertEqual({number for _, _, number in provider.seen}, {1, 2})
+
     def test_a_time_out_closes_the_warm_connections_too(self):
         """A machine that vanished leaves its connections open and silent: only a new one can tell, and a
         new one that does not come up proves that nothing ran."""
