Pass over servers that hold as many calls as they answer in time

Checked on the sockets: two sidecars put half the fleet's load each on a zone of three; the lateness of its own queue (Balancer._feel, released at an eighth of its rise, so any lateness over 11 % grows) was read as a crowd everywhere and turned into shedding. The calls in flight of requests whose client had gone were not counted at all. Ruled out: the sidecar's CPU (0.1 to 0.5 of 0.85), handshakes, descriptors.

Now a server is usable while its oldest call is within the aim and one more would be answered within 0.4 of it (0.6 in other zones), by its pace and the calls that this balancer has out there; a declined call or a refused connection passes it over for a moment. The zone test and the even spread are as before, on usable servers. A failure is weighed against the server's record. Pressure is released at half its rise. What is worth most goes on being sent where it may be in time.

The first send still leaves the zone only when nothing there is usable.

--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -34,14 +34,15 @@
     Watch,
 )
 
-BLAME = {
-    Outcome.ERROR: 1.0,
-    Outcome.RESET: 1.0,
-    Outcome.CONNECT_FAILED: 1.0,
-}
+BLAMED = (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED)
 LATE_BLAME = 0.6  # of an attempt past its aim, and again when it times out: together enough
 LATE_MEMORY = 32  # attempts over which a deck's lateness is taken
-PRESSURE_AIMS, RELEASE = 5, 8  # aims of steady crowding to full pressure; how much slower it is released
+TRUST_MEMORY = 8  # answers over which a server's good record is taken
+TRUSTED = 0.65  # of the blame for one failure, taken off a server that has answered well
+PACE_MEMORY = 12  # answers over which a server's pace is taken
+ROOM = {"near": 0.4, "far": 0.6}  # of the aim, up to which a further call is held to be answered in time
+FULL_FOR, SHUT_FOR = 0.25, 1.0  # aims to pass over one that turned a call away, or took no connection
+PRESSURE_AIMS, RELEASE = 5, 2  # aims of steady crowding to full pressure; how much slower it is released
 PRESSURE_STEP = 0.25  # the most that one outcome says
 FELT = (Outcome.OK, Outcome.FULL, Outcome.TIMED_OUT)
 WORTH_MEMORY = 64  # requests over which the mean worth is taken
@@ -66,6 +67,10 @@
         "suspicion",
         "out_until",
         "strikes",
+        "trust",
+        "out",
+        "pace",
+        "full_until",
     )
 
     def __init__(self, endpoint: Endpoint) -> None:
@@ -74,11 +79,16 @@
         self.suspicion = 0.0  # failures seen of late, each success takes some back
         self.out_until = 0  # set aside until then; 0: not set aside
         self.strikes = 0  # how often in a row it was set aside
+        self.trust = 0.0  # the part of good answers of late
+        self.out: dict[Try, None] = {}  # this balancer's calls that it holds, the oldest first
+        self.pace = 0.0  # what one more call out adds to the time of an answer; 0: not known yet
+        self.full_until = 0  # it turned a call away, or took no connection: passed over until then
         self.update(endpoint)
 
     def update(self, endpoint: Endpoint) -> None:
         if endpoint.started_at != getattr(self, "started_at", endpoint.started_at):
             self.suspicion, self.out_until, self.strikes = 0.0, 0, 0  # a new process: its past is not its own
+            self.trust, self.pace, self.full_until = 0.0, 0.0, 0
         self.cell = endpoint.cell
         self.weight = endpoint.weight
         self.started_at = endpoint.started_at
@@ -91,11 +101,13 @@
 class Try:
     """One attempt: where, when, and whether it is still out or is known never to have run."""
 
-    __slots__ = ("server", "sent_at", "out", "never_ran", "late")
+    __slots__ = ("server", "sent_at", "place", "out", "never_ran", "late")
 
     def __init__(self, server: Server, sent_at: int) -> None:
         self.server = server
         self.sent_at = sent_at
+        server.out[self] = None
+        self.place = len(server.out)
         self.out = True
         self.never_ran = False
         self.late = False  # its aim has passed, and was felt as crowding
@@ -113,7 +125,7 @@
         self.tries: list[Try] = []
         self.streaming = False
 
-    def out(self) -> bool:
+    def is_out(self) -> bool:
         return any(t.out for t in self.tries)
 
     def may_have_run(self) -> Try | None:
@@ -143,6 +155,7 @@
         self.random = Random(seed)
         self.servers: dict[str, Server] = {}  # all that the list names as ready or draining
         self.calls: dict[str, Call] = {}
+        self.tries: dict[tuple[str, int], Try] = {}  # all that are out, also of requests that are over
         self.held: dict[str, Call] = {}  # calls with no attempt out, waiting for a server
         self.near = Deck()  # the ready servers of the own zone
         self.far = Deck()  # the ready servers of the others
@@ -233,6 +246,12 @@
         server.suspicion = 0.5
         deck.cards = [s for s in deck.cards if s is not server]
 
+    def _blame(self, server: Server, cls: RequestClass) -> None:
+        """A failure of one that answers well otherwise is that answer's, of any other the server's."""
+        blame = 1 - TRUSTED * server.trust
+        server.trust *= 1 - 1 / TRUST_MEMORY
+        self._suspect(server, blame, cls.aim)
+
     def _press(self, deck: Deck, aim: int, rise: float) -> None:
         """Pressure goes by time, in units of the aim, not by count: a balancer with much traffic must not
         swing faster than the queues it feeds."""
@@ -254,6 +273,7 @@
             rise = 1 - min(1.0, server.suspicion) * max(0.0, 1 - 2 * deck.late)
         else:
             rise = -1 / RELEASE
+            server.trust += (1 - server.trust) / TRUST_MEMORY
             server.suspicion /= 2
             if server.suspicion < 0.1:
                 server.strikes = 0
@@ -346,7 +366,43 @@
             return None
         if deck is self.near and self.random.random() * (1 - shed) < away - shed:
             deck = self.far
-        return deck.cards.pop() if deck.cards else None
+        server = self._draw(deck, cls) or (self._draw(self.far, cls) if deck is self.near else None)
+        if server is None and cls.worth >= self.mean_worth:
+            # What is worth most is sent as long as it may be in time at all: the rest left it that room.
+            able = [s for s in self.near.servers + self.far.servers if self._may_do(s, cls)]
+            server = min(able, key=lambda s: s.pace * (len(s.out) + 1), default=None)
+        return server
+
+    def _may_do(self, server: Server, cls: RequestClass) -> bool:
+        up = max(server.out_until, server.full_until) <= self.now and not self._frail(server)
+        return up and server.pace * (len(server.out) + 1) <= cls.aim
+
+    def _draw(self, deck: Deck, cls: RequestClass) -> Server | None:
+        """The next card of a server that can take a call; where none is left, one more deal."""
+        for _ in range(2):
+            while deck.cards:
+                server = deck.cards.pop()
+                if self._has_room(server, cls):
+                    return server
+            self._deal(deck)
+        return None
+
+    def _has_room(self, server: Server, cls: RequestClass) -> bool:
+        """Whether it can still answer in time, by this balancer's own calls there.
+
+        One that holds as many as it answers in time is not usable for the moment, like one set aside: the
+        zone's traffic goes to the others, and elsewhere once there are none. A call out for longer than its
+        aim says that the server hangs or is jammed, and one back from being set aside is tried with one.
+        """
+        if server.full_until > self.now:
+            return False
+        if not server.out:
+            return True
+        oldest = next(iter(server.out))
+        if server.strikes or self.now - oldest.sent_at > cls.aim:
+            return False
+        part = ROOM["near" if server.zone == self.settings.zone else "far"]
+        return server.pace * (len(server.out) + 1) <= cls.aim * part
 
     def _another(self, call: Call) -> Server | None:
         """A server for a further attempt: not tried before, and of the group its repeats must keep to.
@@ -360,7 +416,8 @@
             if ran is not None and call.cls.effect is Effect.BY_KEY:
                 group = ran.server.group(call.cls.scope)
                 fit = [s for s in fit if s.group(call.cls.scope) == group]
-            fit = [s for s in fit if not self._frail(s)]  # the repeats of a crowd would push them over
+            # The repeats of a crowd would push cold ones over.
+            fit = [s for s in fit if not self._frail(s) and self._has_room(s, call.cls)]
             if fit:
                 return self.random.choices(fit, [self._share(s) for s in fit])[0]
         return None
@@ -395,7 +452,7 @@
         cls, tries = call.cls, call.tries
         if call.id not in self.calls or call.streaming or not server.ready or self.now >= call.deadline:
             return False
-        if len(tries) >= self.settings.max_attempts or (call.out() and not self.settings.second_copies):
+        if len(tries) >= self.settings.max_attempts or (call.is_out() and not self.settings.second_copies):
             return False
         ran = call.may_have_run()
         if ran is not None:
@@ -407,17 +464,25 @@
                 return False
         self.held.pop(call.id, None)
         tries.append(Try(server, self.now))
+        self.tries[call.id, len(tries) - 1] = tries[-1]
         self.actions.append(Attempt(call.id, server.address, call.deadline))
         self.actions.append(Timer(cls.aim, f"{LATE_TAG}{len(tries) - 1}:{call.id}"))
         return True
 
     def _attempt_ended(self, event: AttemptEnded) -> None:
+        ended = self.tries.pop((event.request_id, event.attempt), None)
+        if ended is not None:
+            self._returned(ended, event)
         call = self.calls.get(event.request_id)
         if call is None:
             return
         done = call.tries[event.attempt]
-        if event.outcome in BLAME:
-            self._suspect(done.server, BLAME[event.outcome], call.cls.aim)
+        if event.outcome in BLAMED:
+            self._blame(done.server, call.cls)
+        if event.outcome is Outcome.FULL:
+            done.server.full_until = self.now + int(call.cls.aim * FULL_FOR)
+        elif event.outcome is Outcome.CONNECT_FAILED:
+            done.server.full_until = self.now + int(call.cls.aim * SHUT_FOR)
         if event.outcome is Outcome.TIMED_OUT and done.late:
             self._suspect(done.server, LATE_BLAME * (1 - self._deck(done.server).late), call.cls.aim)
         elif event.outcome in FELT and not done.late:
@@ -427,9 +492,17 @@
         done.never_ran = event.outcome.never_ran
         if event.request_over or event.outcome is Outcome.OK:
             self._forget(call.id)
-        elif not call.out() and not self._retry(call):
+        elif not call.is_out() and not self._retry(call):
             self._end(call)
 
+    def _returned(self, ended: Try, event: AttemptEnded) -> None:
+        """The server holds one call less; an answer tells how long each one before it took."""
+        server = ended.server
+        server.out.pop(ended, None)
+        if event.outcome is Outcome.OK:
+            pace = event.elapsed / ended.place
+            server.pace += (pace - server.pace) / PACE_MEMORY if server.pace else pace
+
     def _retry(self, call: Call) -> bool:
         """A further attempt, where the rules allow one and the budget has it.
 
--- /dev/null
+++ b/tests/test_usable.py
@@ -0,0 +1,52 @@
+"""Which providers count as usable, from what passes on the sockets: the own zone first, then the others."""
+
+import threading
+import time
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+from scene import ONCE, Scene, entry, eventually, held, ok, reply
+
+
+class UsableTest(Scene):
+    def two_zones(self, near, far=ok):
+        """Provider 0 in the own zone, provider 1 in another."""
+        self.start(near, far)
+        address = self.providers[1].address
+        self.catalog.change(entry("s1", address, status="left"), entry("far", address, "b"))
+        self.assertTrue(eventually(lambda: len(self.catalog.seen) > 1))
+        self.before = len(self.providers[1].seen)
+
+    def far(self):
+        return len(self.providers[1].seen) - self.before
+
+    def test_one_that_holds_a_call_past_its_aim_is_passed_over_though_it_is_the_zones_only_one(self):
+        gate = threading.Event()
+        self.addCleanup(gate.set)
+        self.two_zones(held(gate))
+        self.client().request("POST", "/api", b"{}", {"Req-Id": "r", "Req-Kind": ONCE})
+        self.assertTrue(eventually(lambda: self.providers[0].seen))
+        time.sleep(0.7)  # the aim is 0.6 s
+        self.assertEqual([self.invoke(ONCE)[0] for _ in range(4)], [200] * 4)
+        self.assertEqual((len(self.providers[0].seen), self.far()), (1, 4))
+
+    def test_one_that_holds_as_many_as_it_answers_in_time_is_passed_over(self):
+        self.two_zones(lambda head, body: time.sleep(0.3) or ok(head, body))
+        self.assertEqual(self.invoke(ONCE)[0], 200)
+        with ThreadPoolExecutor() as pool:
+            statuses = list(pool.map(lambda _: self.invoke(ONCE)[0], range(4)))
+        self.assertEqual((statuses, len(self.providers[0].seen), self.far()), ([200] * 4, 2, 3))
+
+    def test_one_failure_of_a_good_provider_does_not_set_it_aside(self):
+        self.start(ok, ok)
+        self.assertEqual([self.invoke(ONCE)[0] for _ in range(20)], [200] * 20)
+        self.providers[0].answer = lambda head, body: reply(500)
+        self.assertTrue(eventually(lambda: self.invoke(ONCE)[0] == 502))
+        self.providers[0].answer = ok
+        before = len(self.providers[0].seen)
+        self.assertEqual([self.invoke(ONCE)[0] for _ in range(8)], [200] * 8)
+        self.assertGreater(len(self.providers[0].seen) - before, 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
