Keep failures by class of request; forget a crowd of which nothing is heard

One figure of health for all classes either sets such a server aside for all or keeps sending it what it fails (one good answer halves Server.suspicion). Now failures are taken by server and class, and one that fails more than a quarter of a class is passed over for that class. Where a zone's servers answer errors, that is no crowd any more (Balancer._suspect pressed the deck). A pressure of which nothing is heard fades: at 0.95 on both decks 90 % was turned away, and nobody was left to say that it was over.

A connection now rests 30 ms before its next use where another one has.

--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -37,12 +37,15 @@
 BLAMED = (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED)
 LATE_BLAME = 0.6  # of an attempt past its aim, and again when it times out: together enough
 LATE_MEMORY = 32  # attempts over which a deck's lateness is taken
-TRUST_MEMORY = 8  # answers over which a server's good record is taken
-TRUSTED = 0.65  # of the blame for one failure, taken off a server that has answered well
+TRUST_MEMORY = 16  # answers over which a server's good record is taken
+TRUSTED = 0.85  # of the blame for one failure, taken off a server that has answered well
+FAILS_MEMORY, AILING = 10, 0.25  # answers over which failures are taken; the part that is too much
+LONGEST_ROW = 5  # failures in a row, each of which doubles the time in which half of the part is forgotten
 PACE_MEMORY = 12  # answers over which a server's pace is taken
 ROOM = {"near": 0.4, "far": 0.6}  # of the aim, up to which a further call is held to be answered in time
 FULL_FOR, SHUT_FOR = 0.25, 1.0  # aims to pass over one that turned a call away, or took no connection
 PRESSURE_AIMS, RELEASE = 5, 2  # aims of steady crowding to full pressure; how much slower it is released
+FADE_AIMS = 8  # aims without a word of a crowd, after which half of its pressure goes in as many more
 PRESSURE_STEP = 0.25  # the most that one outcome says
 FELT = (Outcome.OK, Outcome.FULL, Outcome.TIMED_OUT)
 WORTH_MEMORY = 64  # requests over which the mean worth is taken
@@ -68,6 +71,7 @@
         "out_until",
         "strikes",
         "trust",
+        "records",
         "out",
         "pace",
         "full_until",
@@ -80,6 +84,7 @@
         self.out_until = 0  # set aside until then; 0: not set aside
         self.strikes = 0  # how often in a row it was set aside
         self.trust = 0.0  # the part of good answers of late
+        self.records: dict[str, Record] = {}  # by class: one may fail where the others are served
         self.out: dict[Try, None] = {}  # this balancer's calls that it holds, the oldest first
         self.pace = 0.0  # what one more call out adds to the time of an answer; 0: not known yet
         self.full_until = 0  # it turned a call away, or took no connection: passed over until then
@@ -89,6 +94,7 @@
         if endpoint.started_at != getattr(self, "started_at", endpoint.started_at):
             self.suspicion, self.out_until, self.strikes = 0.0, 0, 0  # a new process: its past is not its own
             self.trust, self.pace, self.full_until = 0.0, 0.0, 0
+            self.records = {}
         self.cell = endpoint.cell
         self.weight = endpoint.weight
         self.started_at = endpoint.started_at
@@ -98,13 +104,25 @@
         return self.cell if scope is Scope.CELL else self.zone if scope is Scope.ZONE else None
 
 
+class Record:
+    """The part of failures among a server's answers to one class."""
+
+    __slots__ = ("part", "at", "row")
+
+    def __init__(self) -> None:
+        self.part = 0.0
+        self.at = 0  # when it was last taken
+        self.row = 0  # failures with no answer between them
+
+
 class Try:
     """One attempt: where, when, and whether it is still out or is known never to have run."""
 
-    __slots__ = ("server", "sent_at", "place", "out", "never_ran", "late")
+    __slots__ = ("server", "cls", "sent_at", "place", "out", "never_ran", "late")
 
-    def __init__(self, server: Server, sent_at: int) -> None:
+    def __init__(self, server: Server, cls: RequestClass, sent_at: int) -> None:
         self.server = server
+        self.cls = cls
         self.sent_at = sent_at
         server.out[self] = None
         self.place = len(server.out)
@@ -136,7 +154,7 @@
 class Deck:
     """Servers to spread over, and the cards still to be dealt."""
 
-    __slots__ = ("servers", "cards", "warmth", "pressure", "late", "felt_at")
+    __slots__ = ("servers", "cards", "warmth", "pressure", "late", "felt_at", "faded_at")
 
     def __init__(self) -> None:
         self.servers: list[Server] = []
@@ -145,6 +163,14 @@
         self.pressure = 0.0  # the part of its traffic to turn away, from lateness and refusals seen
         self.late = 0.0  # the part of late attempts of late
         self.felt_at = 0
+        self.faded_at = 0
+
+    def fade(self, now: int, half: int) -> None:
+        """Where all are turned away, nobody is left to tell that a crowd is over."""
+        since = max(self.faded_at, self.felt_at + half)
+        if now > since:
+            self.pressure *= 0.5 ** ((now - since) / half)
+            self.faded_at = now
 
 
 class Balancer:
@@ -162,6 +188,7 @@
         self.retry_budget = RETRY_BURST
         worths = [max(c.worth, MIN_WORTH) for c in settings.classes.values()]
         self.mean_worth = sum(worths) / len(worths)
+        self.fade_half = FADE_AIMS * sum(c.aim for c in settings.classes.values()) // len(settings.classes)
         self.asking = False
         self.failures_to_ask = 0
         self.actions: list[Action] = []
@@ -228,7 +255,7 @@
     def _deck(self, server: Server) -> Deck:
         return self.near if server.zone == self.settings.zone else self.far
 
-    def _suspect(self, server: Server, blame: float, aim: int) -> None:
+    def _suspect(self, server: Server, blame: float, aim: int, crowd: bool = True) -> None:
         """Passive outlier ejection, on this balancer's own evidence; refusals as full are not ill health."""
         server.suspicion += blame
         if server.suspicion < 1 or self.now < server.out_until:
@@ -237,7 +264,8 @@
         deck = self._deck(server)
         out = sum(s.out_until > self.now for s in deck.servers)
         if 2 * (out + 1) > len(deck.servers):
-            self._press(deck, aim, 1.0)  # but a zone that fails as a whole must let its traffic go
+            if crowd:  # but a zone that is shut or silent as a whole must let its traffic go
+                self._press(deck, aim, 1.0)
             return
         safety = self.settings.safety
         rest = min(safety.warm_within, safety.fall_after * 2**server.strikes)
@@ -246,11 +274,11 @@
         server.suspicion = 0.5
         deck.cards = [s for s in deck.cards if s is not server]
 
-    def _blame(self, server: Server, cls: RequestClass) -> None:
+    def _blame(self, server: Server, cls: RequestClass, crowd: bool) -> None:
         """A failure of one that answers well otherwise is that answer's, of any other the server's."""
         blame = 1 - TRUSTED * server.trust
         server.trust *= 1 - 1 / TRUST_MEMORY
-        self._suspect(server, blame, cls.aim)
+        self._suspect(server, blame, cls.aim, crowd)
 
     def _press(self, deck: Deck, aim: int, rise: float) -> None:
         """Pressure goes by time, in units of the aim, not by count: a balancer with much traffic must not
@@ -347,6 +375,8 @@
         A zone whose servers are cold keeps what they can do and lets the rest overflow: piled onto few
         cold servers, the traffic of a whole zone would push them over.
         """
+        self.near.fade(self.now, self.fade_half)
+        self.far.fade(self.now, self.fade_half)
         deck = self.near if any(s.out_until <= self.now for s in self.near.servers) else self.far
         if not deck.servers:
             deck = self.near
@@ -367,22 +397,45 @@
         if deck is self.near and self.random.random() * (1 - shed) < away - shed:
             deck = self.far
         server = self._draw(deck, cls) or (self._draw(self.far, cls) if deck is self.near else None)
-        if server is None and cls.worth >= self.mean_worth:
+        if server is not None:
+            return server
+        up = [s for s in self.near.servers + self.far.servers if s.out_until <= self.now]
+        up = [s for s in up if not self._frail(s)]
+        if cls.worth >= self.mean_worth:
             # What is worth most is sent as long as it may be in time at all: the rest left it that room.
-            able = [s for s in self.near.servers + self.far.servers if self._may_do(s, cls)]
-            server = min(able, key=lambda s: s.pace * (len(s.out) + 1), default=None)
-        return server
+            able = [s for s in up if self._may_do(s, cls)]
+            if able:
+                return min(able, key=lambda s: s.pace * (len(s.out) + 1))
+        # One that fails now and then is better than none.
+        able = [s for s in up if self._has_room(s, cls)]
+        return min(able, key=lambda s: self._fails(s, cls), default=None)
 
     def _may_do(self, server: Server, cls: RequestClass) -> bool:
-        up = max(server.out_until, server.full_until) <= self.now and not self._frail(server)
-        return up and server.pace * (len(server.out) + 1) <= cls.aim
+        sound = server.full_until <= self.now and self._fails(server, cls) < AILING
+        return sound and server.pace * (len(server.out) + 1) <= cls.aim
+
+    def _fails(self, server: Server, cls: RequestClass) -> float:
+        """The part of its answers to this class that fail. It is forgotten with time, the more slowly the
+        longer nothing else came, so that a server is tried again, but not at the cost of many requests."""
+        record = server.records.get(cls.name)
+        if record is None:
+            return 0.0
+        half = max(1, self.settings.safety.fall_after) * 2**record.row
+        return float(record.part * 0.5 ** ((self.now - record.at) / half))
+
+    def _record(self, server: Server, cls: RequestClass, failed: bool) -> None:
+        record = server.records.setdefault(cls.name, Record())
+        part = self._fails(server, cls)
+        record.part = part + (failed - part) / FAILS_MEMORY
+        record.row = min(LONGEST_ROW, record.row + 1) if failed else 0
+        record.at = self.now
 
     def _draw(self, deck: Deck, cls: RequestClass) -> Server | None:
         """The next card of a server that can take a call; where none is left, one more deal."""
         for _ in range(2):
             while deck.cards:
                 server = deck.cards.pop()
-                if self._has_room(server, cls):
+                if self._has_room(server, cls) and self._fails(server, cls) < AILING:
                     return server
             self._deal(deck)
         return None
@@ -418,6 +471,7 @@
                 fit = [s for s in fit if s.group(call.cls.scope) == group]
             # The repeats of a crowd would push cold ones over.
             fit = [s for s in fit if not self._frail(s) and self._has_room(s, call.cls)]
+            fit = [s for s in fit if self._fails(s, call.cls) < AILING] or fit
             if fit:
                 return self.random.choices(fit, [self._share(s) for s in fit])[0]
         return None
@@ -463,7 +517,7 @@
             ):
                 return False
         self.held.pop(call.id, None)
-        tries.append(Try(server, self.now))
+        tries.append(Try(server, cls, self.now))
         self.tries[call.id, len(tries) - 1] = tries[-1]
         self.actions.append(Attempt(call.id, server.address, call.deadline))
         self.actions.append(Timer(cls.aim, f"{LATE_TAG}{len(tries) - 1}:{call.id}"))
@@ -478,7 +532,7 @@
             return
         done = call.tries[event.attempt]
         if event.outcome in BLAMED:
-            self._blame(done.server, call.cls)
+            self._blame(done.server, call.cls, event.outcome is Outcome.CONNECT_FAILED)
         if event.outcome is Outcome.FULL:
             done.server.full_until = self.now + int(call.cls.aim * FULL_FOR)
         elif event.outcome is Outcome.CONNECT_FAILED:
@@ -499,6 +553,8 @@
         """The server holds one call less; an answer tells how long each one before it took."""
         server = ended.server
         server.out.pop(ended, None)
+        if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.RESET):
+            self._record(server, ended.cls, event.outcome is not Outcome.OK)
         if event.outcome is Outcome.OK:
             pace = event.elapsed / ended.place
             server.pace += (pace - server.pace) / PACE_MEMORY if server.pace else pace
--- a/loftweir/net/provider.py
+++ b/loftweir/net/provider.py
@@ -23,6 +23,8 @@
 Answer = tuple[h11.Response, list[bytes]]
 # A provider counts idle time from its own last byte; closing this much earlier, nothing is written too late.
 IDLE_MARGIN = 500 * MS
+# A provider may close right behind its answer, or send more: what has rested for less has not shown it yet.
+REST_LEAST = 30 * MS
 INFORMATION = 16  # answers 1xx ahead of one final answer; more are an answer that never comes
 OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
@@ -75,7 +77,8 @@
         self.open = 0
         self.addresses: dict[str, str] = {}  # of those that may be sent to
         self.idle: dict[str, dict[Channel, Task]] = {}
-        self.resting: dict[Channel, str] = {}  # the same connections, the longest at rest first
+        # The same connections, the longest at rest first, and since when.
+        self.resting: dict[Channel, tuple[str, int]] = {}
 
     def moved(self, name: str, address: str) -> None:
         """The list names an address: connections to another one lead to a process that is gone, and so do
@@ -111,7 +114,7 @@
         """Makes room: closes the connection that has been at rest for longest."""
         channel = next(iter(self.resting), None)
         if channel is not None:
-            self._wake(channel, self.resting[channel])
+            self._wake(channel, self.resting[channel][0])
             self.close(channel)
         return channel is not None
 
@@ -124,9 +127,11 @@
             del self.idle[name]
 
     def take(self, name: str) -> Channel | None:
-        """The warm connection used last, if one still stands."""
+        """A warm connection that still stands: the one used last of those that have rested for a moment."""
         while idle := self.idle.get(name):
-            channel = next(reversed(idle))
+            rested = self.loop.now() - REST_LEAST
+            oldest = next(iter(idle))
+            channel = next((c for c in reversed(idle) if self.resting[c][1] <= rested), oldest)
             self._wake(channel, name)
             # Closed by the provider, and epoll had no turn to say so yet: a request on it would be lost.
             if not channel.broken():
@@ -138,7 +143,7 @@
         if channel.address != self.addresses.get(name):
             self.close(channel)
             return
-        self.resting[channel] = name
+        self.resting[channel] = name, self.loop.now()
         self.idle.setdefault(name, {})[channel] = self.loop.spawn(self._watch_idle(name, channel))
 
     def _watch_idle(self, name: str, channel: Channel) -> Coroutine[None]:
--- a/tests/test_provider.py
+++ b/tests/test_provider.py
@@ -128,6 +128,20 @@
         self.assertEqual([self.invoke(ONCE)[:2] for _ in range(3)], [(200, b"x")] * 3)
         self.assertEqual({number for _, _, number in self.providers[0].seen}, {1})
 
+    def test_a_connection_rests_a_moment_before_its_next_use_where_another_has(self):
+        """Its provider may close it, or send more, right behind the answer."""
+        gate = threading.Event()
+        self.start(held(gate))
+        clients = [self.client() for _ in range(2)]
+        for number, client in enumerate(clients):
+            client.request("GET", "/api", headers={"Req-Id": f"w{number}", "Req-Kind": READ})
+        self.assertTrue(eventually(lambda: len(self.providers[0].seen) == 2))
+        gate.set()
+        self.assertEqual([c.getresponse().status for c in clients], [200, 200])
+        time.sleep(0.1)
+        used = [self.invoke()[0] and self.providers[0].seen[-1][2] for _ in range(2)]
+        self.assertEqual(sorted(used), [1, 2])
+
     def test_a_moved_provider_is_called_at_its_new_address(self):
         self.start(ok, ok)
         self.catalog.change(entry("s1", self.providers[1].address, status="left"))
--- a/tests/test_usable.py
+++ b/tests/test_usable.py
@@ -5,7 +5,7 @@
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
-from scene import ONCE, Scene, entry, eventually, held, ok, reply
+from scene import MS, ONCE, SETTINGS, Scene, entry, eventually, held, ok, reply
 
 
 class UsableTest(Scene):
@@ -47,6 +47,30 @@
         self.assertEqual([self.invoke(ONCE)[0] for _ in range(8)], [200] * 8)
         self.assertGreater(len(self.providers[0].seen) - before, 2)
 
+    def test_one_that_fails_a_single_class_is_passed_over_for_that_class_alone(self):
+        faulty = lambda head, body: reply(500) if "apply" in head else ok(head, body)  # noqa: E731
+        self.start(faulty, ok)
+        self.assertEqual([self.invoke()[0] for _ in range(40)], [200] * 40)
+        for _ in range(16):
+            self.invoke(ONCE)
+        self.assertEqual([self.invoke(ONCE)[0] for _ in range(8)], [200] * 8)
+        before = len(self.providers[0].seen)
+        self.assertEqual([self.invoke()[0] for _ in range(8)], [200] * 8)
+        self.assertGreater(len(self.providers[0].seen) - before, 2)
+
+    def test_a_crowd_of_which_nothing_is_heard_any_more_is_forgotten(self):
+        profiles = [p | {"target": 60 * MS} for p in SETTINGS["profiles"]]
+        full = reply(503, b"", "Srv-Declined: 1")
+        self.start(lambda head, body: full, settings=SETTINGS | {"profiles": profiles})
+        self.assertTrue(eventually(lambda: self.health() == 200))
+        for _ in range(100):
+            self.assertEqual(self.invoke()[0], 503)
+            time.sleep(0.02)
+        self.assertLess(len(self.providers[0].seen), 80)
+        self.providers[0].answer = ok
+        time.sleep(3)
+        self.assertEqual([self.invoke()[0] for _ in range(10)], [200] * 10)
+
 
 if __name__ == "__main__":
     unittest.main()
