--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -275,7 +275,10 @@
         deck.cards = [s for s in deck.cards if s is not server]
 
     def _blame(self, server: Server, cls: RequestClass, crowd: bool) -> None:
-        """A failure of one that answers well otherwise is that answer's, of any other the server's."""
+        """A failure of one that answers well otherwise is that answer's, of one that serves other classes
+        that class's; of any other the server's. No connection (`crowd`) is always the server's."""
+        if not crowd and any(self._serves(server, c) for c in server.records if c != cls.name):
+            return
         blame = 1 - TRUSTED * server.trust
         server.trust *= 1 - 1 / TRUST_MEMORY
         self._suspect(server, blame, cls.aim, crowd)
@@ -423,6 +426,9 @@
         half = max(1, self.settings.safety.fall_after) * 2**record.row
         return float(record.part * 0.5 ** ((self.now - record.at) / half))
 
+    def _serves(self, server: Server, class_name: str) -> bool:
+        return self._fails(server, self.settings.classes[class_name]) < AILING
+
     def _record(self, server: Server, cls: RequestClass, failed: bool) -> None:
         record = server.records.setdefault(cls.name, Record())
         part = self._fails(server, cls)
