Set no server aside for late answers while it goes on answering

Its load went to the rest, which followed: up to 234 of 300 requests a second turned away while a third of the living servers stood idle. What bounds a queue is the room of each server by now; being set aside is for one that is silent. A call that later ones have overtaken now counts as a failure of its class, so that a server which hangs one class alone is passed over for that class.

--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -74,6 +74,7 @@
         "records",
         "out",
         "answered",
+        "heard_at",
         "pace",
         "full_until",
     )
@@ -88,6 +89,7 @@
         self.records: dict[str, Record] = {}  # by class: one may fail where the others are served
         self.out: dict[Try, None] = {}  # this balancer's calls that it holds, the oldest first
         self.answered = 0  # when the latest of its answered calls was sent
+        self.heard_at = 0  # when it last answered anything
         self.pace = 0.0  # what one more call out adds to the time of an answer; 0: not known yet
         self.full_until = 0  # it turned a call away, or took no connection: passed over until then
         self.update(endpoint)
@@ -312,7 +314,8 @@
                 server.strikes = 0
         self._press(deck, cls.aim, rise)
         deck.late += (crowded - deck.late) / LATE_MEMORY
-        if outcome is Outcome.TIMED_OUT:
+        if outcome is Outcome.TIMED_OUT and self.now - server.heard_at > cls.aim:
+            # Silent, not slow: set aside for its queue, a good server's load would push the next one over.
             self._suspect(server, LATE_BLAME * (1 - deck.late), cls.aim)
 
     # ---- candidate set (PreferClose) and even spread --------------------------------------------
@@ -553,7 +556,7 @@
             done.server.full_until = self.now + int(call.cls.aim * FULL_FOR)
         elif event.outcome is Outcome.CONNECT_FAILED:
             done.server.full_until = self.now + int(call.cls.aim * SHUT_FOR)
-        if event.outcome is Outcome.TIMED_OUT and done.late and done.sent_at >= done.server.answered:
+        if event.outcome is Outcome.TIMED_OUT and done.late and done.sent_at >= done.server.heard_at:
             self._suspect(done.server, LATE_BLAME * (1 - self._deck(done.server).late), call.cls.aim)
         elif event.outcome in FELT and not done.late:
             late = event.outcome is Outcome.OK and event.elapsed > call.cls.aim
@@ -570,6 +573,7 @@
         server = ended.server
         server.out.pop(ended, None)
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.RESET):
+            server.heard_at = self.now
             self._record(server, ended.cls, event.outcome is not Outcome.OK)
             server.answered = max(server.answered, ended.sent_at)
         if event.outcome is Outcome.OK:
@@ -607,6 +611,8 @@
                 late.late = True
                 if late.sent_at >= late.server.answered:
                     self._feel(late.server, call.cls, Outcome.TIMED_OUT)
+                else:  # lost: what hangs one class may answer the others
+                    self._record(late.server, call.cls, True)
         elif tag.startswith(REQUEST_TAG):
             call = self.held.get(tag[len(REQUEST_TAG) :])
             if call is not None and self.now >= call.deadline:
