Close the consumer unused for longest once an eighth of the descriptors rests

Traced what it took and closed: each client connection carries one request and is then kept, the clients hold 128 at most, so with IDLE_FOR at 5 s they had none left for new requests; only a restart or a shortage of our own let them in. In a shortage, Sidecar.spare also closed connections that were 0 ms old before it came to idle ones.

Now an eighth of limits.sockets may rest, the one unused for longest goes first, and a new connection has 0.25 s before it counts as silent.

Ruled out: the module (no rejection), descriptors for providers, CPU (0.2 of a core).

--- a/loftweir/net/consumer.py
+++ b/loftweir/net/consumer.py
@@ -23,6 +23,7 @@
 REQUEST_WITHIN = 2500 * MS
 IDLE_FOR = 5 * SECOND  # between requests
 WRITE_WITHIN = 5 * SECOND
+SENDS_WITHIN = 250 * MS
 LINGER_FOR, LINGER_BYTES = SECOND, 1024 * 1024
 OURS = (b"req-id", b"req-kind", b"req-deadline-ms", b"idempotency-key")
 LOG_APART = 10 * SECOND
@@ -136,7 +137,9 @@
         self.since = sidecar.loop.now()
 
     def rank(self) -> tuple[int, int]:
-        return self.stage, self.since
+        """In which order room is made. A new connection is given a moment to send what it is opened for."""
+        new = self.stage is Stage.SILENT and self.sidecar.loop.now() - self.since < SENDS_WITHIN
+        return Stage.BEGUN if new else self.stage, self.since
 
     def quiet(self, most: Stage = Stage.IDLE) -> bool:
         """Whether no whole request has come that is not answered: closing the connection loses none."""
@@ -153,7 +156,7 @@
         if self.task is not None:
             self.task.cancel()
         self.channel.close()
-        self.sidecar.consumers.discard(self)
+        self.sidecar.forget(self)
 
     def serve(self) -> Coroutine[None]:
         now = self.sidecar.loop.now
@@ -163,6 +166,7 @@
             while True:
                 if not channel.more() and not (yield Wait(channel.sock, READABLE, idle_until)):
                     return
+                self.sidecar.idle.pop(self, None)
                 if self.stage is not Stage.SILENT:
                     until = now() + REQUEST_WITHIN
                 self.stage, self.method, head = Stage.BEGUN, b"", None
@@ -193,11 +197,12 @@
                 channel.renew()
                 self.stage, self.since = Stage.IDLE, now()
                 idle_until = self.since + IDLE_FOR
+                self.sidecar.rests(self)
         except (TookTooLong, OSError):
             pass
         finally:
             channel.close()
-            self.sidecar.consumers.discard(self)
+            self.sidecar.forget(self)
 
     def _write(self, answer: Answer) -> Coroutine[bool]:
         """Writes an answer; False: it was the last on this connection."""
--- a/loftweir/net/sidecar.py
+++ b/loftweir/net/sidecar.py
@@ -18,6 +18,7 @@
 
 ACCEPT_AFTER_TERM = 700 * MS
 ANSWERS_OF_MB = 1024 * 1024 // 4  # of each MB of memory, for answers on their way
+IDLE_OF_SOCKETS = 8
 OTHER_SOCKETS = 16  # the standard streams, epoll, the listener, signals, discovery, and a few to spare
 
 
@@ -40,11 +41,15 @@
         # Descriptors are shared out: however many connections consumers open, providers are reached, and the
         # other way round. An invocation needs one of each kind.
         self.most_consumers = max(limits.sockets // 2, 1)
+        # Clients hold connections up to a number of their own: idle ones that they don't use again, kept for
+        # long, would leave them none for new requests.
+        self.most_idle = max(limits.sockets // IDLE_OF_SOCKETS, 1)
         most_calls = max(limits.sockets - self.most_consumers - OTHER_SOCKETS, 1)
         self.providers = Providers(loop, settings, most_calls, limits.memory_mb * ANSWERS_OF_MB)
         self.discovery = Discovery(loop, discovery, self.listed)
         self.invocations: dict[str, Invocation] = {}
         self.consumers: set[Consumer] = set()
+        self.idle: dict[Consumer, None] = {}  # those between requests, the longest there first
         self.listener: socket.socket | None = None
         self.stopping = False
         self.events: deque[api.Event] = deque()
@@ -175,6 +180,18 @@
                 return True
         return False
 
+    def rests(self, consumer: Consumer) -> None:
+        """A consumer has its answer. Of too many that rest, the one unused for longest goes."""
+        self.idle[consumer] = None
+        if len(self.idle) > self.most_idle:
+            oldest = next((c for c in self.idle if c is not consumer and c.quiet()), None)
+            if oldest is not None:
+                oldest.close()
+
+    def forget(self, consumer: Consumer) -> None:
+        self.consumers.discard(consumer)
+        self.idle.pop(consumer, None)
+
     # ---- life -----------------------------------------------------------------------------------
 
     def ready(self) -> bool:
