Doubt from errors only, waits kept longer, calls to cold servers by the number of balancers

Change: doubt from errors and resets only; waits fade in three fall_afters; the closeness is log2(1 + balancers), 4 at most; the gap between requests starts from the first one seen.

--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import log2
 from random import Random
 
 from loftweir.interface import (
@@ -51,8 +52,9 @@
 FADE_AIMS = 8  # aims without a word of a crowd, after which half of its pressure goes in as many more
 PRESSURE_STEP = 0.25  # the most that one outcome says
 FELT = (Outcome.OK, Outcome.FULL, Outcome.TIMED_OUT)
+WAIT_FADES = 3  # fall_afters in which half of it is forgotten
 GAP_MEMORY = 16  # requests over which the time between them is taken
-CLOSER = 2  # than an even spread has it, that a cold server's calls may follow each other
+CLOSER = 4  # than an even spread has it, that one of many balancers' calls to a cold server may follow each other
 MIX_MEMORY = 64  # requests over which the parts of the classes are taken
 RETRY_PART, RETRY_BURST = 0.25, 5.0  # further attempts earned by each request, and how many may be saved up
 COME_BACK, LEAST_AWAY = 0.25, 0.2  # of the aim, at full pressure; and the least pressure counted for it
@@ -192,6 +194,8 @@
         self.retry_budget = RETRY_BURST
         self.mix = dict.fromkeys(settings.classes, 1 / len(settings.classes))  # the part of each class of late
         self.fade_half = FADE_AIMS * sum(c.aim for c in settings.classes.values()) // len(settings.classes)
+        # Of few balancers, one's own burst is most of what a cold server is sent; of many it is lost in the sum.
+        self.closer = min(CLOSER, log2(1 + settings.balancers))
         self.gap = 0.0  # between one request and the next, of late
         self.asked_at = 0  # when the latest came
         self.asking = False
@@ -261,17 +265,15 @@
     def _deck(self, server: Server) -> Deck:
         return self.near if server.zone == self.settings.zone else self.far
 
-    def _suspect(self, server: Server, blame: float, aim: int, crowd: bool = True, shut: bool = False) -> None:
+    def _suspect(self, server: Server, blame: float, aim: int, crowd: bool = True) -> None:
         """Passive outlier ejection, on this balancer's own evidence; refusals as full are not ill health."""
         server.suspicion += blame
         if server.suspicion < 1 or self.now < server.out_until:
             return
-        # Panic threshold: where most are ill by this view, the view is wrong or the rest would be drowned. A zone
-        # that takes no connection needs no view: the fleet serves for it, as long as most of that is well.
+        # Panic threshold: where most are ill by this view, the view is wrong or the rest would be drowned.
         deck = self._deck(server)
-        others = self.far.servers if shut and deck is self.near and self.far.servers else deck.servers
-        out = sum(s.out_until > self.now for s in others)
-        if 2 * (out + (server in others)) > len(others):
+        out = sum(s.out_until > self.now for s in deck.servers)
+        if 2 * (out + 1) > len(deck.servers):
             if crowd:  # but a zone that is shut or silent as a whole must let its traffic go
                 self._press(deck, aim, 1.0)
             return
@@ -285,13 +287,14 @@
     def _blame(self, server: Server, cls: RequestClass, crowd: bool) -> None:
         """A failure of one that answers well otherwise is that answer's, of one that serves other classes
         that class's; of any other the server's. No connection (`crowd`) is always the server's."""
-        server.doubt = min(LONGEST_ROW, server.doubt + (1 if server.trust < KNOWN else 0.5))
-        server.failed_at = self.now
+        if not crowd:
+            server.doubt = min(LONGEST_ROW, server.doubt + (1 if server.trust < KNOWN else 0.5))
+            server.failed_at = self.now
         if not crowd and any(self._serves(server, c) for c in server.records if c != cls.name):
             return
         blame = 1 - TRUSTED * server.trust
         server.trust *= 1 - 1 / TRUST_MEMORY
-        self._suspect(server, blame, cls.aim, crowd, crowd)
+        self._suspect(server, blame, cls.aim, crowd)
 
     def _press(self, deck: Deck, aim: int, rise: float) -> None:
         """Pressure goes by time, in units of the aim, not by count: a balancer with much traffic must not
@@ -507,7 +510,7 @@
         if self._frail(server):
             # Not much closer together than an even spread has it: what passes others over would push it over.
             apart = self.gap * self._deck(server).size / (self._size(server) * self._able(server))
-            if self.now - server.sent_at < apart / CLOSER:
+            if self.now - server.sent_at < apart / self.closer:
                 return False
         held = self._held_by(server, cls)
         if not held:
@@ -522,7 +525,8 @@
         calls. Forgotten with time, so that it is tried again."""
         if server.heard_at == 0:
             return 0.0
-        return float(server.wait * 0.5 ** ((self.now - server.heard_at) / self.settings.safety.fall_after))
+        half = max(1, WAIT_FADES * self.settings.safety.fall_after)
+        return float(server.wait * 0.5 ** ((self.now - server.heard_at) / half))
 
     def _held_by(self, server: Server, cls: RequestClass) -> list[Try]:
         """The calls it holds. One past its aim while later ones were answered is lost, on a connection that
@@ -570,7 +574,7 @@
         cls = self.settings.classes[request.class_name]
         if self.asked_at:
             since = min(self.now - self.asked_at, self.settings.safety.fall_after)
-            self.gap += (since - self.gap) / GAP_MEMORY
+            self.gap += (since - self.gap) / GAP_MEMORY if self.gap else since
         self.asked_at = self.now
         for name, part in self.mix.items():
             self.mix[name] = part + ((name == cls.name) - part) / MIX_MEMORY
