--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -161,6 +161,34 @@
     assert "access" in call("log", "--events").stdout
 
 
+def test_log_counts_over_a_fleet(tmp_path):
+    def access(second, how, *outcomes):
+        calls = [{"provider": f"s-{n}", "outcome": o, "connect_ms": 0.4 * (n == 0)} for n, o in enumerate(outcomes)]
+        time = f"2026-12-01T08:00:0{second}.500Z"
+        return {"time": time, "level": "info", "event": "access", "how": how, "calls": calls}
+
+    logs = {
+        "one": [access(1, "served", "error", "ok"), access(2, "rejected")],
+        "two": [
+            access(1, "failed", "timed_out"),
+            {"time": "2026-12-01T08:00:02Z", "level": "warning", "event": "discovery.watch_failed", "left_out": 3},
+            {"time": "2026-12-01T08:00:02Z", "level": "info", "event": "log.repeats"}
+            | {"of": "discovery.watch_failed", "left_out": 2},
+            {"time": "never", "level": "info", "event": "access", "how": "served", "calls": []},
+        ],
+    }
+    for name, lines in logs.items():
+        (tmp_path / name).write_text("".join(json.dumps(line) + "\n" for line in lines))
+    words = ("log", "--fleet", "--every", "1s", *(str(tmp_path / name) for name in logs))
+    first, second = json.loads(call(*words, "--json").stdout)["spans"]
+    expected = {"invocations": 2, "served": 1, "failed": 1, "calls": 3, "further": 1, "connected": 2, "ok": 1}
+    assert {name: first[name] for name in expected} == expected
+    assert (second["invocations"], second["rejected"], second["discovery_failed"]) == (1, 1, 6)
+    providers = json.loads(call(*words, "--json").stdout)["providers"]
+    assert [list(p.values())[:4] for p in providers] == [["s-0", 0, 1, 1], ["s-1", 1, 0, 0]]
+    assert call(*words).stdout.splitlines()[-1].split() == ["s-1", "1", "0", "0", "0", "0", "0"]
+
+
 # ---- run and try ------------------------------------------------------------------------------------
 
 
