Slow answers pass a server over only where it is met seldom, and refuse nobody

Change: Balancer._slow is asked by the deal alone, and only of a server sent nothing for an aim; met more often, this balancer's own calls tell what room there is, as before.

--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -491,7 +491,7 @@
         for _ in range(2):
             while deck.cards:
                 server = deck.cards.pop()
-                if self._has_room(server, cls) and self._sound(server, cls):
+                if self._has_room(server, cls) and self._sound(server, cls) and not self._slow(server, cls):
                     return server
             if not any(self._has_room(s, cls) for s in deck.servers):
                 return None
@@ -514,19 +514,18 @@
                 return False
         held = self._held_by(server, cls)
         if not held:
-            return self._wait(server) <= cls.aim * ALONE
+            return True
         if server.strikes or self.now - held[0].sent_at > cls.aim:
             return False
         part = ROOM["near" if server.zone == self.settings.zone else "far"]
         return server.pace * (len(held) + 1) <= cls.aim * part
 
-    def _wait(self, server: Server) -> float:
-        """What an answer takes there, as answers of late have it: with many balancers a queue is made of the others'
-        calls. Forgotten with time, so that it is tried again."""
-        if server.heard_at == 0:
-            return 0.0
+    def _slow(self, server: Server, cls: RequestClass) -> bool:
+        """Whether answers of late took too long there, though none of ours waits: met seldom, its queue is made of
+        others' calls. Forgotten with time, so that it is tried again; and no reason to turn a request away."""
         half = max(1, WAIT_FADES * self.settings.safety.fall_after)
-        return float(server.wait * 0.5 ** ((self.now - server.heard_at) / half))
+        wait = server.wait * 0.5 ** ((self.now - server.heard_at) / half)
+        return self.now - server.sent_at > cls.aim and wait > cls.aim * ALONE
 
     def _held_by(self, server: Server, cls: RequestClass) -> list[Try]:
         """The calls it holds. One past its aim while later ones were answered is lost, on a connection that
