--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -509,8 +509,8 @@
             return False
         if self._frail(server):
             # Not much closer together than an even spread has it: what passes others over would push it over.
-            apart = self.gap * self._deck(server).size / (self._size(server) * self._able(server))
-            if self.now - server.sent_at < apart / self.closer:
+            rate = self.closer * self._size(server) * self._able(server)  # a size may be 0: nothing is for it
+            if (self.now - server.sent_at) * rate < self.gap * self._deck(server).size:
                 return False
         held = self._held_by(server, cls)
         if not held:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -85,6 +85,13 @@
         assert 0 < sent.count("cold") <= 12 * closer * 0.44 + 1
 
 
+def test_a_cold_server_of_no_size_breaks_nothing():
+    balancer = make()
+    balancer.handle(START, [full(endpoint("a1"), endpoint("a2", weight=0.0, started_at=START))])
+    assert set(play(balancer, START, fine, 20, 10 * MS)) == {"a1"}
+    assert balancer.why_not(balancer.servers["a2"], balancer.settings.classes["read"]) == ["no room"]
+
+
 def test_a_server_whose_answers_come_late_is_passed_over_though_none_of_ours_waits_there():
     balancer = make()
     balancer.handle(START, [full(*NEAR)])
