Add the operators' address: bans, drain, and a second process on one listener

Cause: the second process of an upgrade ended at once (the address was in use, exit code 2), and nobody listened where DRAIN, DISABLE and READY are said.

Change: the package operations (calls, record, store, overlay as pure parts; address and desk on the loop), the table of life in core/life.py in place of a flag, the inherited listener with EPOLLEXCLUSIVE, an urgent lane and bounded turns in the loop, a call whose connection came up after its provider was taken out is not sent.

--- a/loftweir/config/platform.py
+++ b/loftweir/config/platform.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import socket
 from collections.abc import Iterator, Mapping
 from typing import Any, NamedTuple
 
@@ -15,6 +17,7 @@
 from loftweir.settings import settings_and_faults
 
 FILE_VARIABLE = "RELAY_CONFIG"
+LISTEN_FD = "RELAY_LISTEN_FD"
 LARGEST = 64 * 1024 * 1024  # bytes of a file that is read at all
 
 
@@ -24,6 +27,8 @@
     name: str
     listen: str
     discovery: str
+    operator: str  # the operators' address; empty: none
+    listen_fd: int | None  # the listening socket, where the platform holds it
     seed: int
     sockets: int
     memory_mb: int
@@ -96,6 +101,20 @@
             return "", ""
         return str(value), "environment" if override else "file"
 
+    def inherited(self, text: str | None) -> int | None:
+        """The number of a descriptor that is a listening TCP socket."""
+        if not text:
+            return None
+        try:
+            number = int(text) if text.isascii() and text.isdigit() else -1
+            with socket.socket(fileno=os.dup(number)) as sock:
+                if sock.type == socket.SOCK_STREAM and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                    return number
+        except OSError:
+            pass
+        self.faults.append(Fault("environment", LISTEN_FD, text, "the number of an open, listening socket"))
+        return None
+
     def settings(self) -> Settings | None:
         value = self.get("settings")
         if not isinstance(value, dict):
@@ -120,6 +139,10 @@
     reader = Reader(file, read_object(file))
     listen, listen_from = reader.address("listen", environment.get("RELAY_LISTEN"), "RELAY_LISTEN")
     discovery, discovery_from = reader.address("discovery", environment.get("RELAY_DISCOVERY"), "RELAY_DISCOVERY")
+    operator = ""
+    if environment.get("RELAY_OPERATOR") or reader.get("operator") not in (MISSING, None, ""):
+        operator, _ = reader.address("operator", environment.get("RELAY_OPERATOR"), "RELAY_OPERATOR")
+    listen_fd = reader.inherited(environment.get(LISTEN_FD))
     sockets, memory_mb = reader.whole("limits.sockets", 1), reader.whole("limits.memory_mb", 1)
     seed = reader.whole("seed", 0, 16)
     settings = reader.settings()
@@ -138,6 +161,8 @@
         str(reader.data.get("name", "")),
         listen,
         discovery,
+        operator,
+        listen_fd,
         seed,
         sockets,
         memory_mb,
--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -220,6 +220,11 @@
         except NotUp as error:
             self.ended(call, error.outcome, None)
             return
+        if connection.address != pool.addresses.get(call.provider):
+            # Gone, draining or moved while the connection came up: nothing new goes there.
+            pool.close(connection)
+            self.ended(call, Outcome.NOT_SENT, None)
+            return
         call.up_at = self.loop.time
         reusable = False
         try:
--- a/loftweir/http1/front.py
+++ b/loftweir/http1/front.py
@@ -19,11 +19,12 @@
 from loftweir.config.units import host_and_port
 from loftweir.core.host import Host
 from loftweir.core.invocation import Final, Invocation, Kind, Unfit, check
+from loftweir.core.life import Life
 from loftweir.http1 import grammar
 from loftweir.http1.message import Answer, Fields, Message, by_name, plain
 from loftweir.http1.strict import Strict
 from loftweir.interface import Settings
-from loftweir.net.loop import HUNG_UP, MS, READABLE, SECOND, WOKEN, Coroutine, Loop, Task, Wait
+from loftweir.net.loop import EXCLUSIVE, HUNG_UP, MS, READABLE, SECOND, WOKEN, Coroutine, Loop, Task, Wait
 from loftweir.net.stream import READ_SIZE, Body, NoRoom, Room, TookTooLong, TooLarge, prepare, send, waited
 from loftweir.telemetry.access import wanted
 from loftweir.telemetry.catalogue import ACCEPT_FAILED, ACCESS, INVOCATION_BROKEN, OVERDUE, ROOM_NONE
@@ -179,7 +180,7 @@
         """Something has come, or the consumer has gone."""
         if self.sock.fileno() >= 0:
             self.front.row(self).pop(self, None)
-            self.task = Task(self.front.loop, self.serve(), None)
+            self.task = self.front.loop.task(self.serve())
             self.task.step()
 
     def quiet(self, most: Stage = Stage.IDLE) -> bool:
@@ -255,7 +256,7 @@
                 self.stage = Stage.BUSY
                 # One who sends what can't be served may have sent more of it, or may go on at full speed: each
                 # further one costs it a new connection.
-                last = rest is None or front.stopping or 400 <= answer.status < 500
+                last = rest is None or front.life.traits.last or 400 <= answer.status < 500
                 yield from self._write(answer, last)
                 self.free_at = loop.time
                 if self.trace is not None:
@@ -381,6 +382,8 @@
         self.stage = Stage.BUSY
         final: Final | None = None
         try:
+            if front.ends_at:
+                invocation.patience = min(invocation.patience, front.ends_at - front.loop.time)
             age = waited(self.sock)
             host.take(invocation, age, min(age, front.loop.time - self.free_at))
             if invocation.open:
@@ -413,9 +416,10 @@
     ends; `ending` those whose last answer is out. Every other one has a coroutine and is in no row.
     """
 
-    def __init__(self, loop: Loop, host: Host, options: Options, sockets: int, room: int) -> None:
+    def __init__(self, loop: Loop, host: Host, life: Life, options: Options, sockets: int, room: int) -> None:
         self.loop = loop
         self.host = host
+        self.life = life
         self.options = options  # replaced whole by a reload
         limits = options.limits
         # Descriptors are shared out: however many connections consumers open, providers are reached, and the other
@@ -431,11 +435,15 @@
         self.idle: dict[Consumer, None] = {}
         self.listener: socket.socket | None = None
         self.accepting: Task | None = None
-        self.stopping = False
+        self.shared = False  # the listener: other processes take from it too
+        self.ends_at = 0  # when this process is over, whatever it still owes; 0: not known
         self.spare_descriptor: Any = lambda: False  # the back's way to make room, where there is one
 
     def ready(self) -> bool:
-        return not self.stopping and bool(self.host.balancer.servers)
+        return self.life.traits.healthy and self.takes_clients()
+
+    def takes_clients(self) -> bool:
+        return self.accepting is not None and not self.accepting.over and bool(self.host.balancer.servers)
 
     def use(self, options: Options) -> None:
         self.options = options
@@ -511,6 +519,14 @@
 
     # ---- the listener ---------------------------------------------------------------------------
 
+    def inherit(self, descriptor: int) -> None:
+        """Takes connections from a listening socket that is not this process's alone: it is never shut down, and
+        whoever waits on it is woken for a connection of its own (`EPOLLEXCLUSIVE`)."""
+        sock = socket.socket(fileno=descriptor)
+        sock.setblocking(False)
+        self.shared = True
+        self._listen(sock)
+
     def listen(self, address: str) -> None:
         host, port = host_and_port(address)
         sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
@@ -518,23 +534,52 @@
         sock.bind((host, port))
         sock.listen(self.options.limits.backlog)
         sock.setblocking(False)
+        self._listen(sock)
+
+    def _listen(self, sock: socket.socket) -> None:
         self.listener = sock
         self.accepting = self.loop.spawn(self._accept(sock), fresh=True)
         self.loop.spawn(self.keep())
 
     def stop_accepting(self) -> None:
+        listener, self.listener = self.listener, None
         if self.accepting is not None:
             self.accepting.cancel()
-        if self.listener is not None:
-            self.loop.close(self.listener)
-        # What was taken is answered within its deadline; half a request is not waited for.
-        for consumer in [c for c in self.consumers if c.quiet(Stage.BEGUN)]:
-            consumer.close()
+        if listener is None:
+            return
+        if self.shared:
+            # Woken for a connection and not taking it, this process would leave it waiting for the next one's.
+            self.loop.forget(listener.fileno())
+            for _ in range(self.options.limits.backlog):
+                try:
+                    sock, _ = listener.accept()
+                except OSError:
+                    break
+                self._welcome(sock)
+        self.loop.close(listener)
+
+    def send_away(self, half: bool) -> None:
+        """Closes who holds no request; `half`: also who has sent a part of one. A new connection has a moment to
+        send what it is opened for."""
+        settled = self.loop.time - self.options.limits.sends_within
+        for consumer in [c for c in self.consumers if c.stage is not Stage.SILENT or half or c.since <= settled]:
+            if consumer.stage is not Stage.ENDING and consumer.quiet(Stage.BEGUN if half else Stage.IDLE):
+                consumer.close()
+
+    def _welcome(self, sock: socket.socket) -> None:
+        try:
+            prepare(sock)
+            consumer = Consumer(self, sock)
+            self.consumers.add(consumer)
+            self.watch(consumer)
+        except OSError:  # reset before it was looked at: no reason to stop accepting
+            sock.close()
 
     def _accept(self, listener: socket.socket) -> Coroutine[None]:
         """Takes connections until it is stopped. Out of room it closes what holds no request, and where all do,
         leaves new ones waiting a moment."""
         turn = 0
+        ready = READABLE | (EXCLUSIVE if self.shared else 0)
         while True:
             try:
                 if len(self.consumers) < self.most_consumers:
@@ -544,7 +589,7 @@
                     fault = ""
             except BlockingIOError:
                 turn = 0
-                yield Wait(listener, READABLE, None)
+                yield Wait(listener, ready, None)
                 continue
             except ConnectionAbortedError:
                 continue
@@ -552,18 +597,12 @@
                 fault = str(error)
                 self.spare_descriptor()
             if fault is None:
-                try:
-                    prepare(sock)
-                    consumer = Consumer(self, sock)
-                    self.consumers.add(consumer)
-                    self.watch(consumer)
-                except OSError:  # reset before it was looked at: no reason to stop accepting
-                    sock.close()
+                self._welcome(sock)
                 turn += 1
                 if turn % ACCEPTS_A_TURN == 0:
-                    yield Wait(listener, READABLE, None)
+                    yield Wait(listener, ready, None)
                 continue
-            yield Wait(listener, READABLE, None)
+            yield Wait(listener, ready, None)
             if fault:
                 say(ACCEPT_FAILED, why=fault)
             else:
--- a/loftweir/net/loop.py
+++ b/loftweir/net/loop.py
@@ -32,12 +32,14 @@
 SECOND = 1_000 * MS
 WOKEN = -1
 READABLE, WRITABLE, HUNG_UP = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
+EXCLUSIVE = select.EPOLLEXCLUSIVE  # of a descriptor that others wait on too; it can't be changed once registered
 ENDED = select.EPOLLERR | select.EPOLLHUP  # reported whether asked for or not
 SWEEP_AT = 256  # dead timers
 LONGEST_POLL = 60.0  # seconds; epoll's time-out is a 32-bit number of milliseconds
 # New work begun in one turn. What is answered goes first: however much comes, an answer that is ready waits for no
 # more than this many requests to be read.
 FRESH_A_TURN = 32
+DUE_A_TURN = 256  # steps of what is under way: then what is urgent has its turn, and epoll is asked again
 
 
 class Pollable(Protocol):
@@ -80,12 +82,12 @@
         loop: Loop,
         coroutine: Coroutine[None],
         crashed: Callable[[Exception], None] | None,
-        fresh: bool = False,
+        lane: deque[Callable[[], None]],
     ) -> None:
         self.loop = loop
         self.coroutine = coroutine
         self.crashed = crashed
-        self.lane = loop.fresh if fresh else loop.due
+        self.lane = lane
         self.mask = 0
         self.waiting = False
         self.fd = -1
@@ -116,7 +118,7 @@
     def resume(self, value: int) -> None:
         self.disarm()
         self.due = value
-        self.loop.due.append(self.step)
+        (self.lane if self.lane is self.loop.urgent else self.loop.due).append(self.step)
 
     def disarm(self) -> None:
         if self.fd >= 0:
@@ -186,6 +188,7 @@
         self.watchers: dict[int, Watcher] = {}
         self.due: deque[Callable[[], None]] = deque()
         self.fresh: deque[Callable[[], None]] = deque()
+        self.urgent: deque[Callable[[], None]] = deque()
         self.stopped = False
 
     def now(self) -> int:
@@ -198,19 +201,24 @@
         coroutine: Coroutine[None],
         crashed: Callable[[Exception], None] | None = None,
         fresh: bool = False,
+        urgent: bool = False,
     ) -> Task:
         """Begins a coroutine at this loop's next turn. `fresh`: it takes new work, and events wake it after all
-        that is under way."""
-        task = Task(self, coroutine, crashed, fresh)
+        that is under way. `urgent`: it goes before all else, and must be seldom and short."""
+        task = Task(self, coroutine, crashed, self.urgent if urgent else self.fresh if fresh else self.due)
         task.lane.append(task.step)
         return task
 
     def start(self, coroutine: Coroutine[None], crashed: Callable[[Exception], None] | None = None) -> Task:
         """Begins a coroutine now: it has run to its first wait, or its end, when this returns."""
-        task = Task(self, coroutine, crashed)
+        task = self.task(coroutine, crashed)
         task.step()
         return task
 
+    def task(self, coroutine: Coroutine[None], crashed: Callable[[Exception], None] | None = None) -> Task:
+        """A coroutine that whoever asked for it begins, by `step`."""
+        return Task(self, coroutine, crashed, self.due)
+
     # ---- descriptors ----------------------------------------------------------------------------
 
     def watch(self, fd: int, watcher: Watcher) -> int:
@@ -234,11 +242,15 @@
         registered under it must not be taken for that one's."""
         fd = sock.fileno()
         if fd >= 0:
-            self.watchers.pop(fd, None)
-            if self.registered.pop(fd, None) is not None:
-                self.epoll.unregister(fd)
+            self.forget(fd)
             sock.close()
 
+    def forget(self, fd: int) -> None:
+        """Nothing more is heard of a descriptor."""
+        self.watchers.pop(fd, None)
+        if self.registered.pop(fd, None) is not None:
+            self.epoll.unregister(fd)
+
     # ---- time -----------------------------------------------------------------------------------
 
     def after(self, delay: int, call: Callable[..., None], *arguments: Any) -> None:
@@ -273,21 +285,27 @@
     # ---- turns ----------------------------------------------------------------------------------
 
     def run(self) -> None:
-        """A turn: what is due by time, all that is under way, some new work, and what epoll has by then."""
-        due, fresh, watchers = self.due, self.fresh, self.watchers
+        """A turn: what is due by time, what is urgent, what is under way, some new work, and what epoll has by then.
+        Each part is bounded: what is urgent waits for one turn at most."""
+        due, fresh, urgent, watchers = self.due, self.fresh, self.urgent, self.watchers
         offset, monotonic = self.offset, time.monotonic_ns
         while not self.stopped:
             if self.dead_timers > SWEEP_AT and self.dead_timers * 2 > len(self.timers):
                 self.sweep()
             self.time = monotonic() + offset
             self.run_timers()
-            while due:
+            while urgent:
+                self.time = monotonic() + offset
+                urgent.popleft()()
+            for _ in range(DUE_A_TURN):
+                if not due:
+                    break
                 self.time = monotonic() + offset
                 due.popleft()()
             for _ in range(min(len(fresh), FRESH_A_TURN)):
                 self.time = monotonic() + offset
                 fresh.popleft()()
-            if due or fresh or self.stopped:
+            if due or fresh or urgent or self.stopped:
                 seconds = 0.0
             elif self.timers:
                 seconds = min(LONGEST_POLL, max(0, self.timers[0][0] - self.time) / SECOND)
--- /dev/null
+++ b/loftweir/operations/calls.py
@@ -0,0 +1,65 @@
+"""The operators' calls as lines of text: what may be said, and how it is answered. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from enum import Enum
+from typing import NamedTuple
+
+LONGEST = 1024  # bytes of a line; an id has 64 at most
+
+
+class Word(Enum):
+    READY = "READY"
+    DISABLE = "DISABLE"
+    ENABLE = "ENABLE"
+    DRAIN = "DRAIN"
+    UNDRAIN = "UNDRAIN"
+
+
+# The arguments that each word takes.
+ARGUMENTS: Mapping[Word, tuple[str, ...]] = {
+    Word.READY: (),
+    Word.DISABLE: ("ID",),
+    Word.ENABLE: ("ID",),
+    Word.DRAIN: (),
+    Word.UNDRAIN: (),
+}
+
+
+class Call(NamedTuple):
+    word: Word
+    id: str = ""
+
+
+class No(Exception):
+    """A call that is not done: says why, in one line."""
+
+
+def parse(line: bytes) -> Call:
+    """A line without its end; `No` where it is not a call."""
+    if len(line) > LONGEST:
+        raise No(f"a line has {LONGEST} bytes at most")
+    try:
+        text = line.decode("utf-8")
+    except UnicodeDecodeError:
+        raise No("not text in UTF-8") from None
+    if not text.isprintable():
+        raise No("not plain text")
+    name, *arguments = text.split()[:4] or [""]
+    try:
+        word = Word(name)
+    except ValueError:
+        raise No(f"no such call, known are {', '.join(w.value for w in Word)}") from None
+    wanted = ARGUMENTS[word]
+    if len(arguments) != len(wanted):
+        raise No(f"usage: {' '.join((word.value, *wanted))}")
+    return Call(word, *arguments)
+
+
+def yes(text: str = "") -> bytes:
+    return f"OK {text}".strip().encode() + b"\n"
+
+
+def no(reason: No) -> bytes:
+    return b"ERR " + " ".join(str(reason).split()).encode() + b"\n"
--- /dev/null
+++ b/loftweir/operations/desk.py
@@ -0,0 +1,158 @@
+"""Carries the operators' calls out: the record, the list that holds by it, the life of the sidecar."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+from loftweir.core.life import Life, Step
+from loftweir.interface import MembershipUpdate
+from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Wait
+from loftweir.operations.calls import Call, No, Word
+from loftweir.operations.overlay import Overlay
+from loftweir.operations.record import Damaged, Record
+from loftweir.operations.store import Store
+from loftweir.telemetry.catalogue import RECORD_FAILED, RECORD_HELD, RECORD_READ
+from loftweir.telemetry.log import say
+
+LOOK_EVERY = 50 * MS  # at the record: well within the grace that another process's call leaves
+TRY_EVERY, TRY_FOR = 5 * MS, 500 * MS  # for the record's lock; a caller waits 1 s
+HEALED_WITHIN = 2 * SECOND  # a damaged record: another process that knows it writes it again meanwhile
+
+Told = Callable[[MembershipUpdate, dict[str, str]], None]
+
+
+class Desk:
+    """Invariant: what `overlay.record` says holds: the balancer was told, and `life` stands where the drain says."""
+
+    def __init__(self, loop: Loop, life: Life, told: Told, takes_clients: Callable[[], bool]) -> None:
+        self.loop = loop
+        self.life = life
+        self.told = told
+        self.takes_clients = takes_clients
+        self.overlay = Overlay()
+        self.store: Store | None = None
+        self.follows = False  # another process served when this one began
+        self.begun = False  # the record was read, or could not be
+        self.lacks = False  # the file, something that this process knows
+
+    # ---- discovery ------------------------------------------------------------------------------
+
+    def listed(self, update: MembershipUpdate, addresses: dict[str, str]) -> None:
+        self.told(*self.overlay.update(update, addresses))
+
+    # ---- the record -----------------------------------------------------------------------------
+
+    def begin(self, folder: str | None) -> None:
+        """Takes over what was said to the processes before this one. Without a folder all of it ends with this one."""
+        if folder is None:
+            self.begun = True
+            return
+        try:
+            self.store = Store(Path(folder))
+            self.follows = not self.store.alone()
+        except OSError as error:
+            say(RECORD_FAILED, folder=folder, why=error)
+            self.begun = True
+            return
+        if not self._read() and self.follows:
+            self.loop.after(HEALED_WITHIN, self._give_up_reading)
+        else:
+            self._begin()
+        self.loop.spawn(self._keep(), urgent=True)
+
+    def _begin(self) -> None:
+        self.begun = True
+        if not self.follows and self.overlay.record.drain.on:
+            # Nobody is left whom it was said to. A ban is of a provider, and holds until it is called back.
+            self.hold(self.overlay.record.drained(False, self.loop.now()))
+
+    def _give_up_reading(self) -> None:
+        if not self.begun:
+            self._begin()
+
+    def _read(self) -> bool:
+        assert self.store is not None
+        try:
+            loaded = self.store.load()
+        except Damaged as error:
+            say(RECORD_READ, why=error)
+            return False
+        self.hold(self.overlay.record.merged(loaded))
+        self.lacks = self.overlay.record != loaded.pruned(self.loop.now())
+        return True
+
+    def _keep(self) -> Coroutine[None]:
+        """Takes over what another process was told, and writes again what a file lacks."""
+        store = self.store
+        assert store is not None
+        while True:
+            yield Wait(None, 0, self.loop.now() + LOOK_EVERY)
+            if not store.news():
+                continue
+            sound = self._read()
+            if sound and not self.begun:
+                self._begin()
+            if self.begun and (not sound or self.lacks):
+                try:
+                    store.save(self.overlay.record)
+                except OSError as error:
+                    store.seen = None  # looked at again
+                    if not isinstance(error, BlockingIOError):
+                        say(RECORD_FAILED, folder=str(store.path.parent), why=error)
+
+    def hold(self, record: Record) -> None:
+        """What holds from now on."""
+        before, record = self.overlay.record, record.pruned(self.loop.now())
+        if record == before:
+            return
+        update = self.overlay.hold(record)
+        if update is not None:
+            self.told(*update)
+        if record.drain.on != before.drain.on:
+            self.life.step(Step.DRAIN if record.drain.on else Step.UNDRAIN)
+        say(RECORD_HELD, out=sorted(n for n, w in record.bans.items() if w.on), drain=record.drain.on)
+
+    def _save(self, record: Record) -> Coroutine[Record]:
+        """The record as it is in the file then, merged with this one; `No` where it can't be kept."""
+        store, until = self.store, self.loop.now() + TRY_FOR
+        while store is not None:
+            try:
+                return store.save(record)
+            except OSError as error:
+                if not isinstance(error, BlockingIOError) or self.loop.now() >= until:
+                    say(RECORD_FAILED, folder=str(store.path.parent), why=error)
+                    raise No(f"it can't be kept: {error.strerror}") from None
+            yield Wait(None, 0, self.loop.now() + TRY_EVERY)
+        return record
+
+    # ---- calls ----------------------------------------------------------------------------------
+
+    def do(self, call: Call) -> Coroutine[str]:
+        """What is said after OK; a `No` where the call is not done."""
+        now, record = self.loop.now(), self.overlay.record
+        if call.word is Word.READY:
+            if self.life.ends:
+                raise No("this process comes to its end")
+            if not self.begun or not self.takes_clients():
+                raise No("not yet")
+            return ""
+        if call.word in (Word.DRAIN, Word.UNDRAIN):
+            on = call.word is Word.DRAIN
+            self.hold(record.drained(on, now))
+            yield from self._keep_word()
+            return "draining" if on else "serving"
+        if not self.overlay.knows(call.id):
+            raise No("no such upstream")
+        if call.word is Word.DISABLE:
+            # It holds in any case: a time after the call it binds, whatever is answered.
+            self.hold(record.ban(call.id, True, now))
+            yield from self._keep_word()
+            return "disabled"
+        if record.banned(call.id):
+            # The other way round: none is sent to before it is kept that it may be.
+            self.hold((yield from self._save(record.ban(call.id, False, now))))
+        return "enabled"
+
+    def _keep_word(self) -> Coroutine[None]:
+        self.hold((yield from self._save(self.overlay.record)))
--- /dev/null
+++ b/loftweir/operations/record.py
@@ -0,0 +1,94 @@
+"""What the operators have said, as a value that processes can merge, and its form in a file. No I/O, no clock.
+
+Each word has the time at which it was said. The later one holds, and of two of one time the stricter: so merging is
+commutative, associative and idempotent, and nothing but a later word takes one back. Whoever says something gives it a
+time above all that it knows of the same thing (`after`).
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+import ujson
+
+HEAD = "loftweir-operators"
+VERSION = 1
+HOUR = 3_600_000_000_000
+
+
+class Word(NamedTuple):
+    """Later words are greater, and of two of one time the stricter."""
+
+    at: int = 0  # Unix time, ns; 0: nothing was ever said
+    on: bool = False
+
+
+class Record(NamedTuple):
+    """All that holds: for each id whether it is out, and whether the sidecar is drained."""
+
+    bans: Mapping[str, Word] = {}
+    drain: Word = Word()
+
+    def merged(self, other: Record) -> Record:
+        bans = dict(self.bans)
+        for name, word in other.bans.items():
+            bans[name] = max(bans.get(name, word), word)
+        return Record(bans, max(self.drain, other.drain))
+
+    def ban(self, name: str, on: bool, now: int) -> Record:
+        return self._replace(bans={**self.bans, name: Word(after(self.bans.get(name, Word()), now), on)})
+
+    def drained(self, on: bool, now: int) -> Record:
+        return self._replace(drain=Word(after(self.drain, now), on))
+
+    def banned(self, name: str) -> bool:
+        return self.bans.get(name, Word()).on
+
+    def pruned(self, now: int) -> Record:
+        """Without ids called back long ago: no process is so far behind."""
+        return self._replace(bans={n: w for n, w in self.bans.items() if w.on or w.at > now - HOUR})
+
+
+def after(word: Word, now: int) -> int:
+    return max(now, word.at + 1)
+
+
+class Damaged(ValueError):
+    """A file that can't be trusted: says why."""
+
+
+def written(record: Record) -> bytes:
+    value = {"bans": {name: list(word) for name, word in sorted(record.bans.items())}, "drain": list(record.drain)}
+    body = ujson.dumps(value).encode()
+    return b"%s %d %08x\n%s\n" % (HEAD.encode(), VERSION, zlib.crc32(body), body)
+
+
+def read(data: bytes) -> Record:
+    head, sign, rest = data.partition(b"\n")
+    words = head.split(b" ")
+    if not sign or len(words) != 3 or words[0] != HEAD.encode():
+        raise Damaged("not a record of operators' calls")
+    if words[1] != b"%d" % VERSION:
+        raise Damaged(f"of version {words[1].decode('ascii', 'replace')[:16]}, this one reads {VERSION}")
+    body = rest.removesuffix(b"\n")
+    if words[2] != b"%08x" % zlib.crc32(body):
+        raise Damaged("cut short or changed: its checksum is another")
+    try:
+        value = ujson.loads(body)
+        return Record({str(name): _word(pair) for name, pair in value["bans"].items()}, _word(value["drain"]))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise Damaged(f"not in its form: {error!r}") from None
+
+
+def _word(pair: Any) -> Word:
+    at, on = pair
+    if isinstance(at, bool) or not isinstance(at, int) or not isinstance(on, bool):
+        raise ValueError(pair)
+    return Word(at, on)
+
+
+def changed(old: Record, new: Record) -> Iterable[str]:
+    """The ids of which something else holds now."""
+    return sorted(n for n in {*old.bans, *new.bans} if old.bans.get(n) != new.bans.get(n))
--- a/loftweir/telemetry/catalogue.py
+++ b/loftweir/telemetry/catalogue.py
@@ -78,6 +78,45 @@
     "mend the file, send SIGHUP again",
     None,
 )
+OPERATOR_CALL = Event(
+    "operator.call",
+    INFO,
+    ("call", "answer", "why"),
+    "an operator's call came to the second address, and how it was answered; READY only where the answer is ERR",
+    "ERR: `why` says what the call lacks",
+    ("call", "why"),
+)
+RECORD_HELD = Event(
+    "operator.record",
+    INFO,
+    ("out", "drain"),
+    "what operators have said holds now, whichever process they said it to: providers that are out, and the drain",
+    told_apart_by=None,
+)
+RECORD_READ = Event(
+    "operator.record_damaged",
+    WARNING,
+    ("why",),
+    "the record in `$TMPDIR` can't be trusted: nothing of it is taken over, and it is written anew",
+    "right after an upgrade: ask for the bans in force, and say those again that `operator.record` does not name",
+    ("why",),
+)
+RECORD_FAILED = Event(
+    "operator.record_failed",
+    ERROR,
+    ("folder", "why"),
+    "what an operator said can't be kept in `$TMPDIR`: it holds in this process, and is lost with it",
+    "make room there, and make the call again",
+    ("why",),
+)
+LIFE_CHANGED = Event(
+    "life.changed",
+    INFO,
+    ("state", "before", "open"),
+    "serving; leaving: drained, health says no; empty: drained, and no connection rests; ending: SIGTERM; shut: no new "
+    "connection is taken. `open` invocations are under way",
+    told_apart_by=None,
+)
 DISCOVERY_WATCH = Event(
     "discovery.watch_failed",
     WARNING,
