Take new settings at SIGHUP: an event for the balancer, files checked whole

Change: interface.SettingsChanged; Balancer._use, which the start goes through too; an invocation and its Request carry the class object of the head, so that a class that changes or vanishes binds only what comes later. The host's settings are the balancer's, no copy. At a reload a key that the running file has must be in the new one, and deadlines and attempts are numbers above 0 in JSON's own type: "3", true and NaN were taken for numbers or for none.

--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -29,6 +29,7 @@
     RequestClass,
     Scope,
     Settings,
+    SettingsChanged,
     StreamStarted,
     Timer,
     TimerFired,
@@ -183,8 +184,8 @@
     """The decisions of one balancer. Feed it every event in order; carry out what it returns, in order."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings = settings
         self.random = Random(seed)
+        self.now = 0
         self.servers: dict[str, Server] = {}  # all that the list names as ready or draining
         self.calls: dict[str, Call] = {}
         self.tries: dict[tuple[str, int], Try] = {}  # all that are out, also of requests that are over
@@ -192,15 +193,13 @@
         self.near = Deck()  # the ready servers of the own zone
         self.far = Deck()  # the ready servers of the others
         self.retry_budget = RETRY_BURST
-        self.mix = dict.fromkeys(settings.classes, 1 / len(settings.classes))  # the part of each class of late
-        self.fade_half = FADE_AIMS * sum(c.aim for c in settings.classes.values()) // len(settings.classes)
-        # Of few balancers, one's own burst is most of what a cold server is sent; of many it is lost in the sum.
-        self.closer = min(CLOSER, log2(1 + settings.balancers))
+        self.mix: dict[str, float] = {}  # the part of each class of late
         self.gap = 0.0  # between one request and the next, of late
         self.asked_at = 0  # when the latest came
         self.asking = False
         self.failures_to_ask = 0
         self.actions: list[Action] = []
+        self._use(settings)
 
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         """Take the events of one moment, in order, and return what to do, in order."""
@@ -219,8 +218,22 @@
                 self._stream_started(event)
             elif isinstance(event, ClientGone):
                 self._forget(event.request_id)
+            elif isinstance(event, SettingsChanged):
+                self._use(event.settings)
         return self.actions
 
+    def _use(self, settings: Settings) -> None:
+        """These settings from now on; calls keep their class, what was learnt of classes now gone is dropped."""
+        self.settings, classes = settings, settings.classes
+        parts = {name: self.mix.get(name, 1 / len(classes)) for name in classes}
+        self.mix = {name: part / sum(parts.values()) for name, part in parts.items()}
+        self.fade_half = FADE_AIMS * sum(c.aim for c in classes.values()) // len(classes)
+        # Of few balancers, one's own burst is most of what a cold server is sent; of many it is lost in the sum.
+        self.closer = min(CLOSER, log2(1 + settings.balancers))
+        for server in self.servers.values():
+            server.records = {name: record for name, record in server.records.items() if name in classes}
+        self._rebuild()
+
     # ---- membership and discovery ---------------------------------------------------------------
 
     def _membership(self, update: MembershipUpdate) -> None:
@@ -240,16 +253,11 @@
             for address in [a for a in self.servers if a not in listed]:
                 del self.servers[address]
         for endpoint in update.endpoints:
-            server = self.servers.get(endpoint.address)
             if endpoint.lifecycle is Lifecycle.GONE:
-                if server is not None:
-                    server.ready = False
-                    del self.servers[endpoint.address]
-            else:
-                if server is None:
-                    server = Server(endpoint.address, endpoint.zone, endpoint.started_at)
-                    self.servers[endpoint.address] = server
-                server.update(endpoint)
+                self.servers.pop(endpoint.address, None)
+                continue
+            server = Server(endpoint.address, endpoint.zone, endpoint.started_at)
+            self.servers.setdefault(endpoint.address, server).update(endpoint)
         self._rebuild()
         for call in list(self.held.values()):
             self._serve(call)
@@ -290,7 +298,7 @@
         if not crowd:
             server.doubt = min(LONGEST_ROW, server.doubt + (1 if server.trust < KNOWN else 0.5))
             server.failed_at = self.now
-        if not crowd and any(self._serves(server, c) for c in server.records if c != cls.name):
+        if not crowd and any(self._fails(server, c) < AILING for c in server.records if c != cls.name):
             return
         blame = 1 - TRUSTED * server.trust
         server.trust *= 1 - 1 / TRUST_MEMORY
@@ -442,7 +450,7 @@
                 return min(able, key=lambda s: s.pace * (len(s.out) + 1))
         # One that fails now and then is better than none.
         able = [s for s in up if self._has_room(s, cls)]
-        return min(able, key=lambda s: self._fails(s, cls), default=None)
+        return min(able, key=lambda s: self._fails(s, cls.name), default=None)
 
     def _sheds(self, cls: RequestClass, part: float) -> bool:
         """Whether a request is among the `part` of all to turn away: what is worth least goes first, and of the
@@ -458,22 +466,19 @@
         sound = server.full_until <= self.now and self._sound(server, cls)
         return sound and server.pace * (len(self._held_by(server, cls)) + 1) <= cls.aim
 
-    def _fails(self, server: Server, cls: RequestClass) -> float:
+    def _fails(self, server: Server, name: str) -> float:
         """The part of its answers to this class that fail. It is forgotten with time, the more slowly the
         longer nothing else came, so that a server is tried again, but not at the cost of many requests."""
-        record = server.records.get(cls.name)
+        record = server.records.get(name)
         if record is None or not record.part:
             return 0.0
         half = max(1, self.settings.safety.fall_after) * 2**record.row
         return float(record.part * 0.5 ** ((self.now - record.at) / half))
 
-    def _serves(self, server: Server, class_name: str) -> bool:
-        return self._fails(server, self.settings.classes[class_name]) < AILING
-
     def _sound(self, server: Server, cls: RequestClass) -> bool:
         """Whether it is to be sent this class. A balancer that meets a server seldom learns of its fault from one
         failure: until it has answered again, only what may be repeated tries it."""
-        if self._fails(server, cls) >= AILING:
+        if self._fails(server, cls.name) >= AILING:
             return False
         since = self.now - server.failed_at
         doubted = server.doubt >= 1 and since < self.settings.safety.fall_after * 2**server.doubt
@@ -481,7 +486,7 @@
 
     def _record(self, server: Server, cls: RequestClass, failed: bool) -> None:
         record = server.records.setdefault(cls.name, Record())
-        part = self._fails(server, cls)
+        part = self._fails(server, cls.name)
         record.part = part + (failed - part) / FAILS_MEMORY
         record.row = min(LONGEST_ROW, record.row + 1) if failed else 0
         record.at = self.now
@@ -561,7 +566,7 @@
             "set aside": server.out_until > self.now,
             "turned a call away": server.full_until > self.now,
             "no room": server.full_until <= self.now and not self._has_room(server, cls),
-            "fails the class": self._fails(server, cls) >= AILING,
+            "fails the class": self._fails(server, cls.name) >= AILING,
             "cold": far and bool(self.near.servers) and self._frail(server),
             "other zone": far and any(not self.why_not(s, cls) for s in self.near.servers),
         }
@@ -570,7 +575,7 @@
     # ---- attempts, retries, refusals ------------------------------------------------------------
 
     def _request(self, request: Request) -> None:
-        cls = self.settings.classes[request.class_name]
+        cls = request.cls or self.settings.classes[request.class_name]
         if self.asked_at:
             since = min(self.now - self.asked_at, self.settings.safety.fall_after)
             self.gap += (since - self.gap) / GAP_MEMORY if self.gap else since
--- a/loftweir/config/platform.py
+++ b/loftweir/config/platform.py
@@ -18,6 +18,7 @@
 
 FILE_VARIABLE = "RELAY_CONFIG"
 LISTEN_FD = "RELAY_LISTEN_FD"
+NUMBERS = ("profiles.*.hardLimit", "profiles.*.target", "allowed.maxAttempts")  # that must be above 0
 LARGEST = 64 * 1024 * 1024  # bytes of a file that is read at all
 
 
@@ -35,6 +36,7 @@
     settings: Settings
     known: MembershipUpdate
     addresses: dict[str, str]
+    keys: frozenset[str]  # of the file, as `key_paths` has them
     sources: dict[str, str]  # of listen and discovery: file or environment
     file: str
 
@@ -76,6 +78,19 @@
             value = value.get(name, MISSING) if isinstance(value, dict) else MISSING
         return value
 
+    def found(self, path: str) -> Iterator[tuple[str, Any]]:
+        """What stands at a path, where it stands; `*` for each entry of a list."""
+        before, star, after = path.partition(".*")
+        value = self.get(before)
+        if not star:
+            if value != MISSING:
+                yield path, value
+        elif isinstance(value, list):
+            for number, entry in enumerate(value):
+                inner = Reader(self.file, entry if isinstance(entry, dict) else {}).get(after.removeprefix("."))
+                if inner != MISSING:
+                    yield f"{before}.{number}{after}", inner
+
     def fault(self, path: str, expected: str, value: Any = MISSING) -> None:
         self.faults.append(Fault(self.file, path, value, expected))
 
@@ -121,6 +136,11 @@
             self.fault("settings", "an object, the instance's settings", value)
             return None
         settings, faults = settings_and_faults(flatten(value))
+        # What the wire's text can't tell: a number from the same digits as text.
+        for path in NUMBERS:
+            for at, number in self.found(f"settings.{path}"):
+                if isinstance(number, bool) or not isinstance(number, int | float) or not number > 0:
+                    self.fault(at, "a number above 0", number)
         for path, got, expected in faults:
             self.fault(f"settings.{path}" if path else "settings", expected, MISSING if got is None else got)
         return settings
@@ -134,9 +154,34 @@
             return MembershipUpdate(UpdateKind.REMEMBERED), {}
 
 
-def load(file: str, environment: Mapping[str, str], options: Options) -> Platform:
-    """The platform's word; a `Faulty` carries every fault, those against the operator's options included."""
+def key_paths(value: Any, path: str = "") -> Iterator[str]:
+    """The keys of an object and of what is in it; of a list of objects those that all of them have, under `*`."""
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            at = f"{path}.{key}" if path else str(key)
+            yield at
+            yield from key_paths(inner, at)
+    elif isinstance(value, list) and value:
+        yield from set.intersection(*(set(key_paths(item, f"{path}.*")) for item in value))
+
+
+def load(
+    file: str, environment: Mapping[str, str], options: Options, required: frozenset[str] = frozenset()
+) -> Platform:
+    """The platform's word; a `Faulty` carries every fault, those against the operator's options included.
+
+    `required`: the keys of the file that this one is to follow. Most have a default; but where they were said before,
+    a file without one is more likely cut than meant. A list with nothing in it lacks none of its entries' keys."""
     reader = Reader(file, read_object(file))
+    keys = set(key_paths(reader.data))
+    for path in sorted(required - keys):
+        parent = path.rpartition(".")[0]
+        if parent.endswith("*"):
+            if not reader.get(parent.removesuffix(".*")):
+                continue
+        elif parent and parent not in keys:
+            continue  # told already, by the key that it was under
+        reader.fault(path, "there, as in the file before it")
     listen, listen_from = reader.address("listen", environment.get("RELAY_LISTEN"), "RELAY_LISTEN")
     discovery, discovery_from = reader.address("discovery", environment.get("RELAY_DISCOVERY"), "RELAY_DISCOVERY")
     operator = ""
@@ -169,6 +214,7 @@
         settings,
         known,
         addresses,
+        frozenset(key_paths(reader.data)),
         {"listen": listen_from, "discovery": discovery_from},
         file,
     )
--- a/loftweir/core/host.py
+++ b/loftweir/core/host.py
@@ -49,7 +49,6 @@
 
     def __init__(self, loop: Loop, settings: api.Settings, seed: int, back: Back, lists: Lists) -> None:
         self.loop = loop
-        self.settings = settings
         self.balancer = Balancer(settings, seed)
         self.overload = Overload()
         self.back = back
@@ -68,6 +67,14 @@
             api.Log: lambda a: say(DECISION_NOTE, text=a.text),
         }
 
+    @property
+    def settings(self) -> api.Settings:
+        """Those that hold now: the balancer's."""
+        return self.balancer.settings
+
+    def use(self, settings: api.Settings) -> None:
+        self.tell(api.SettingsChanged(settings))
+
     # ---- events ---------------------------------------------------------------------------------
 
     def tell(self, event: api.Event) -> None:
--- a/loftweir/core/invocation.py
+++ b/loftweir/core/invocation.py
@@ -56,7 +56,7 @@
 
     __slots__ = (
         "id",
-        "class_name",
+        "cls",
         "patience",
         "deadline",
         "payload",
@@ -73,7 +73,7 @@
     def __init__(
         self,
         request_id: str,
-        class_name: str,
+        cls: RequestClass,
         patience: int,
         payload: Any,
         write: bool = False,
@@ -81,7 +81,7 @@
         traced: bool = False,
     ) -> None:
         self.id = request_id
-        self.class_name = class_name
+        self.cls = cls  # as it was when the head came, whatever the settings say later
         self.patience = patience  # ns that the client still waits, from when it is taken
         self.deadline = 0  # patience from the moment it was taken
         self.payload = payload  # the front's and the back's; nobody between looks into it
@@ -97,8 +97,9 @@
     def event(self, shed: float) -> Request:
         return Request(
             self.id,
-            self.class_name,
+            self.cls.name,
             self.patience,
+            cls=self.cls,
             client_retry=self.client_retry,
             write=self.write,
             shed=shed,
--- a/loftweir/daemon.py
+++ b/loftweir/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import os
 import resource
 from collections.abc import Mapping
@@ -12,6 +13,7 @@
 from loftweir.config.faults import Fault, Faulty
 from loftweir.config.model import Log, Options, keys
 from loftweir.config.units import written
+from loftweir.interface import Settings
 from loftweir.net.loop import Loop
 from loftweir.sidecar import Sidecar
 from loftweir.telemetry import log
@@ -48,8 +50,9 @@
     )
 
 
-def read(at: Origin) -> Configuration:
-    """All of the configuration; a `Faulty` carries the faults of both files together."""
+def read(at: Origin, required: frozenset[str] = frozenset()) -> Configuration:
+    """All of the configuration; a `Faulty` carries the faults of both files together. `required`: keys that the
+    platform's file must have, though it could be read without some."""
     faults: list[Fault] = []
     loaded, of_platform = None, None
     try:
@@ -58,7 +61,7 @@
         faults += error.faults
     try:
         options = loaded.options if loaded is not None else Options()
-        of_platform = platform.load(at.platform_file, at.environment, options)
+        of_platform = platform.load(at.platform_file, at.environment, options, required)
     except Faulty as error:
         faults += error.faults
     if loaded is None or of_platform is None:
@@ -82,6 +85,14 @@
     return found
 
 
+def changed_settings(old: Settings, new: Settings) -> list[str]:
+    """What is another in the platform's settings, for the log: classes by name, other fields by theirs."""
+    names = [f.name for f in dataclasses.fields(Settings) if f.name != "classes"]
+    found = [name for name in names if getattr(old, name) != getattr(new, name)]
+    both = {**old.classes, **new.classes}
+    return found + [f"classes.{name}" for name in both if old.classes.get(name) != new.classes.get(name)]
+
+
 class Daemon:
     """A started sidecar and the configuration that it runs on."""
 
@@ -113,7 +124,7 @@
         # The environment is that of the start and can't be replaced: the file's word on discovery is newer.
         environment = {k: v for k, v in self.origin.environment.items() if k != "RELAY_DISCOVERY"}
         try:
-            new = read(self.origin._replace(environment=environment))
+            new = read(self.origin._replace(environment=environment), self.configuration.platform.keys)
         except Faulty as error:
             say_faults(RELOAD_FAULT, error)
             return
@@ -123,11 +134,13 @@
         changed = changes(self.configuration.operator.options, new.operator.options)
         self.configuration = new
         use_log(new.operator.options)
-        self.sidecar.use(new.operator.options, new.platform.discovery)
+        settings = changed_settings(self.sidecar.host.settings, new.platform.settings)
+        self.sidecar.use(new.operator.options, new.platform.discovery, new.platform.settings)
         log.say(
             RELOAD_DONE,
             discovery=new.platform.discovery,
             changed=[path for path, (_, _, live) in changed.items() if live],
+            settings=settings,
             restart=[path for path, (_, _, live) in changed.items() if not live],
         )
 
--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -189,8 +189,8 @@
         self.ended: Ended = lambda call, outcome, payload: None  # the host's, once there is one
         loop.spawn(self.pool.keep())
 
-    def use(self, options: Options) -> None:
-        self.pool.options = options
+    def use(self, options: Options, settings: Settings) -> None:
+        self.pool.options, self.pool.settings = options, settings
 
     def close_idle(self, provider: str) -> None:
         self.pool.close_idle(provider)
--- a/loftweir/http1/front.py
+++ b/loftweir/http1/front.py
@@ -75,7 +75,7 @@
         patience = min(int(wait) * MS, cls.deadline)
     return Invocation(
         request_id,
-        class_name,
+        cls,
         patience,
         request,
         write=request.method != b"GET",
@@ -115,7 +115,7 @@
 
     def __init__(self, invocation: Invocation, began: int, now: int) -> None:
         self.id = invocation.id
-        self.class_name = invocation.class_name
+        self.class_name = invocation.cls.name
         self.patience = invocation.patience
         self.began = began
         self.taken_at = invocation.deadline - invocation.patience
@@ -396,7 +396,7 @@
                 while invocation.open and event == WOKEN:
                     event = yield Wait(self.sock, HUNG_UP, last)
                 if invocation.open and event == 0:
-                    say(OVERDUE, id=invocation.id, **{"class": invocation.class_name})
+                    say(OVERDUE, id=invocation.id, **{"class": invocation.cls.name})
                     final = Final(Kind.LATE)
             final = invocation.final or final
         finally:
--- a/loftweir/interface.py
+++ b/loftweir/interface.py
@@ -92,9 +92,17 @@
     cost_hint: int = 0  # expected work on a standard core; 0: not known
     client_retry: bool = False
     write: bool = False
+    cls: RequestClass | None = None  # as it was when the request came; None: as the settings have it now
     shed: float = 0.0  # the part of new work, at the mean worth, that this balancer's own process can't carry now
 
 
+@dataclass(slots=True)
+class SettingsChanged:
+    """Other settings hold from now on. What is under way keeps the class with which it came."""
+
+    settings: Settings
+
+
 @dataclass(slots=True)
 class StreamStarted:
     request_id: str
@@ -140,6 +148,7 @@
 
 Event = (
     MembershipUpdate
+    | SettingsChanged
     | Request
     | StreamStarted
     | AttemptEnded
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -14,7 +14,7 @@
 from loftweir.http1.back import Back
 from loftweir.http1.discovery import Discovery
 from loftweir.http1.front import Front
-from loftweir.interface import MembershipUpdate
+from loftweir.interface import MembershipUpdate, Settings
 from loftweir.net.loop import MS, READABLE, SECOND, WRITABLE, Coroutine, Loop, Task, Wait
 from loftweir.operations.address import DESCRIPTORS, Address
 from loftweir.operations.desk import Desk
@@ -63,11 +63,13 @@
             changes=len(update.endpoints),
         )
 
-    def use(self, options: Options, discovery: str) -> None:
-        """Other options, whole, from now on; those that were spent at the start wait for the next one."""
+    def use(self, options: Options, discovery: str, settings: Settings) -> None:
+        """Other options and settings, whole, from now on; what was spent at the start waits for the next one."""
         self.options = self.discovery.options = options
         self.front.use(options)
-        self.back.use(options)
+        self.back.use(options, settings)
+        if settings != self.host.settings:
+            self.host.use(settings)
         self.discovery.move(discovery)
 
     # ---- life -----------------------------------------------------------------------------------
--- a/loftweir/telemetry/catalogue.py
+++ b/loftweir/telemetry/catalogue.py
@@ -66,8 +66,9 @@
 RELOAD_DONE = Event(
     "reload.done",
     INFO,
-    ("discovery", "changed", "restart"),
-    "SIGHUP came and both files can be used: `changed` keys are in force, those under `restart` at the next start",
+    ("discovery", "changed", "settings", "restart"),
+    "SIGHUP came and both files can be used: `changed` keys and `settings` are in force, requests under way keep their "
+    "class; keys under `restart` wait for the next start",
     told_apart_by=None,
 )
 RELOAD_FAULT = Event(
