Feed a cold server that operators called back from other zones: half its even share

At fault: _deal leaves every frail server out of the far deck, and frail it is for 18 s. Ruled out: the overlay (the near ones were fed at once), the list (they were in it), pressure and doubt (both 0).

Change: Endpoint.called_back, set by the overlay; Balancer._is_due feeds such a server at even intervals, of what may be repeated.

--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -55,6 +55,7 @@
 FELT = (Outcome.OK, Outcome.FULL, Outcome.TIMED_OUT)
 WAIT_FADES = 3  # fall_afters in which half of it is forgotten
 GAP_MEMORY = 16  # requests over which the time between them is taken
+BACK_PART = 0.5  # of its even share, to one called back in another zone: two such shares stay under fall_multiple
 CLOSER = 4  # than an even spread has it, that one of many balancers' calls to a cold server may follow each other
 MIX_MEMORY = 64  # requests over which the parts of the classes are taken
 RETRY_PART, RETRY_BURST = 0.25, 5.0  # further attempts earned by each request, and how many may be saved up
@@ -88,6 +89,7 @@
     wait: float = 0.0  # what an answer takes, of late
     pace: float = 0.0  # what one more call out adds to the time of an answer; 0: not known yet
     full_until: int = 0  # it turned a call away, or took no connection: passed over until then
+    called_back: bool = False  # its operators say that it may serve again
 
     def update(self, endpoint: Endpoint) -> None:
         if endpoint.started_at != self.started_at:
@@ -96,6 +98,7 @@
             self.records = {}
         self.cell = endpoint.cell
         self.weight = endpoint.weight
+        self.called_back = endpoint.called_back
         self.started_at = endpoint.started_at
         self.ready = endpoint.lifecycle is Lifecycle.READY
 
@@ -341,11 +344,11 @@
         """KEP-4444, PreferClose: ready servers of the own zone, else all ready servers."""
         for deck in (self.near, self.far):
             self._settle(deck)
+            deck.cards = []
         ready = [s for s in self.servers.values() if s.ready]
         self.near.servers = [s for s in ready if s.zone == self.settings.zone]
         self.far.servers = [s for s in ready if s.zone != self.settings.zone]
-        self.near.cards = []
-        self.far.cards = []
+        self.back = [s for s in self.far.servers if s.called_back]
 
     def _able(self, server: Server) -> float:
         """The least part of its capacity that a server can do now.
@@ -422,10 +425,12 @@
         self.near.fade(self.now, self.fade_half)
         self.far.fade(self.now, self.fade_half)
         deck = self.near if any(s.out_until <= self.now for s in self.near.servers) else self.far
-        if not deck.servers:
-            deck = self.near
+        deck = deck if deck.servers else self.near
         if not deck.servers:
             return None
+        for server in self.back if deck is self.near else ():
+            if self._is_due(server, cls):
+                return server
         self._ensure(deck)
         away = 1 - deck.warmth * (1 - deck.pressure)
         if deck is self.near and self.far.servers:
@@ -437,9 +442,9 @@
             return None
         if deck is self.near and self.random.random() * (1 - shed) < away - shed:
             deck = self.far
-        server = self._draw(deck, cls) or (self._draw(self.far, cls) if deck is self.near else None)
-        if server is not None:
-            return server
+        drawn = self._draw(deck, cls) or (self._draw(self.far, cls) if deck is self.near else None)
+        if drawn is not None:
+            return drawn
         up = [s for s in self.near.servers + self.far.servers if s.out_until <= self.now]
         up = [s for s in up if not self._frail(s)]
         mean = sum(part * self.settings.classes[name].worth for name, part in self.mix.items())
@@ -452,6 +457,16 @@
         able = [s for s in up if self._has_room(s, cls)]
         return min(able, key=lambda s: self._fails(s, cls.name), default=None)
 
+    def _is_due(self, server: Server, cls: RequestClass) -> bool:
+        """Whether one called back in another zone is to be fed. What overflows passes cold servers over, and a zone
+        with no balancer would leave it idle until it is warm: it gets the part of its even share that its own zone's
+        balancers leave room for, at even intervals, of what may be repeated."""
+        if cls.effect is not Effect.REPEATABLE or not self._frail(server) or server.out_until > self.now:
+            return False
+        share = (self.now - max(server.sent_at, server.started_at)) * self._size(server) * self._able(server)
+        due = share * BACK_PART > self.gap * (self._settle(self.near) + self._settle(self.far))
+        return due and self._has_room(server, cls) and self._sound(server, cls)
+
     def _sheds(self, cls: RequestClass, part: float) -> bool:
         """Whether a request is among the `part` of all to turn away: what is worth least goes first, and of the
         traffic as a whole no more than that part goes."""
@@ -557,21 +572,6 @@
                 return self.random.choices(fit, [self._share(s) for s in fit])[0]
         return None
 
-    def why_not(self, server: Server, cls: RequestClass) -> list[str]:
-        """Why a first attempt of this class would not go there now; empty: it may. For those who ask: it tells
-        what the decisions here are made of, and decides nothing."""
-        far = self._deck(server) is self.far
-        reasons = {
-            "drains": not server.ready,
-            "set aside": server.out_until > self.now,
-            "turned a call away": server.full_until > self.now,
-            "no room": server.full_until <= self.now and not self._has_room(server, cls),
-            "fails the class": self._fails(server, cls.name) >= AILING,
-            "cold": far and bool(self.near.servers) and self._frail(server),
-            "other zone": far and any(not self.why_not(s, cls) for s in self.near.servers),
-        }
-        return [reason for reason, holds in reasons.items() if holds]
-
     # ---- attempts, retries, refusals ------------------------------------------------------------
 
     def _request(self, request: Request) -> None:
--- a/loftweir/explain.py
+++ b/loftweir/explain.py
@@ -1,7 +1,7 @@
 """Where a balancer would send a run of requests, and why it would not use the others. No I/O, no wall clock.
 
 It hosts the real `Balancer` in virtual time: requests come at a steady rate, providers answer as they are said to,
-and what the balancer itself says of each provider (`Balancer.why_not`) is kept beside every decision.
+and what the balancer itself says of each provider (`why_not`) is kept beside every decision.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 from typing import Any, NamedTuple
 
 from loftweir import interface as api
-from loftweir.balance import Balancer
+from loftweir.balance import AILING, Balancer, Server
 
 MS, SECOND = 1_000_000, 1_000_000_000
 CALM = 10 * SECOND  # from the list to the first request
@@ -60,6 +60,23 @@
         }
 
 
+def why_not(balancer: Balancer, server: Server, cls: api.RequestClass) -> list[str]:
+    """Why a first attempt of this class would not go there now; empty: it may. What the decisions are made of, asked
+    of the balancer's own parts; it decides nothing."""
+    now, near = balancer.now, balancer.near.servers
+    far = server.zone != balancer.settings.zone
+    reasons = {
+        "drains": not server.ready,
+        "set aside": server.out_until > now,
+        "turned a call away": server.full_until > now,
+        "no room": server.full_until <= now and not balancer._has_room(server, cls),
+        "fails the class": balancer._fails(server, cls.name) >= AILING,
+        "cold": far and bool(near) and balancer._frail(server),
+        "other zone": far and any(not why_not(balancer, s, cls) for s in near),
+    }
+    return [reason for reason, holds in reasons.items() if holds]
+
+
 class Run:
     """One balancer in virtual time."""
 
@@ -116,7 +133,7 @@
 
     def decide(self, now: int, request_id: str, what: str, provider: str, cls: api.RequestClass) -> None:
         others = {
-            name: self.balancer.why_not(server, cls)
+            name: why_not(self.balancer, server, cls)
             for name, server in self.balancer.servers.items()
             if name != provider
         }
--- a/loftweir/interface.py
+++ b/loftweir/interface.py
@@ -70,6 +70,7 @@
     lifecycle: Lifecycle
     weight: float = 1.0
     started_at: int = 0  # 0: long ago
+    called_back: bool = False  # operators had taken it out, and say that it may serve again
 
 
 # ---- events -------------------------------------------------------------------------------------
--- a/loftweir/operations/overlay.py
+++ b/loftweir/operations/overlay.py
@@ -30,7 +30,7 @@
             return endpoint
         if word.on:
             return replace(endpoint, lifecycle=Lifecycle.DRAINING)
-        return replace(endpoint, started_at=max(endpoint.started_at, word.at))
+        return replace(endpoint, started_at=max(endpoint.started_at, word.at), called_back=True)
 
     def update(
         self, update: MembershipUpdate, addresses: Mapping[str, str]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,9 +1,12 @@
 """What is harmless from one balancer and hurts from forty: thin evidence, small decks, cold servers fed by all."""
 
 from collections import Counter
+from dataclasses import replace
+from itertools import pairwise
 
 from support import MS, SECOND, attempts, changes, ended, endpoint, full, make, of, request
 
+from loftweir.explain import why_not
 from loftweir.interface import Effect, Lifecycle, Outcome, Refuse, RequestClass
 
 NEAR = tuple(endpoint(f"a{i}") for i in range(10))
@@ -89,7 +92,7 @@
     balancer = make()
     balancer.handle(START, [full(endpoint("a1"), endpoint("a2", weight=0.0, started_at=START))])
     assert set(play(balancer, START, fine, 20, 10 * MS)) == {"a1"}
-    assert balancer.why_not(balancer.servers["a2"], balancer.settings.classes["read"]) == ["no room"]
+    assert why_not(balancer, balancer.servers["a2"], balancer.settings.classes["read"]) == ["no room"]
 
 
 def test_a_server_whose_answers_come_late_is_passed_over_though_none_of_ours_waits_there():
@@ -122,3 +125,25 @@
     assert refused["dear"] == 0
     assert 140 < refused["cheap"] < 260
 
+
+
+def test_a_cold_server_of_another_zone_is_fed_only_once_operators_have_called_it_back():
+    """Half of its even share, at even intervals, of what may be repeated; never what runs once."""
+    for called_back in (False, True):
+        balancer = make()
+        near = [endpoint(f"a{n}") for n in range(3)]
+        cold = replace(endpoint("b0", "b", started_at=SECOND), called_back=called_back)
+        balancer.handle(SECOND, [full(*near, cold)])
+        sent = []
+        for n in range(400):  # 50 a second
+            now = SECOND + n * 20 * MS
+            for kind in ("read", "push"):
+                (attempt,) = attempts(balancer.handle(now, [request(f"{kind}{n}", kind)]))
+                sent.append((n, kind, attempt.server))
+                balancer.handle(now + MS, [ended(attempt, Outcome.OK, elapsed=MS)])
+        fed = [(n, kind) for n, kind, server in sent if server == "b0"]
+        assert {kind for _, kind in fed} == ({"read"} if called_back else set())
+        if called_back:
+            # Of 100 a second its even share among four would be 25 warm, 5 to 13 at what it can do meanwhile.
+            assert fed[0][0] <= 50 and 16 <= len(fed) <= 40, fed
+            assert min(b - a for (a, _), (b, _) in pairwise(fed)) >= 5
