--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -15,6 +15,7 @@
 from loftweir.config.model import Options
 from loftweir.core.invocation import Call
 from loftweir.http1 import grammar
+from loftweir.http1.flow import Passing
 from loftweir.http1.message import Answer, Message, by_name, passed_on
 from loftweir.http1.strict import Strict
 from loftweir.interface import Lifecycle, MembershipUpdate, Outcome, Settings, UpdateKind
@@ -31,6 +32,8 @@
 )
 
 Ended = Callable[[Call, Outcome, Any], None]
+Exchanged = tuple[Outcome, Answer | None, bool | None]
+HELD_FOR = 200 * MS  # an answer of unknown length
 
 
 class Connection:
@@ -226,7 +229,7 @@
             self.ended(call, Outcome.NOT_SENT, None)
             return
         call.up_at = self.loop.time
-        reusable = False
+        reusable: bool | None = False
         try:
             if not call.invocation.open:
                 reusable = True  # the consumer went while the connection came up: spare the provider
@@ -238,12 +241,17 @@
             # is the only copy out.
             if reusable:
                 pool.rest(connection)
-            else:
+            elif reusable is not None:
                 pool.close(connection)
         self.ended(call, outcome, answer)
-
-    def _exchange(self, call: Call, connection: Connection) -> Coroutine[tuple[Outcome, Answer | None, bool]]:
-        """The outcome, the answer with OK, and whether the connection can be used again."""
+        if answer is not None and not isinstance(answer.body, list):
+            final = call.invocation.final
+            if final is None or final.payload is not answer:
+                answer.body.close()  # it came too late for anyone
+
+    def _exchange(self, call: Call, connection: Connection) -> Coroutine[Exchanged]:
+        """The outcome, the answer with OK, and whether the connection can be used again; None: it went with the
+        answer."""
         sock, give_up_at = connection.sock, call.give_up_at
         try:
             yield from send(sock, self.message(call), give_up_at)
@@ -262,12 +270,14 @@
             head = grammar.answer(data)
             if head is None:
                 return (yield from self._strictly(call, connection, data))
-            limit = self.pool.options.limits.answer
-            if head.length > limit:
+            limits = self.pool.options.limits
+            if head.length > limits.answer:
                 return Outcome.ERROR, None, False  # known from its head: not waited for
             body = Body(self.room)
             if len(data) > head.end:
                 body.append(data[head.end :])
+            if head.length > limits.held:
+                return self._passed_on(connection, int(head.first), head, body, head.length, None)
             while body.size < head.length:
                 try:
                     data = sock.recv(READ_SIZE)
@@ -297,7 +307,7 @@
 
     def _strictly(
         self, call: Call, connection: Connection, data: bytes | None
-    ) -> Coroutine[tuple[Outcome, Answer | None, bool]]:
+    ) -> Coroutine[Exchanged]:
         """An answer that is not of the common form, as h11 reads it."""
         options, until = self.pool.options, call.give_up_at
         wire = Strict(connection.sock, h11.CLIENT, data)
@@ -309,12 +319,46 @@
             return Outcome.RESET, None, False
         pairs = list(head.headers.raw_items())
         fields = by_name(pairs)
-        if int(fields.get(b"content-length", 0)) > options.limits.answer:
+        known = int(fields[b"content-length"]) if b"content-length" in fields else None
+        if (known or 0) > options.limits.answer:
             return Outcome.ERROR, None, False
-        body = yield from wire.body(until, options.limits.answer, self.room)
+        body, held = Body(self.room), options.limits.held
+        since = self.loop.time
+        while part := (yield from wire.part(until)):
+            body.append(part)
+            # Of unknown length: what is long, or slow to come, is better begun than held.
+            if (known or body.size) > held or (known is None and self.loop.time - since > HELD_FOR):
+                read = grammar.Head(b"", head.reason, pairs, fields, 0, 0)
+                return self._passed_on(connection, head.status_code, read, body, known, wire)
         reusable = wire.whole() and not wire.rest()
         return self._outcome(head.status_code, head.reason, pairs, fields, body, reusable)
 
+    def _passed_on(
+        self,
+        connection: Connection,
+        status: int,
+        head: grammar.Head,
+        body: Body,
+        length: int | None,
+        wire: Strict | None,
+    ) -> tuple[Outcome, Answer | None, bool | None]:
+        """A long answer: its outcome is known, and its rest comes with the connection to whoever passes it on."""
+        outcome, answer, _ = self._outcome(status, head.second, head.pairs, head.fields, body, False)
+        if answer is None:
+            return outcome, None, False
+        pool, limits = self.pool, self.pool.options.limits
+
+        def give_back(reusable: bool) -> None:
+            if reusable:
+                pool.rest(connection)
+            else:
+                pool.close(connection)
+
+        flow = Passing(
+            self.loop, connection.sock, body, length, wire, self.room, limits.silent_for, limits.answer, give_back
+        )
+        return outcome, answer._replace(body=flow), None
+
     @staticmethod
     def _outcome(
         status: int,
--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -141,7 +141,7 @@
             answer = yield from wire.next_event(until)
             if not isinstance(answer, h11.Response):
                 raise CallFailed("no answer")
-            body = yield from wire.body(until, self.options.discovery.list_size)
+            body = yield from wire.body(lambda _: until, self.options.discovery.list_size)
         except TookTooLong:
             raise CallFailed("silent") from None
         except (OSError, h11.RemoteProtocolError, TooLarge) as error:
--- /dev/null
+++ b/loftweir/http1/flow.py
@@ -0,0 +1,87 @@
+"""The long body of an answer, passed on as its provider gives it.
+
+Whoever writes it to the consumer pulls the next piece when the last one is out: one piece of it is in memory, and a
+consumer that does not read stops the provider. No deadline ends it while the provider still gives.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from socket import socket
+
+import h11
+
+from loftweir.http1.strict import Strict
+from loftweir.net.loop import READABLE, Coroutine, Loop, Wait
+from loftweir.net.stream import Body, Room, TookTooLong, TooLarge
+
+
+class Passing:
+    """Invariant: the provider's connection is its own until `close`, which gives it back exactly once."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        sock: socket,
+        held: Body,
+        length: int | None,
+        wire: Strict | None,
+        room: Room,
+        silent_for: int,
+        limit: int,
+        give_back: Callable[[bool], None],
+    ) -> None:
+        """`held`: what has come of it. `length` bytes follow on the socket as they are, or `wire` reads them.
+        `give_back` is told whether the connection can be used again."""
+        self.loop = loop
+        self.sock = sock
+        self.held: Body | None = held
+        self.length = length
+        self.wire = wire
+        self.room = room
+        self.silent_for = silent_for
+        self.limit = limit
+        self.give_back: Callable[[bool], None] | None = give_back
+        self.given = 0
+
+    def pull(self) -> Coroutine[bytes]:
+        if self.held is not None:
+            piece, self.held = b"".join(self.held), None
+        else:
+            piece = yield from self._next()
+        self.given += len(piece)
+        if self.given > self.limit:
+            raise TooLarge
+        if not piece:
+            self.close(self.wire is None or (self.wire.whole() and not self.wire.rest()))
+        return piece
+
+    def _next(self) -> Coroutine[bytes]:
+        until = self.loop.time + self.silent_for
+        if self.wire is not None:
+            try:
+                return (yield from self.wire.part(until))
+            except h11.RemoteProtocolError as error:
+                raise ConnectionResetError(str(error)) from None
+        assert self.length is not None
+        left = self.length - self.given
+        while left:
+            try:
+                piece = self.sock.recv(min(left, self.room.piece()))
+            except BlockingIOError:
+                if not (yield Wait(self.sock, READABLE, until)):
+                    raise TookTooLong from None
+                continue
+            if not piece:
+                raise ConnectionResetError("the provider ended inside its answer")
+            return piece
+        return b""
+
+    def close(self, reusable: bool = False) -> None:
+        give_back, self.give_back = self.give_back, None
+        if give_back is not None:
+            self.held = None
+            give_back(reusable)
+
+    def __del__(self) -> None:
+        self.close()
--- a/loftweir/http1/front.py
+++ b/loftweir/http1/front.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import socket
+import struct
+from collections.abc import Callable
 from enum import IntEnum
 from functools import lru_cache
 from itertools import islice
@@ -21,11 +23,11 @@
 from loftweir.core.invocation import Final, Invocation, Kind, Unfit, check
 from loftweir.core.life import Life
 from loftweir.http1 import grammar
-from loftweir.http1.message import Answer, Fields, Message, by_name, plain
+from loftweir.http1.message import Answer, Fields, Flow, Message, by_name, plain
 from loftweir.http1.strict import Strict
 from loftweir.interface import Settings
 from loftweir.net.loop import EXCLUSIVE, HUNG_UP, MS, READABLE, SECOND, WOKEN, Coroutine, Loop, Task, Wait
-from loftweir.net.stream import READ_SIZE, Body, NoRoom, Room, TookTooLong, TooLarge, prepare, send, waited
+from loftweir.net.stream import READ_SIZE, Body, NoRoom, Room, TookTooLong, TooLarge, prepare, reserved, send, waited
 from loftweir.telemetry.access import wanted
 from loftweir.telemetry.catalogue import ACCEPT_FAILED, ACCESS, INVOCATION_BROKEN, OVERDUE, ROOM_NONE
 from loftweir.telemetry.log import say, where
@@ -33,6 +35,8 @@
 OURS = (b"req-id", b"req-kind", b"req-deadline-ms", b"idempotency-key")
 ACCEPTS_A_TURN = 16  # a wave of new connections waits for the answers that are ready
 CLOSES_A_TURN = 64  # so does a wave of connections whose time is over
+ROOM_WITHIN = 1500 * MS  # that a long body waits for room: its request's time has not begun
+COME_BACK = 500 * MS  # where it had none
 LOOKS_AT = 16  # connections that `spare` looks at in each row, the longest there first
 
 
@@ -84,6 +88,15 @@
     )
 
 
+def origin_form(target: bytes) -> bytes:
+    """A target in absolute form names the sidecar too, and providers are asked for its path alone."""
+    scheme, sign, rest = target.partition(b"://")
+    if not sign or scheme.lower() not in (b"http", b"https"):
+        return target
+    authority, slash, path = rest.partition(b"/")
+    return slash + path if slash else b"/" + authority[len(authority.partition(b"?")[0]) :]
+
+
 def text_of(fields: Fields, name: bytes) -> str:
     value = fields.get(name)
     if not value or not value.isascii():
@@ -158,7 +171,7 @@
     the connection itself (`ready`), which stands in the front's row of its stage.
     """
 
-    __slots__ = ("front", "sock", "task", "stage", "since", "free_at", "mask", "method", "trace")
+    __slots__ = ("front", "sock", "task", "stage", "since", "free_at", "mask", "method", "old", "trace")
 
     def __init__(self, front: Front, sock: socket.socket) -> None:
         self.front = front
@@ -169,6 +182,7 @@
         self.free_at = 0  # from when on what comes next could be read; 0: at once, though it came before `accept`
         self.mask = READABLE
         self.method = b""
+        self.old = False  # its request is of HTTP/1.0
         self.trace: Trace | None = None  # of the invocation now open, where an access line may be due
 
     # ---- at rest --------------------------------------------------------------------------------
@@ -221,8 +235,9 @@
                 # What a consumer owes: the first request on a new connection within a time from its opening on, a
                 # later one from its first byte on.
                 until = (self.since if self.stage is Stage.SILENT else began) + front.options.limits.request_within
-                self.stage, self.method = Stage.BEGUN, b""
+                self.stage, self.method, self.old = Stage.BEGUN, b"", False
                 rest: bytes | None = b""
+                unread = front.options.limits.linger_bytes
                 wire: Strict | None = None
                 try:
                     head = grammar.request(data)
@@ -240,7 +255,9 @@
                 except Malformed as error:
                     answer, rest = plain(error.status, str(error), *error.headers), None
                 except NoRoom:
-                    answer, rest = plain(503, "no room for the body now"), None
+                    after = min(COME_BACK, front.host.settings.max_retry_after)
+                    answer, rest = rejection(max(1, after // MS)), None
+                    unread = front.options.limits.body  # of a usual client, who may read once it has written all
                 except TooLarge:
                     answer, rest = plain(413, f"a body holds {front.options.limits.body} bytes at most"), None
                 except TookTooLong:
@@ -263,7 +280,7 @@
                     self.trace.tell(front.options, answer.status, loop.time)
                     self.trace = None
                 if last:
-                    yield from self._linger()
+                    yield from self._linger(unread)
                     return
                 ended = wire is not None and wire.http.trailing_data[1]
                 del answer, head, wire  # or the resting connection keeps their room
@@ -285,21 +302,51 @@
 
     def _write(self, answer: Answer, last: bool) -> Coroutine[None]:
         status, reason, lines, body = answer
-        size = len(body[0]) if len(body) == 1 else sum(map(len, body))
         close = b"Connection: close\r\n" if last else b""
+        if not isinstance(body, list):
+            yield from self._pass_on(b"HTTP/1.1 %d %s\r\n%s%s" % (status, reason, lines, close), body)
+            return
+        size = len(body[0]) if len(body) == 1 else sum(map(len, body))
         head = b"HTTP/1.1 %d %s\r\n%s%sContent-Length: %d\r\n\r\n" % (status, reason, lines, close, size)
         parts = [head] if self.method == b"HEAD" else [head, *body]
         front = self.front
         yield from send(self.sock, parts, front.loop.time + front.options.limits.write_within)
 
-    def _linger(self) -> Coroutine[None]:
+    def _pass_on(self, head: bytes, flow: Flow) -> Coroutine[None]:
+        """A long answer, a piece at a time. One that breaks ends in a reset: whatever its framing, the consumer can
+        tell that it is not whole."""
+        loop, limits = self.front.loop, self.front.options.limits
+        chunked = flow.length is None and not self.old
+        if flow.length is not None:
+            head += b"Content-Length: %d\r\n\r\n" % flow.length
+        else:  # one that knows no chunks reads until the end of the connection, which follows its answer
+            head += b"Transfer-Encoding: chunked\r\n\r\n" if chunked else b"\r\n"
+        parts = [head]
+        whole = False
+        try:
+            while not whole:
+                piece = yield from flow.pull()
+                whole = not piece
+                if chunked:
+                    parts += [b"%x\r\n" % len(piece), piece, b"\r\n"]
+                elif piece:
+                    parts.append(piece)
+                yield from send(self.sock, parts, loop.time + limits.write_within)
+        except TooLarge:
+            raise ConnectionAbortedError("the answer is over limits.answer") from None
+        finally:
+            flow.close()
+            if not whole:
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+    def _linger(self, left: int) -> Coroutine[None]:
         """Closing with something unread resets the connection, and the answer with it: read it off first, but not
         without end."""
         sock, limits, now = self.sock, self.front.options.limits, self.front.loop.time
         sock.shutdown(socket.SHUT_WR)
         self.stage, self.since = Stage.ENDING, now
         self.front.ending[self] = None
-        until, left = now + limits.linger_for, limits.linger_bytes
+        until = now + limits.linger_for
         while left > 0 and (yield Wait(sock, READABLE, until)):
             read = len(sock.recv(65536))
             left = left - read if read else 0
@@ -314,13 +361,15 @@
         invocation = self._admit(Message(head.first, head.second, head.pairs, head.fields, body))
         end = head.end + head.length
         if head.length:
+            yield from reserved(self.front.loop, body, head.length, ROOM_WITHIN)
             body.append(data[head.end : end])
         rest = data[end:]
+        due = self._body_due(until)
         while body.size < head.length:
             try:
                 data = self.sock.recv(min(READ_SIZE, head.length - body.size))
             except BlockingIOError:
-                if not (yield Wait(self.sock, READABLE, until)):
+                if not (yield Wait(self.sock, READABLE, due(body.size))):
                     raise TookTooLong from None
                 continue
             if not data:
@@ -335,18 +384,38 @@
         head = yield from wire.next_event(until)
         if not isinstance(head, h11.Request):
             return None
-        self.method = head.method
+        self.method, self.old = head.method, head.http_version < b"1.1"
         pairs = list(head.headers.raw_items())
-        request = Message(head.method, head.target, pairs, by_name(pairs), [])
+        request = Message(head.method, origin_form(head.target), pairs, by_name(pairs), [])
         invocation = self._admit(request)
         if wire.http.they_are_waiting_for_100_continue and invocation is not None:
             self.sock.send(b"HTTP/1.1 100 Continue\r\n\r\n")
-        body = yield from wire.body(until, self.front.options.limits.body, self.front.room)
+        front, body = self.front, Body(self.front.room)
+        length = int(request.fields.get(b"content-length", 0))
+        yield from reserved(front.loop, body, length, ROOM_WITHIN)
+
+        def keep(part: bytes) -> Coroutine[None]:
+            yield from reserved(front.loop, body, body.size + len(part), ROOM_WITHIN)
+            body.append(part)
+
+        yield from wire.body(self._body_due(until), front.options.limits.body, keep)
         if invocation is None:
             return self._health()
         invocation.payload = request._replace(body=body)
         return (yield from self._decided(invocation, began))
 
+    def _body_due(self, until: int) -> Callable[[int], int]:
+        """Until when more of a body is waited for, by how much has come: a slow one has the time that its bytes take
+        at the least rate, one that falls silent has not."""
+        loop, limits = self.front.loop, self.front.options.limits
+        began = loop.time + limits.body_within
+
+        def due(size: int) -> int:
+            earned = began + size * SECOND // limits.body_rate
+            return min(loop.time + limits.body_silent, max(until, earned))
+
+        return due
+
     def _admit(self, request: Message) -> Invocation | None:
         """The head is looked at first: what can't be served is not waited for. None: it is asked for our health."""
         front, fields = self.front, request.fields
--- a/loftweir/http1/message.py
+++ b/loftweir/http1/message.py
@@ -4,7 +4,9 @@
 
 from collections.abc import Iterable
 from http import HTTPStatus
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
+
+from loftweir.net.loop import Coroutine
 
 # Fields that speak of one connection only, or that a sidecar writes anew: never passed on.
 OF_THE_HOP = frozenset(
@@ -18,13 +20,25 @@
 Fields = dict[bytes, bytes]
 
 
+class Flow(Protocol):
+    """A long body that is passed on as it comes, a piece at a time."""
+
+    length: int | None  # bytes in all; None: it ends when it ends
+
+    def pull(self) -> Coroutine[bytes]:
+        """The next piece; empty: it has ended. OSError, TookTooLong, TooLarge where it breaks."""
+
+    def close(self) -> None:
+        """Nothing more is pulled. Whoever was given it calls this."""
+
+
 class Answer(NamedTuple):
     """A final answer, but for the fields that its connection needs."""
 
     status: int
     reason: bytes
     lines: bytes  # its fields, each with its CR LF
-    body: list[bytes]
+    body: list[bytes] | Flow
 
 
 class Message(NamedTuple):
--- a/loftweir/http1/strict.py
+++ b/loftweir/http1/strict.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from socket import socket
 from typing import Any
 
 import h11
 
 from loftweir.net.loop import READABLE, Coroutine, Wait
-from loftweir.net.stream import READ_SIZE, Body, Room, TookTooLong, TooLarge
+from loftweir.net.stream import READ_SIZE, TookTooLong, TooLarge
 
 PARTS_A_TURN = 32  # a body in tiny chunks must not keep the loop from all else
 
@@ -19,10 +20,11 @@
 class Strict:
     """One message on one connection. `data` is what of it has been read already."""
 
-    __slots__ = ("sock", "http")
+    __slots__ = ("sock", "http", "parts")
 
     def __init__(self, sock: socket, role: type[h11.CLIENT] | type[h11.SERVER], data: bytes | None = None) -> None:
         self.sock = sock
+        self.parts = 0  # of the body, so far
         self.http = h11.Connection(role)
         if role is h11.CLIENT:
             self.http.send_with_data_passthrough(DUE)
@@ -50,19 +52,33 @@
             else:
                 self.http.receive_data(data)
 
-    def body(self, until: int | None, limit: int, room: Room | None = None) -> Coroutine[list[bytes]]:
-        """The parts of a whole body, as they were read; TooLarge over `limit` bytes, or where no room is left."""
-        parts: list[bytes] = Body(room) if room is not None else []
+    def part(self, until: int | None) -> Coroutine[bytes]:
+        """The next part of a body; empty: it has ended."""
+        event = yield from self.next_event(until)
+        if isinstance(event, h11.EndOfMessage):
+            return b""
+        if not isinstance(event, h11.Data):
+            raise h11.RemoteProtocolError("the connection ended inside a body")
+        self.parts += 1
+        if self.parts % PARTS_A_TURN == 0:
+            yield Wait(None, 0, 0)
+        return bytes(event.data)
+
+    def body(
+        self, due: Callable[[int], int], limit: int, keep: Callable[[bytes], Coroutine[None]] | None = None
+    ) -> Coroutine[list[bytes]]:
+        """The parts of a whole body, as they were read; TooLarge over `limit` bytes. `due`: until when the next is
+        waited for, by how much has come; `keep`: keeps a part, where there is room for it."""
+        parts: list[bytes] = []
         size = 0
         while True:
-            event = yield from self.next_event(until)
-            if isinstance(event, h11.EndOfMessage):
+            part = yield from self.part(due(size))
+            if not part:
                 return parts
-            if not isinstance(event, h11.Data):
-                raise h11.RemoteProtocolError("the connection ended inside a body")
-            size += len(event.data)
+            size += len(part)
             if size > limit:
                 raise TooLarge
-            parts.append(bytes(event.data))
-            if len(parts) % PARTS_A_TURN == 0:
-                yield Wait(None, 0, 0)
+            if keep is None:
+                parts.append(part)
+            else:
+                yield from keep(part)
--- a/loftweir/net/stream.py
+++ b/loftweir/net/stream.py
@@ -12,6 +12,11 @@
 from loftweir.net.loop import MS, WRITABLE, Coroutine, Loop, Wait
 
 READ_SIZE = 64 * 1024
+SMALL = 64 * 1024  # bytes of a body up to which it is held whole, and may take all the room there is
+KEPT_FOR_SMALL = 4  # one part in so many of the room
+PIECES, LEAST_PIECE = 64, 4 * 1024  # of long bodies on their way, that the room is shared out among
+MERGED = 4 * 1024  # parts that come in tiny pieces are kept together up to this
+LOOK_FOR_ROOM = 10 * MS
 GATHER_LIMIT = 512  # parts in one write; the kernel takes 1,024
 OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 # Of Linux's struct tcp_info (linux/tcp.h): ms since the last bytes came, behind 8 bytes and eleven words.
@@ -38,31 +43,69 @@
 
 
 class Room:
-    """The bytes that may be held at a time, over all who take from it."""
+    """The bytes that may be held at a time, over all who take from it.
+
+    A part of it is for small bodies alone: however many long ones there are, small requests go on being served.
+    """
 
     def __init__(self, size: int) -> None:
-        self.left = size
+        self.size = self.left = size
+
+    def has(self, wanted: int, held: int) -> bool:
+        """Whether there is room for `wanted` bytes more of a body that holds `held`."""
+        kept = self.size // KEPT_FOR_SMALL if wanted + held > SMALL else 0
+        return self.left - wanted >= kept
+
+    def piece(self) -> int:
+        """How much of a long body to read at a time: the less, the less room there is."""
+        return max(LEAST_PIECE, min(READ_SIZE, self.left // PIECES))
 
 
 class Body(list[bytes]):
-    """The parts of a body. They take room for as long as they are kept, whoever keeps them."""
+    """The parts of a body. They take room for as long as they are kept, whoever keeps them.
+
+    Invariant: `taken`, of the room, is what was reserved or what is held, whichever is more."""
 
-    __slots__ = ("room", "size")
+    __slots__ = ("room", "size", "taken")
 
     def __init__(self, room: Room) -> None:
         super().__init__()
         self.room = room
         self.size = 0
+        self.taken = 0
+
+    def reserve(self, size: int) -> None:
+        """Room for so many bytes in all; `NoRoom` where there is none now."""
+        wanted = size - self.taken
+        if wanted > 0:
+            if not self.room.has(wanted, self.taken):
+                raise NoRoom
+            self.room.left -= wanted
+            self.taken = size
 
     def append(self, part: bytes) -> None:
-        if self.room.left < len(part):
-            raise NoRoom
-        self.room.left -= len(part)
+        self.reserve(self.size + len(part))
         self.size += len(part)
-        super().append(part)
+        if self and len(self[-1]) + len(part) <= MERGED:
+            self[-1] += part  # a byte for itself takes forty times its room
+        else:
+            super().append(part)
 
     def __del__(self) -> None:
-        self.room.left += self.size
+        self.room.left += self.taken
+
+
+def reserved(loop: Loop, body: Body, size: int, within: int) -> Coroutine[None]:
+    """Room for `size` bytes in all, waited for; `NoRoom` where there is none within that time."""
+    until = loop.time + within
+    while True:
+        try:
+            body.reserve(size)
+            return
+        except NoRoom:
+            if loop.time >= until or size > body.room.size:
+                raise
+        yield Wait(None, 0, loop.time + LOOK_FOR_ROOM)
 
 
 def prepare(sock: socket.socket) -> None:
--- /dev/null
+++ b/tests/test_long.py
@@ -0,0 +1,188 @@
+"""Long and slow bodies: in pieces, within the room for them, and told apart from broken ones."""
+
+import http.client
+import os
+import threading
+import time
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from scene import KEYED, ONCE, Scene, eventually, held, ok, reply
+
+MIB = 1024 * 1024
+HEAD = b"POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: %s\r\nReq-Kind: apply-submit\r\n"
+
+
+def chunks(*parts):
+    return b"".join(b"%x;ext=1\r\n%s\r\n" % (len(part), part) for part in parts) + b"0\r\nTrailer: x\r\n\r\n"
+
+
+class LongTest(Scene):
+    def small(self, *answers, memory_mb=48):
+        self.start(*answers, limits={"sockets": 256, "memory_mb": memory_mb})
+        self.assertTrue(eventually(lambda: self.health() == 200))
+
+    def peak_mb(self):
+        status = Path(f"/proc/{self.program.pid}/status").read_text()
+        return int(status.split("VmHWM:")[1].split()[0]) / 1024
+
+    def client_socket(self, request_id=b"r"):
+        client = self.client()
+        client.connect()
+        return client, client.sock, HEAD % request_id
+
+    def test_more_long_answers_than_memory_holds_are_all_passed_on(self):
+        """To consumers that read slowly, beside small requests: back-pressure reaches the providers."""
+        answer = os.urandom(MIB) * 16
+        self.small(lambda head, body: reply(200, answer if body == b"long" else b"small"))
+        with ThreadPoolExecutor(12) as pool:
+            long = [pool.submit(self.invoke, ONCE, 3000, "/api", b"long") for _ in range(8)]
+            small = [pool.submit(self.invoke, ONCE, 3000, "/api", b"s") for _ in range(20)]
+            self.assertEqual([call.result()[:2] for call in small], [(200, b"small")] * 20)
+            self.assertTrue(all(call.result()[:2] == (200, answer) for call in long))
+        self.assertLess(self.peak_mb(), 48)
+
+    def test_a_long_answer_begins_before_it_has_ended_and_no_deadline_cuts_it(self):
+        gate = threading.Event()
+        self.addCleanup(gate.set)
+
+        def answer(head, body):
+            sock = self.providers[0].sockets[-1]
+            sock.sendall(b"HTTP/1.1 200 X\r\nContent-Length: 300000\r\n\r\n" + b"x" * 1000)
+            gate.wait(10)
+            return b"x" * 299000
+
+        self.start(answer)
+        client = self.client()
+        client.request("POST", "/api", b"{}", {"Req-Id": "r", "Req-Kind": ONCE, "Req-Deadline-Ms": "500"})
+        response = client.getresponse()
+        self.assertEqual((response.status, response.read(1000)), (200, b"x" * 1000))
+        time.sleep(0.8)  # past the deadline
+        gate.set()
+        self.assertEqual(response.read(), b"x" * 299000)
+        self.assertEqual(self.invoke(client=client)[0], 200)  # and its connection goes on
+
+    def test_a_long_answer_that_breaks_is_cut_so_that_the_consumer_can_tell_and_is_not_tried_again(self):
+        whole = b"y" * 300000
+        framings = {
+            "length": reply(200, whole)[:-9],
+            "chunked": b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(whole, whole)[:-400000],
+        }
+        for name, data in framings.items():
+            with self.subTest(framing=name):
+                sockets = []
+
+                def answer(head, body, data=data, sockets=sockets):
+                    self.providers[0].sockets[-1].sendall(data)
+                    sockets.append(1)
+
+                self.start(answer)
+                with self.assertRaises((http.client.IncompleteRead, ConnectionResetError)):
+                    self.invoke(KEYED)
+                self.assertEqual(len(sockets), 1)
+                self.assertIsNone(self.program.poll())
+
+    def test_answers_of_every_framing_are_passed_on_whole(self):
+        body = os.urandom(200000)
+        chunked = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+        answers = [
+            (reply(200, body), True),
+            (chunked + chunks(body[:70000], body[70000:]), True),
+            (chunked + b"".join(b"%x\r\n%s\r\n" % (1, body[n : n + 1]) for n in range(5000)) + b"0\r\n\r\n", True),
+            (b"HTTP/1.1 200 X\r\n\r\n" + body, False),
+            (b"HTTP/1.1 100 Continue\r\n\r\n" + reply(200, body), True),
+        ]
+        self.start(ok)
+        for data, stays in answers:
+
+            def answer(head, body, data=data, stays=stays):
+                if stays:
+                    return data
+                return self.providers[0].sockets[-1].sendall(data)
+
+            self.providers[0].answer = answer
+            expected = body[:5000] if data.count(b"\r\n1\r\n") > 1000 else body
+            self.assertEqual(self.invoke()[:2], (200, expected))
+            old = self.raw(f"GET /api HTTP/1.0\r\nReq-Id: {len(data)}\r\nReq-Kind: status-read\r\n\r\n".encode())
+            self.assertEqual(old.partition(b"\r\n\r\n")[2], expected)
+
+    def test_long_requests_of_every_framing_reach_the_provider_whole(self):
+        self.start(ok)
+        body = os.urandom(3 * MIB)
+        for headers in ({}, {"Transfer-Encoding": "chunked"}, {"Expect": "100-continue"}):
+            headers |= {"Req-Id": os.urandom(4).hex(), "Req-Kind": ONCE}
+            sent = iter([body[:MIB], body[MIB:]]) if "Transfer-Encoding" in headers else body
+            self.assertEqual(self.ask("POST", "/api", headers, sent)[:2], (200, b"served " + body))
+        self.assertEqual([len(b) for _, b, _ in self.providers[0].seen], [len(body)] * 3)
+        self.assertEqual(self.ask("GET", "http://any.host/api?q=1", {"Req-Id": "z", "Req-Kind": "status-read"})[0], 200)
+        self.assertTrue(self.providers[0].seen[-1][0].startswith("GET /api?q=1 "))
+
+    def test_one_that_was_declined_is_sent_on_whole_a_second_time(self):
+        self.start(ok, ok)
+        first = []
+
+        def decline_once(head, body):
+            first.append(body)
+            return reply(503, b"", "Srv-Declined: 1") if len(first) == 1 else ok(head, body)
+
+        for party in self.providers:
+            party.answer = decline_once
+        body = os.urandom(MIB)
+        self.assertEqual(self.invoke(ONCE, body=body)[:2], (200, b"served " + body))
+        self.assertEqual([len(b) for b in first], [MIB, MIB])
+
+    def test_a_slow_head_and_a_slow_body_are_waited_for_and_slower_ones_are_not(self):
+        self.start(ok)
+
+        def slow(pause, rate, request_id):
+            client, sock, head = self.client_socket(request_id)
+            sock.sendall(head[:20])
+            time.sleep(pause)
+            sock.sendall(head[20:] + b"Content-Length: 128000\r\n\r\n")
+            for _ in range(0, 128000, 6400):
+                time.sleep(6400 / rate)
+                sock.sendall(b"z" * 6400)
+            response = http.client.HTTPResponse(sock)
+            response.begin()
+            return response.status
+
+        with ThreadPoolExecutor() as pool:
+            waited = pool.submit(slow, 1.8, 64000, b"slow")
+            silent, sock, head = self.client_socket(b"silent")
+            sock.sendall(head + b"Content-Length: 128000\r\n\r\n" + b"z" * 100)
+            self.assertIn(b" 408 ", sock.recv(100))
+            self.assertEqual(waited.result(), 200)
+
+    def test_with_no_room_long_bodies_are_rejected_at_once_or_wait_and_small_ones_are_served(self):
+        gate = threading.Event()
+        self.addCleanup(gate.set)
+        waits = held(gate)
+        self.small(lambda head, body: (waits if len(body) > MIB else ok)(head, body[:9]), memory_mb=16)
+        with ThreadPoolExecutor(8) as pool:
+            self.assertEqual(self.invoke(ONCE, body=b"x" * 8 * MIB)[0], 503)  # more than there ever is
+            first = pool.submit(self.invoke, ONCE, 3000, "/api", b"x" * 2 * MIB)
+            self.assertTrue(eventually(lambda: self.providers[0].seen))
+            status, _, response = self.invoke(ONCE, body=b"x" * 2 * MIB)
+            self.assertEqual((status, response.getheader("Retry-After")), (503, "0.500"))
+            self.assertEqual(self.invoke(ONCE, body=b"small")[0], 200)
+            second = pool.submit(self.invoke, ONCE, 3000, "/api", b"x" * 2 * MIB)
+            time.sleep(0.3)
+            gate.set()
+            self.assertEqual([first.result()[0], second.result()[0]], [200, 200])
+
+    def test_a_body_of_single_bytes_takes_no_more_room_than_it_has(self):
+        self.small(ok, memory_mb=32)
+        before = self.peak_mb()
+        client, sock, head = self.client_socket()
+        sock.sendall(head + b"Content-Length: 20000\r\n\r\n")
+        for _ in range(20000):
+            sock.send(b"b")
+        response = http.client.HTTPResponse(sock)
+        response.begin()
+        self.assertEqual(response.read(), b"served " + b"b" * 20000)
+        self.assertLess(self.peak_mb() - before, 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
