Feed cold servers of other zones where balancers are fewer than zones

Most reads refused then found no server with room, few were shed by pressure. And the late answers of cold servers read as a crowd of their whole deck.

Change: Balancer.back has any cold server of another zone where the settings name fewer balancers than zones: nobody else may be sending there. An even share at even intervals, and as much from its own zone, stay under fall_multiple, so that BACK_PART goes. A late answer of a frail server is no sign of a crowd. A second outcome of one attempt is not looked at.

--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -55,7 +55,6 @@
 FELT = (Outcome.OK, Outcome.FULL, Outcome.TIMED_OUT)
 WAIT_FADES = 3  # fall_afters in which half of it is forgotten
 GAP_MEMORY = 16  # requests over which the time between them is taken
-BACK_PART = 0.5  # of its even share, to one called back in another zone: two such shares stay under fall_multiple
 CLOSER = 4  # than an even spread has it, that one of many balancers' calls to a cold server may follow each other
 MIX_MEMORY = 64  # requests over which the parts of the classes are taken
 RETRY_PART, RETRY_BURST = 0.25, 5.0  # further attempts earned by each request, and how many may be saved up
@@ -324,6 +323,8 @@
         """
         deck = self._deck(server)
         crowded = outcome is not Outcome.OK
+        if crowded and self._frail(server):
+            return  # it is slow for being cold
         if crowded:
             rise = 1 - min(1.0, server.suspicion) * max(0.0, 1 - 2 * deck.late)
         else:
@@ -348,7 +349,7 @@
         ready = [s for s in self.servers.values() if s.ready]
         self.near.servers = [s for s in ready if s.zone == self.settings.zone]
         self.far.servers = [s for s in ready if s.zone != self.settings.zone]
-        self.back = [s for s in self.far.servers if s.called_back]
+        self.back = [s for s in self.far.servers if s.called_back or self.settings.balancers < len(self.settings.zones)]
 
     def _able(self, server: Server) -> float:
         """The least part of its capacity that a server can do now.
@@ -458,13 +459,13 @@
         return min(able, key=lambda s: self._fails(s, cls.name), default=None)
 
     def _is_due(self, server: Server, cls: RequestClass) -> bool:
-        """Whether one called back in another zone is to be fed. What overflows passes cold servers over, and a zone
-        with no balancer would leave it idle until it is warm: it gets the part of its even share that its own zone's
-        balancers leave room for, at even intervals, of what may be repeated."""
+        """Whether a cold one of another zone is to be fed: what overflows passes it over, and it may be that nobody
+        else sends to it. At even intervals its even share, of what may be repeated: with as much again from its own
+        zone's balancers it stays under fall_multiple."""
         if cls.effect is not Effect.REPEATABLE or not self._frail(server) or server.out_until > self.now:
             return False
         share = (self.now - max(server.sent_at, server.started_at)) * self._size(server) * self._able(server)
-        due = share * BACK_PART > self.gap * (self._settle(self.near) + self._settle(self.far))
+        due = share > self.gap * (self._settle(self.near) + self._settle(self.far))
         return due and self._has_room(server, cls) and self._sound(server, cls)
 
     def _sheds(self, cls: RequestClass, part: float) -> bool:
@@ -629,13 +630,11 @@
         return True
 
     def _attempt_ended(self, event: AttemptEnded) -> None:
-        ended = self.tries.pop((event.request_id, event.attempt), None)
-        if ended is not None:
-            self._returned(ended, event)
-        call = self.calls.get(event.request_id)
-        if call is None:
+        done, call = self.tries.pop((event.request_id, event.attempt), None), self.calls.get(event.request_id)
+        if done is not None:
+            self._returned(done, event)
+        if done is None or call is None:
             return
-        done = call.tries[event.attempt]
         if event.outcome in BLAMED:
             self._blame(done.server, call.cls, event.outcome is Outcome.CONNECT_FAILED)
         if event.outcome is Outcome.FULL:
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,328 @@
+"""The operators' address, drains and the replacing of the process, on the real program and its sockets."""
+
+import json
+import os
+import signal
+import socket
+import tempfile
+import threading
+import time
+import unittest
+from contextlib import suppress
+from pathlib import Path
+
+from scene import ONCE, READ, SETTINGS, Scene, address_of, entry, eventually, held, listener, ok
+
+from loftweir.operations.record import Record, read, written
+from loftweir.operations.store import NAME
+
+
+class OperatorsScene(Scene):
+    """A door that the test holds, as the platform does, and an address for operators for each process."""
+
+    left_behind = b""  # a record that is there before the first process
+
+    def open(self, *answers, **changes):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.shared = Path(folder.name)
+        self.door = listener()
+        self.addCleanup(self.door.close)
+        self.desk = self.free()
+        if self.left_behind:
+            (self.shared / NAME).write_bytes(self.left_behind)
+        self.start(*answers, listen=address_of(self.door), **changes)
+        self.listen = address_of(self.door)
+        self.assertTrue(eventually(lambda: self.call("READY") == "OK"), self.log())
+
+    def free(self):
+        with listener() as sock:
+            return address_of(sock)
+
+    def launch(self, desk=None, **environment):
+        number = self.door.fileno()
+        shared = {"RELAY_LISTEN_FD": str(number), "RELAY_OPERATOR": desk or self.desk, "TMPDIR": str(self.shared)}
+        return super().launch(pass_fds=(number,), **(shared | environment))
+
+    def beside(self):
+        """A second process, ready."""
+        desk = self.free()
+        program = self.launch(desk)
+        self.assertTrue(eventually(lambda: self.call("READY", desk) == "OK"), self.log())
+        return program, desk
+
+    def call(self, line, desk=None):
+        host, port = (desk or self.desk).split(":")
+        try:
+            with socket.create_connection((host, int(port)), timeout=5) as sock:
+                sock.sendall(line if isinstance(line, bytes) else f"{line}\n".encode())
+                return b"".join(iter(lambda: sock.recv(4096), b"")).decode().split("\n")[0].split(" ")[0]
+        except OSError:
+            return ""
+
+    def served_by(self, calls=6):
+        """Which providers serve so many calls."""
+        before = [len(p.seen) for p in self.providers]
+        for _ in range(calls):
+            # Beside a cold provider, and with no other zone, a part of what comes is turned away.
+            self.assertIn(self.invoke()[0], (200, 503))
+        return [len(p.seen) > b for p, b in zip(self.providers, before, strict=True)]
+
+    def kept(self):
+        return read((self.shared / NAME).read_bytes())
+
+
+class AddressTest(OperatorsScene):
+    def test_every_line_gets_one_answer_and_none_breaks_the_loop(self):
+        self.open(ok)
+        for line in (b"NO\n", b"DISABLE\n", b"DISABLE a b\n", b"\xff\xfe\n", b"\n", b"x" * 5000, b"READY x\r\n"):
+            self.assertEqual(self.call(line), "ERR", line)
+        for line in (b"READY\r\n", b"READY\nmore"):
+            self.assertEqual(self.call(line), "OK", line)
+        host, port = self.desk.split(":")
+        with socket.create_connection((host, int(port))) as sock:
+            for byte in b"DISABLE s0\n":
+                sock.sendall(bytes([byte]))
+                time.sleep(0.01)
+            self.assertTrue(sock.recv(100).startswith(b"OK"))
+        self.assertEqual([self.call("DISABLE who"), self.call("ENABLE who")], ["ERR", "ERR"])
+        with socket.create_connection((host, int(port))) as sock:
+            sock.sendall(b"REA")  # and goes
+        self.assertEqual(self.call("READY"), "OK")
+
+    def test_it_answers_within_a_second_under_full_load_and_with_callers_that_finish_nothing(self):
+        self.open(ok)
+        host, port = self.desk.split(":")
+        open_ended = [socket.create_connection((host, int(port))) for _ in range(40)]
+        for sock in open_ended:
+            self.addCleanup(sock.close)
+        stop = threading.Event()
+
+        def load():
+            client = self.client()
+            while not stop.is_set():
+                with suppress(OSError):
+                    self.invoke(client=client)
+
+        threads = [threading.Thread(target=load) for _ in range(16)]
+        for thread in threads:
+            thread.start()
+        try:
+            for n in range(20):
+                began = time.monotonic()
+                self.assertEqual(self.call(("READY", "DISABLE s0", "ENABLE s0")[n % 3]), "OK")
+                self.assertLess(time.monotonic() - began, 1)
+        finally:
+            stop.set()
+            for thread in threads:
+                thread.join()
+        oldest = open_ended[0]
+        oldest.settimeout(5)
+        self.assertEqual(oldest.recv(1), b"", "of too many the one longest there goes")
+
+    def test_who_is_out_gets_nothing_until_called_back_once(self):
+        self.open(ok, ok)
+        self.assertEqual(self.served_by(), [True, True])
+        self.assertEqual([self.call("DISABLE s0"), self.call("DISABLE s0")], ["OK", "OK"])
+        self.assertEqual(self.served_by(), [False, True])
+        self.catalog.change(entry("s0", self.providers[0].address, since_ms=5))  # whatever the list says
+        self.assertTrue(eventually(lambda: len(self.catalog.seen) > 1))
+        self.assertEqual(self.served_by(), [False, True])
+        self.assertEqual(self.call("ENABLE s0"), "OK")
+        self.assertTrue(eventually(lambda: self.served_by(10)[0], 5), "it is in use within 5 s")
+
+    def test_a_call_whose_connection_comes_up_late_goes_elsewhere(self):
+        """The provider's queue is full: its connection is still coming up when it is taken out."""
+        slow = socket.socket()
+        self.addCleanup(slow.close)
+        slow.bind(("127.0.0.1", 0))
+        slow.listen(0)
+        fill = [socket.socket() for _ in range(4)]
+        for sock in fill:
+            self.addCleanup(sock.close)
+            sock.setblocking(False)
+            sock.connect_ex(slow.getsockname())
+        allowed = SETTINGS["allowed"] | {"connectTimeout": 3_000_000_000}
+        self.open(ok, settings=SETTINGS | {"allowed": allowed})
+        self.catalog.change(entry("late", address_of(slow)), entry("s0", self.providers[0].address, "b"))
+        self.assertTrue(eventually(lambda: len(self.catalog.seen) > 1))
+        client = self.client()
+        client.request("POST", "/api", b"{}", {"Req-Id": "r", "Req-Kind": ONCE, "Req-Deadline-Ms": "3000"})
+        time.sleep(0.2)
+        self.assertEqual(self.call("DISABLE late"), "OK")
+        for sock in fill:
+            sock.close()
+        taken = []
+        slow.settimeout(2.5)
+        with suppress(OSError):
+            while True:
+                sock, _ = slow.accept()
+                sock.settimeout(0.5)
+                with suppress(OSError):
+                    taken.append(sock.recv(100))
+        self.assertEqual(b"".join(taken), b"")
+        self.assertEqual(client.getresponse().status, 200)
+        self.assertEqual(len(self.providers[0].seen), 1)
+
+    def test_what_cannot_be_kept_is_never_answered_ok(self):
+        self.open(ok, ok)
+        (self.shared / NAME).mkdir()  # nothing can be renamed to it
+        self.assertEqual(self.call("DISABLE s0"), "ERR")
+        self.assertEqual(self.served_by(), [False, True], "it holds here all the same")
+        self.assertEqual(self.call("ENABLE s0"), "ERR")
+        self.assertEqual(self.served_by(), [False, True])
+        (self.shared / NAME).rmdir()
+        self.assertTrue(eventually(lambda: self.call("ENABLE s0") == "OK"))
+
+
+class DrainTest(OperatorsScene):
+    def test_a_drain_empties_it_and_its_end_fills_it_again(self):
+        gate = threading.Event()
+        self.addCleanup(gate.set)
+        self.open(lambda head, body: held(gate)(head, body) if b"wait" in body else ok(head, body))
+        idle, used, busy, silent = (self.client() for _ in range(4))
+        for client in (idle, used):
+            self.assertEqual(self.invoke(client=client)[0], 200)
+        silent.connect()
+        busy.request("POST", "/api", b"wait", {"Req-Id": "busy", "Req-Kind": ONCE})
+        self.assertTrue(eventually(lambda: len(self.providers[0].seen) == 3))
+        self.assertEqual(self.call("DRAIN"), "OK")
+        began = time.monotonic()
+        self.assertEqual(self.health(), 503)
+        response = self.invoke(client=used)[2]  # what still comes is served, and is the last on its connection
+        self.assertEqual((response.status, response.getheader("Connection")), (200, "close"))
+        for client in (idle, silent):
+            client.sock.settimeout(5)
+            self.assertEqual(client.sock.recv(1), b"")
+        self.assertLess(time.monotonic() - began, 3)
+        self.assertEqual(self.call("READY"), "OK", "the process takes clients: an upgrade waits for it")
+        gate.set()
+        response = busy.getresponse()
+        self.assertEqual((response.status, response.getheader("Connection")), (200, "close"))
+        self.assertEqual((self.call("UNDRAIN"), self.health()), ("OK", 200))
+        self.assertEqual((self.call("UNDRAIN"), self.call("DRAIN"), self.call("DRAIN")), ("OK",) * 3)
+        self.assertEqual((self.call("UNDRAIN"), self.health()), ("OK", 200), "in the middle of a drain")
+        client = self.client()
+        self.assertEqual(self.invoke(client=client)[0], 200)
+        time.sleep(1.2)  # the drain that was called off closes nothing
+        self.assertEqual(self.invoke(client=client)[0], 200)
+        self.assertIsNone(self.program.poll())
+
+
+class UpgradeTest(OperatorsScene):
+    def test_no_request_ends_at_the_door_while_processes_are_replaced_twice(self):
+        self.open(ok)
+        stop, statuses = threading.Event(), []
+
+        def load():
+            while not stop.is_set():
+                client = self.client()
+                for _ in range(20):
+                    try:
+                        status, _, response = self.invoke(client=client)
+                    except OSError as error:
+                        status, response = repr(error), None
+                    statuses.append(status)
+                    if stop.is_set() or response is None or response.getheader("Connection") == "close":
+                        break
+                client.close()
+
+        threads = [threading.Thread(target=load) for _ in range(6)]
+        for thread in threads:
+            thread.start()
+        try:
+            old = self.program
+            for _ in range(2):
+                new, self.desk = self.beside()
+                old.send_signal(signal.SIGTERM)
+                self.assertEqual(old.wait(10), 0)
+                old = new
+        finally:
+            time.sleep(0.1)
+            stop.set()
+            for thread in threads:
+                thread.join()
+        self.assertGreater(len(statuses), 200)
+        self.assertEqual(set(statuses), {200})
+        self.assertIsNone(old.poll())
+
+    def test_what_was_said_before_during_and_after_holds_in_both_processes(self):
+        self.open(ok, ok, ok)
+        self.assertEqual(self.call("DISABLE s0"), "OK")
+        first = self.desk
+        new, second = self.beside()
+        self.assertEqual(self.call("DISABLE s1", first), "OK")
+        self.assertTrue(eventually(lambda: len(self.logged("operator.record")) >= 4, 2), self.log())
+        self.assertEqual(self.served_by(20), [False, False, True])
+        self.assertEqual(self.call("ENABLE s0", second), "OK")
+        self.assertEqual(self.call("DRAIN", second), "OK")
+        self.assertTrue(eventually(lambda: len(self.logged("life.changed")) == 2), "the drain binds both")
+        self.program.send_signal(signal.SIGTERM)
+        self.assertEqual(self.program.wait(10), 0)
+        self.assertEqual(self.health(), 503)
+        self.assertEqual(self.call("UNDRAIN", second), "OK")
+        self.assertFalse(self.served_by(20)[1])
+        third, desk = self.beside()
+        new.kill()  # no end in good order: what was said holds all the same
+        new.wait()
+        self.assertTrue(eventually(lambda: self.health() == 200))
+        self.assertFalse(self.served_by(20)[1])
+        self.assertEqual(self.call("ENABLE s1", desk), "OK")
+        self.assertTrue(eventually(lambda: self.served_by(20)[1]))
+
+    def test_a_new_process_that_fails_leaves_the_old_one_in_service(self):
+        self.open(ok)
+        self.path.write_text("{")
+        self.assertEqual(self.launch(self.free()).wait(10), 2)
+        self.path.write_text(json.dumps(self.config))
+        self.launch(self.free()).kill()  # before it is ready
+        self.assertEqual([self.invoke()[0] for _ in range(5)], [200] * 5)
+        self.assertEqual(self.launch(self.free(), RELAY_LISTEN_FD="99").wait(10), 2)
+        self.assertIn("RELAY_LISTEN_FD", self.log())
+
+    def test_a_damaged_record_takes_no_ban_back_and_heals(self):
+        self.open(ok, ok)
+        self.assertEqual(self.call("DISABLE s0"), "OK")
+        whole = (self.shared / NAME).read_bytes()
+        other = whole.replace(b" 1 ", b" 7 ", 1), whole.replace(b"true", b"null")
+        for damaged in (whole[:-9], b"", b"\xff" * 99, *other):
+            (self.shared / f"{NAME}.1").write_bytes(whole[:9])  # one that died between writing and renaming
+            (self.shared / "new").write_bytes(damaged)
+            os.rename(self.shared / "new", self.shared / NAME)
+            _, desk = self.beside()
+            self.assertTrue(eventually(lambda: self.healed()), self.log())
+            self.assertEqual(self.served_by(12), [False, True], damaged)
+            self.assertEqual(self.call("READY", desk), "OK")
+        self.assertTrue(self.logged("operator.record_damaged"))
+
+    def healed(self):
+        with suppress(ValueError, OSError):
+            return self.kept().banned("s0")
+        return False
+
+    def test_what_processes_long_dead_have_left_keeps_its_bans_and_not_its_drain(self):
+        self.left_behind = written(Record().ban("s0", True, 7).drained(True, 7))
+        self.open(ok, ok)
+        self.assertEqual(self.health(), 200)
+        self.assertEqual(self.served_by(12), [False, True])
+
+    def test_the_second_process_asks_discovery_at_once(self):
+        self.open(ok)
+        self.assertTrue(eventually(lambda: self.catalog.seen))
+        before = len(self.catalog.seen)
+        self.beside()
+        self.assertTrue(eventually(lambda: len(self.catalog.seen) > before, 1))
+
+    def test_with_no_other_process_an_inherited_door_stays_open_for_a_while(self):
+        self.open(ok)
+        self.program.send_signal(signal.SIGTERM)
+        time.sleep(0.2)
+        self.assertEqual(self.invoke(READ)[0], 200)
+        self.assertEqual(self.program.wait(10), 0)
+        self.door.settimeout(0.1)  # and is not shut down
+        with self.assertRaises(TimeoutError):
+            self.door.accept()
+
+
+if __name__ == "__main__":
+    unittest.main()
