Send bodies greater than the room on while they come

Need: a body of up to 32 MB may be greater than three quarters of the room (15 MB of 80 MB memory), and was rejected.

Change: http1/flow.Upload, pulled by the invoker call from the consumer's connection; the invocation has its class with the time that the body may take added, the true patience counts from the last byte on. Once a byte is out, a further call ends "not sent".

Not built: the same for chunked bodies, whose length is not known: over the room they get 503.

--- a/loftweir/core/invocation.py
+++ b/loftweir/core/invocation.py
@@ -59,6 +59,7 @@
         "cls",
         "patience",
         "deadline",
+        "after_body",
         "payload",
         "write",
         "client_retry",
@@ -84,6 +85,7 @@
         self.cls = cls  # as it was when the head came, whatever the settings say later
         self.patience = patience  # ns that the client still waits, from when it is taken
         self.deadline = 0  # patience from the moment it was taken
+        self.after_body = 0  # patience from its last byte on, where that is sent on while it comes
         self.payload = payload  # the front's and the back's; nobody between looks into it
         self.write = write
         self.client_retry = client_retry
--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -15,8 +15,8 @@
 from loftweir.config.model import Options
 from loftweir.core.invocation import Call
 from loftweir.http1 import grammar
-from loftweir.http1.flow import Passing
-from loftweir.http1.message import Answer, Message, by_name, passed_on
+from loftweir.http1.flow import Passing, Unsent
+from loftweir.http1.message import Answer, Flow, Message, by_name, passed_on
 from loftweir.http1.strict import Strict
 from loftweir.interface import Lifecycle, MembershipUpdate, Outcome, Settings, UpdateKind
 from loftweir.net.loop import MS, READABLE, Coroutine, Loop, Wait
@@ -29,6 +29,7 @@
     TooLarge,
     connect,
     send,
+    waited,
 )
 
 Ended = Callable[[Call, Outcome, Any], None]
@@ -231,7 +232,9 @@
         call.up_at = self.loop.time
         reusable: bool | None = False
         try:
-            if not call.invocation.open:
+            body = call.invocation.payload.body
+            if not call.invocation.open or getattr(body, "begun", False):
+                # Or its body has been sent on already, and can't be again.
                 reusable = True  # the consumer went while the connection came up: spare the provider
                 outcome, answer = Outcome.NOT_SENT, None
             else:
@@ -253,9 +256,12 @@
         """The outcome, the answer with OK, and whether the connection can be used again; None: it went with the
         answer."""
         sock, give_up_at = connection.sock, call.give_up_at
+        body = call.invocation.payload.body
         try:
             yield from send(sock, self.message(call), give_up_at)
-        except TookTooLong:
+            if not isinstance(body, list):
+                give_up_at = yield from self._send_on(call, sock, body)
+        except (TookTooLong, Unsent):
             return Outcome.NOT_SENT, None, False
         except OSError:
             return Outcome.CONNECT_FAILED, None, False  # before the last byte: it can't have run
@@ -349,7 +355,8 @@
         pool, limits = self.pool, self.pool.options.limits
 
         def give_back(reusable: bool) -> None:
-            if reusable:
+            # A slow consumer has the last of it long after its provider wrote it: from then on that counts it as idle.
+            if reusable and waited(connection.sock) < pool.options.providers.idle_margin:
                 pool.rest(connection)
             else:
                 pool.close(connection)
@@ -373,6 +380,17 @@
         declined = status in (503, 504) and fields.get(b"srv-declined") == b"1"
         return Outcome.FULL if declined else Outcome.ERROR, None, reusable
 
+    def _send_on(self, call: Call, sock: socket.socket, body: Flow) -> Coroutine[int]:
+        """A body that is sent on while it comes; the time that its call has from its last byte on."""
+        try:
+            while piece := (yield from body.pull()):
+                yield from send(sock, [piece], self.loop.time + self.pool.options.limits.silent_for)
+        finally:
+            body.close()
+        invocation = call.invocation
+        invocation.deadline = call.give_up_at = self.loop.time + invocation.after_body
+        return call.give_up_at
+
     def message(self, call: Call) -> list[Any]:
         request = call.invocation.payload
         assert isinstance(request, Message)
@@ -380,7 +398,10 @@
         head = b"%s %s HTTP/1.1\r\n%s" % (method, target, passed_on(pairs, fields))
         if b"host" not in fields:  # HTTP/1.0
             head += b"Host: service.internal\r\n"
-        if body or method != b"GET":
+        if not isinstance(body, list):
+            head += b"Content-Length: %d\r\n" % (body.length or 0)
+        elif body or method != b"GET":
             head += b"Content-Length: %d\r\n" % sum(map(len, body))
         left = max(1, (call.give_up_at - self.loop.time) // MS)
-        return [head + b"Req-Deadline-Ms: %d\r\n\r\n" % left, *body]
+        head += b"Req-Deadline-Ms: %d\r\n\r\n" % left
+        return [head, *body] if isinstance(body, list) else [head]
--- a/loftweir/http1/flow.py
+++ b/loftweir/http1/flow.py
@@ -1,7 +1,7 @@
-"""The long body of an answer, passed on as its provider gives it.
+"""Long bodies, passed on as they come: of an answer from its provider, of a request from its consumer.
 
-Whoever writes it to the consumer pulls the next piece when the last one is out: one piece of it is in memory, and a
-consumer that does not read stops the provider. No deadline ends it while the provider still gives.
+Whoever writes one on pulls the next piece when the last one is out: one piece of it is in memory, and a side that does
+not read stops the other. No deadline ends it while there is more to come.
 """
 
 from __future__ import annotations
@@ -85,3 +85,60 @@
 
     def __del__(self) -> None:
         self.close()
+
+
+class Unsent(Exception):
+    """A request's body that did not come whole, or can't be sent a second time: nothing of it has run."""
+
+
+class Upload:
+    """The body of a request that is greater than the room for it. It can be pulled once.
+
+    Invariant: until `over`, only `pull` waits on the consumer's socket."""
+
+    def __init__(self, loop: Loop, sock: socket, held: Body, length: int, silent_for: int) -> None:
+        self.loop = loop
+        self.sock = sock
+        self.held = held
+        self.room = held.room
+        self.length: int | None = length
+        self.left = length - held.size
+        self.silent_for = silent_for
+        self.begun = False
+        self.over = False
+        self.broken: Exception | None = None  # the consumer's fault
+        self.told: Callable[[], None] = lambda: None  # it is over, one way or the other
+
+    def pull(self) -> Coroutine[bytes]:
+        if not self.begun:
+            self.begun = True
+            return b"".join(self.held)
+        while self.left and self.broken is None:
+            try:
+                data = self.sock.recv(min(self.left, self.room.piece()))
+            except BlockingIOError:
+                if not (yield Wait(self.sock, READABLE, self.loop.time + self.silent_for)):
+                    self._end(TookTooLong())
+                continue
+            except OSError as error:
+                self._end(error)
+                continue
+            if not data:
+                self._end(ConnectionResetError("the consumer ended inside its body"))
+                continue
+            self.left -= len(data)
+            return data
+        if self.broken is not None:
+            raise Unsent
+        self._end(None)
+        return b""
+
+    def _end(self, broken: Exception | None) -> None:
+        self.broken = broken
+        self.close()
+
+    def close(self) -> None:
+        """Nothing more is pulled."""
+        if not self.over:
+            self.over = True
+            self.told()
--- a/loftweir/http1/front.py
+++ b/loftweir/http1/front.py
@@ -10,6 +10,7 @@
 import socket
 import struct
 from collections.abc import Callable
+from dataclasses import replace
 from enum import IntEnum
 from functools import lru_cache
 from itertools import islice
@@ -23,6 +24,7 @@
 from loftweir.core.invocation import Final, Invocation, Kind, Unfit, check
 from loftweir.core.life import Life
 from loftweir.http1 import grammar
+from loftweir.http1.flow import Upload
 from loftweir.http1.message import Answer, Fields, Flow, Message, by_name, plain
 from loftweir.http1.strict import Strict
 from loftweir.interface import Settings
@@ -35,6 +37,7 @@
 OURS = (b"req-id", b"req-kind", b"req-deadline-ms", b"idempotency-key")
 ACCEPTS_A_TURN = 16  # a wave of new connections waits for the answers that are ready
 CLOSES_A_TURN = 64  # so does a wave of connections whose time is over
+LONGEST_UPLOAD = 60 * SECOND  # that a body which is sent on while it comes may take
 ROOM_WITHIN = 1500 * MS  # that a long body waits for room: its request's time has not begun
 COME_BACK = 500 * MS  # where it had none
 LOOKS_AT = 16  # connections that `spare` looks at in each row, the longest there first
@@ -250,6 +253,8 @@
                         self.method = head.first
                         rest = None
                         answer, rest = yield from self._plainly(head, data, until, began)
+                        if rest is None:
+                            unread = head.length  # its body was sent on, if at all, and may be coming still
                 except h11.RemoteProtocolError as error:
                     answer, rest = plain(error.error_status_hint, "malformed HTTP"), None
                 except Malformed as error:
@@ -360,6 +365,9 @@
         body = Body(self.front.room)
         invocation = self._admit(Message(head.first, head.second, head.pairs, head.fields, body))
         end = head.end + head.length
+        if invocation is not None and head.length > self.front.room.most():
+            body.append(data[head.end : end])
+            return (yield from self._sent_on(invocation, body, head.length, began)), None
         if head.length:
             yield from reserved(self.front.loop, body, head.length, ROOM_WITHIN)
             body.append(data[head.end : end])
@@ -379,6 +387,19 @@
             return self._health(), rest
         return (yield from self._decided(invocation, began)), rest
 
+    def _sent_on(self, invocation: Invocation, body: Body, length: int, began: int) -> Coroutine[Answer | None]:
+        """A request whose body is greater than the room: taken from its head on, and sent on while it comes. The
+        balancer is given its class with the time that the body may take, and blames nobody for that."""
+        front, limits = self.front, self.front.options.limits
+        upload = Upload(front.loop, self.sock, body, length, limits.body_silent)
+        invocation.payload = invocation.payload._replace(body=upload)
+        allowed = min(length * SECOND // limits.body_rate, LONGEST_UPLOAD)
+        cls = invocation.cls
+        invocation.cls = replace(cls, aim=cls.aim + allowed, deadline=cls.deadline + allowed)
+        invocation.after_body = invocation.patience
+        invocation.patience += allowed
+        return (yield from self._decided(invocation, began, upload))
+
     def _strictly(self, wire: Strict, until: int, began: int) -> Coroutine[Answer | None]:
         """A request that is not of the common form, as h11 reads it. None: the connection ended before one began."""
         head = yield from wire.next_event(until)
@@ -440,7 +461,7 @@
 
     # ---- deciding -------------------------------------------------------------------------------
 
-    def _decided(self, invocation: Invocation, began: int) -> Coroutine[Answer]:
+    def _decided(self, invocation: Invocation, began: int, upload: Upload | None = None) -> Coroutine[Answer]:
         """Takes an invocation, and waits for its answer or for the consumer to go. Only a hang-up is looked for:
         what a consumer sends ahead of its answer stays in the kernel."""
         front = self.front
@@ -453,17 +474,22 @@
         try:
             if front.ends_at:
                 invocation.patience = min(invocation.patience, front.ends_at - front.loop.time)
-            age = waited(self.sock)
+            age = waited(self.sock) if upload is None else 0
             host.take(invocation, age, min(age, front.loop.time - self.free_at))
             if invocation.open:
                 task = self.task
                 if task is not None:
                     invocation.closed = task.wake
-                # The balancer answers by the deadline; should it ever fail to, the consumer still gets an answer.
-                last = invocation.deadline + host.settings.safety.answer_grace // 2
+                    if upload is not None:
+                        upload.told = task.wake
                 event = WOKEN
                 while invocation.open and event == WOKEN:
-                    event = yield Wait(self.sock, HUNG_UP, last)
+                    # The balancer answers by the deadline; should it ever fail to, the consumer still gets an answer.
+                    last = invocation.deadline + host.settings.safety.answer_grace // 2
+                    coming = upload is not None and not upload.over
+                    event = yield Wait(None if coming else self.sock, HUNG_UP, last)
+                    if upload is not None and upload.broken is not None:
+                        raise upload.broken
                 if invocation.open and event == 0:
                     say(OVERDUE, id=invocation.id, **{"class": invocation.cls.name})
                     final = Final(Kind.LATE)
--- a/loftweir/http1/message.py
+++ b/loftweir/http1/message.py
@@ -48,7 +48,7 @@
     target: bytes
     pairs: Pairs
     fields: Fields
-    body: list[bytes]
+    body: list[bytes] | Flow
 
 
 def by_name(pairs: Iterable[tuple[bytes, bytes]]) -> Fields:
--- a/loftweir/net/stream.py
+++ b/loftweir/net/stream.py
@@ -56,6 +56,10 @@
         kept = self.size // KEPT_FOR_SMALL if wanted + held > SMALL else 0
         return self.left - wanted >= kept
 
+    def most(self) -> int:
+        """That one body may take."""
+        return self.size - self.size // KEPT_FOR_SMALL
+
     def piece(self) -> int:
         """How much of a long body to read at a time: the less, the less room there is."""
         return max(LEAST_PIECE, min(READ_SIZE, self.left // PIECES))
