A long body whose head comes alone is not taken for an empty one

Cause: a test of bodies that are sent on hung now and then. Seen in `ss` and access lines: the consumer's bytes unread, the provider waiting for the rest, the call waiting for its answer: the sidecar held the body for whole. At fault: Upload.pull and Passing.pull gave what had come with the head as the first piece, also where that was empty, and an empty piece is the end. Ruled out: a watch that is lost (the timer of the pull would have ended it), the room, the provider. So a long answer whose head came in a segment of its own was passed on without its body, the connection kept.

Change: nothing held, then the first piece is read. Tests for both ways; each fails without it.

--- a/loftweir/http1/flow.py
+++ b/loftweir/http1/flow.py
@@ -45,8 +45,9 @@
         self.given = 0
 
     def pull(self) -> Coroutine[bytes]:
-        if self.held is not None:
-            piece, self.held = b"".join(self.held), None
+        held, self.held = self.held, None
+        if held is not None and held.size:  # its head may have come alone, and an empty piece is its end
+            piece = b"".join(held)
         else:
             piece = yield from self._next()
         self.given += len(piece)
@@ -112,7 +113,8 @@
     def pull(self) -> Coroutine[bytes]:
         if not self.begun:
             self.begun = True
-            return b"".join(self.held)
+            if self.held.size:  # nothing of it may have come with its head, and an empty piece is its end
+                return b"".join(self.held)
         while self.left and self.broken is None:
             try:
                 data = self.sock.recv(min(self.left, self.room.piece()))
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -84,6 +84,15 @@
                 self.assertEqual(len(sockets), 1)
                 self.assertIsNone(self.program.poll())
 
+    def test_a_long_answer_whose_head_comes_alone_is_whole(self):
+        def answer(head, body):
+            self.providers[0].sockets[-1].sendall(b"HTTP/1.1 200 X\r\nContent-Length: 200000\r\n\r\n")
+            time.sleep(0.2)
+            return b"w" * 200000
+
+        self.start(answer)
+        self.assertEqual(self.invoke(ONCE)[:2], (200, b"w" * 200000))
+
     def test_answers_of_every_framing_are_passed_on_whole(self):
         body = os.urandom(200000)
         chunked = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -199,6 +208,18 @@
         self.assertEqual(self.invoke(ONCE)[0], 200)
         self.assertEqual([body for _, body, _ in self.providers[0].seen if len(body) == 9000000], [])
 
+    def test_one_sent_on_may_come_with_its_head_or_well_after_it(self):
+        self.small(ok, memory_mb=16)
+        body = b"x" * 5 * MIB
+        for n, cut in enumerate((0, 1, 30000)):
+            client, sock, head = self.client_socket(b"r%d" % n)
+            sock.sendall(head + b"Content-Length: %d\r\n\r\n" % len(body) + body[:cut])
+            time.sleep(0.1)
+            sock.sendall(body[cut:])
+            response = http.client.HTTPResponse(sock)
+            response.begin()
+            self.assertEqual(response.read(), b"served " + body)
+
     def test_one_sent_on_is_sent_elsewhere_as_long_as_nothing_of_it_is_out(self):
         with listener() as gone:
             address = address_of(gone)
