--- a/loftweir/core/life.py
+++ b/loftweir/core/life.py
@@ -18,9 +18,7 @@
     """What holds in a state."""
 
     healthy: bool  # health may say yes
-    accepts: bool  # new connections are taken
     last: bool  # an answer is the last on its connection
-    rests: bool  # a connection may rest between requests
 
 
 class State(Enum):
@@ -32,11 +30,11 @@
 
 
 TRAITS = {
-    State.SERVING: Traits(healthy=True, accepts=True, last=False, rests=True),
-    State.LEAVING: Traits(healthy=False, accepts=True, last=True, rests=True),
-    State.EMPTY: Traits(healthy=False, accepts=True, last=True, rests=False),
-    State.ENDING: Traits(healthy=False, accepts=True, last=True, rests=True),
-    State.SHUT: Traits(healthy=False, accepts=False, last=True, rests=False),
+    State.SERVING: Traits(healthy=True, last=False),
+    State.LEAVING: Traits(healthy=False, last=True),
+    State.EMPTY: Traits(healthy=False, last=True),
+    State.ENDING: Traits(healthy=False, last=True),
+    State.SHUT: Traits(healthy=False, last=True),
 }
 
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -135,6 +135,6 @@
             assert life.step(step)
         for step in (Step.DRAIN, Step.UNDRAIN, Step.EMPTIED, Step.END):
             assert not life.step(step) and life.ends
-        assert life.step(Step.SHUT) and not life.traits.accepts
+        assert life.step(Step.SHUT) and not life.traits.healthy and life.traits.last
     assert set(TRAITS) == set(State) and {s for s, _ in TABLE} | set(TABLE.values()) == set(State)
     assert [s for s in State if TRAITS[s].healthy] == [State.SERVING]
