Watch the agent always where lists are pushed, and call a silent one again

A probe test of two providers, one drained through the agent, saw no call at all.

Change: http1/discovery.py holds the watch itself where lists are pushed, whatever the balancer says; a failed watch is set up again after calls_apart, and a run of failures is logged once. Such a watch waits agent_wait (1 s) and is given up agent_silent_after (250 ms) past that, new operator keys, so that an agent gone silent is soon called anew. Tests: tests/test_pushed.py, the agent watched from the start, a drain kept, a silent agent called again.

--- a/loftweir/config/model.py
+++ b/loftweir/config/model.py
@@ -162,6 +162,12 @@
     # A watch goes on where its next call comes within 200 ms of the last answer: later ones begin anew.
     calls_apart: Annotated[int, time("from call to call at least", MS, 180 * MS)] = 100 * MS
     list_size: Annotated[int, size("of one answer of discovery", KIB, 256 * MIB)] = 4 * MIB
+    # Where lists are pushed, the agent beside the sidecar answers at no cost and what it has counts as told: it
+    # is watched always, a silent one is soon given up and called again.
+    agent_wait: Annotated[int, time("that the agent that pushes lists may hold a watch", 10 * MS, MINUTE)] = SECOND
+    agent_silent_after: Annotated[
+        int, time("past its wait, until a call to the agent with no answer is taken for failed", 10 * MS, MINUTE)
+    ] = 250 * MS
 
 
 class Log(Section, frozen=True, kw_only=True):
--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -39,8 +39,17 @@
         self.version: int | None = None
         self.watching: Task | None = None
         self.before: Task | None = None  # the watch at the address left, until the one that follows it stands
+        # Where an agent pushes lists, what it has counts as told whether asked or not: it is watched always,
+        # whatever the balancer says, and a watch that fails is set up again at once.
+        self.pushed = False
+
+    def push(self, pushed: bool) -> None:
+        self.pushed = pushed
+        if pushed:
+            self.watch(True)
 
     def watch(self, on: bool) -> None:
+        on = on or self.pushed
         if on and self.watching is not None and not self.watching.over:
             return  # one stands, or is being set up since discovery moved: asked again, news would be late
         if not on:
@@ -80,7 +89,7 @@
         try:
             sock = yield from self._connect()
             try:
-                update, addresses, _ = yield from self._call(sock, PATH, 0)
+                update, addresses, _ = yield from self._call(sock, PATH, 0, self.options.discovery.silent_after)
             finally:
                 self.loop.close(sock)
         except CallFailed as error:
@@ -90,8 +99,25 @@
             self.told(update, addresses)
 
     def _follow(self, version: int | None) -> Coroutine[None]:
-        """One call after another over one connection: the next starts at once, so that the watch goes on."""
-        address = self.address
+        """Watches until a call fails; where lists are pushed, anew after each failure, and a run of them is
+        logged once."""
+        address, quiet = self.address, False
+        while True:
+            answered = yield from self._watch(version, address, quiet)
+            if not self.pushed or address != self.address:
+                return
+            quiet = not answered
+            version = self.version
+            yield Wait(None, 0, self.loop.now() + self.options.discovery.calls_apart)
+
+    def _watch(self, version: int | None, address: str, quiet: bool) -> Coroutine[bool]:
+        """One call after another over one connection: the next starts at once, so that the watch goes on.
+        It ends as a call fails: True if one answered before."""
+        options = self.options.discovery
+        wait_for, silent_after = options.wait, options.silent_after
+        if self.pushed:
+            wait_for, silent_after = options.agent_wait, options.agent_silent_after
+        answered = False
         try:
             sock = yield from self._connect()
             try:
@@ -100,12 +126,13 @@
                     asked_at = self.loop.now()
                     target, wait = PATH, 0
                     if version is not None:
-                        wait = self.options.discovery.wait
+                        wait = wait_for
                         target = f"{PATH}?after={version}&wait_ms={wait // MS}"
-                    update, addresses, again = yield from self._call(sock, target, wait)
+                    update, addresses, again = yield from self._call(sock, target, wait, silent_after)
                     if address == self.address:
                         self._drop_before()
                     # The first answer of a watch is told with or without news: the watch stands.
+                    answered = True
                     if first or update.endpoints or update.version != version:
                         self.version = version = update.version
                         self.told(update, addresses)
@@ -119,8 +146,10 @@
                 self.loop.close(sock)
         except CallFailed as error:
             if address == self.address:  # else it was left, and another goes on
-                say(DISCOVERY_WATCH, why=error, address=address)
+                if not quiet:
+                    say(DISCOVERY_WATCH, why=error, address=address)
                 self._fail()
+        return answered
 
     def _connect(self) -> Coroutine[socket]:
         try:
@@ -130,11 +159,11 @@
             raise CallFailed("not up") from None
 
     def _call(
-        self, sock: socket, target: str, wait: int
+        self, sock: socket, target: str, wait: int, silent_after: int
     ) -> Coroutine[tuple[MembershipUpdate, dict[str, str], bool]]:
         """One answer of discovery, and whether its connection can be used again."""
         wire = Strict(sock, h11.CLIENT)
-        until = self.loop.now() + wait + self.options.discovery.silent_after
+        until = self.loop.now() + wait + silent_after
         try:
             head = f"GET {target} HTTP/1.1\r\nHost: {self.address}\r\n\r\n"
             yield from send(sock, [head.encode()], until)
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -71,6 +71,7 @@
         if settings != self.host.settings:
             self.host.use(settings)
         self.discovery.move(discovery)
+        self.discovery.push(settings.discovery_pushes)
 
     # ---- life -----------------------------------------------------------------------------------
 
@@ -99,6 +100,7 @@
         if self.desk.follows:
             # News bind soon after this process says that it is ready, and there is one of it: no crowd to spread.
             self.discovery.watch(True)
+        self.discovery.push(platform.settings.discovery_pushes)
         self.loop.spawn(self._obey(woken, wakes, reload))
         self.loop.spawn(self._keep_log())
 
--- /dev/null
+++ b/tests/test_pushed.py
@@ -0,0 +1,32 @@
+"""Lists that an agent on the sidecar's machine pushes: what it has counts as told, so it is always watched."""
+
+import time
+
+from scene import SETTINGS, Scene, eventually, ok
+
+PUSHED = SETTINGS | {"discovery": "push"}
+
+
+class PushedTest(Scene):
+    def test_the_agent_is_watched_from_the_start_and_a_drain_is_kept(self):
+        self.start(ok, ok, settings=PUSHED)
+        self.assertTrue(eventually(lambda: self.health() == 200), self.log())
+        self.assertTrue(eventually(lambda: self.catalog.seen, 5), "the agent is never called")
+        self.catalog.change(self.entries[0] | {"status": "leaving"})
+        calls = len(self.catalog.seen)
+        self.assertTrue(eventually(lambda: len(self.catalog.seen) > calls, 5), "the watch does not go on")
+        before = len(self.providers[0].seen)
+        for _ in range(8):
+            self.assertEqual(self.invoke()[0], 200)
+        self.assertEqual(len(self.providers[0].seen), before, "a drained provider is sent to")
+
+    def test_a_silent_agent_is_called_again_and_the_list_held_serves_on(self):
+        self.start(ok, settings=PUSHED)
+        self.assertTrue(eventually(lambda: self.health() == 200), self.log())
+        self.assertTrue(eventually(lambda: self.catalog.seen, 5))
+        self.catalog.fail(True)
+        time.sleep(0.5)
+        self.assertEqual(self.invoke()[0], 200)
+        calls = len(self.catalog.seen)
+        self.catalog.fail(False)
+        self.assertTrue(eventually(lambda: len(self.catalog.seen) > calls + 1, 15), "not called again")
