--- a/loftweir/core/invocation.py
+++ b/loftweir/core/invocation.py
@@ -63,6 +63,7 @@
         "payload",
         "write",
         "client_retry",
+        "key",
         "open",
         "final",
         "calls",
@@ -80,6 +81,7 @@
         write: bool = False,
         client_retry: bool = False,
         traced: bool = False,
+        key: str | None = None,
     ) -> None:
         self.id = request_id
         self.cls = cls  # as it was when the head came, whatever the settings say later
@@ -89,6 +91,7 @@
         self.payload = payload  # the front's and the back's; nobody between looks into it
         self.write = write
         self.client_retry = client_retry
+        self.key = key  # what the request concerns, where the application says so
         self.open = True
         self.final: Final | None = None
         self.calls: list[Call] = []
@@ -102,6 +105,7 @@
             self.cls.name,
             self.patience,
             cls=self.cls,
+            key=self.key,
             client_retry=self.client_retry,
             write=self.write,
             shed=shed,
--- a/loftweir/http1/front.py
+++ b/loftweir/http1/front.py
@@ -88,6 +88,7 @@
         write=request.method != b"GET",
         client_retry=fields.get(b"req-retry") == b"1",
         traced=traced,
+        key=key_of(fields.get(b"req-key")),
     )
 
 
@@ -107,6 +108,11 @@
     return value.decode("ascii")
 
 
+def key_of(value: bytes | None) -> str | None:
+    """`Req-Key`, where it is plain text: the balancer may do without it, and a request is not lost over it."""
+    return value.decode("ascii") if value and value.isascii() else None
+
+
 def answered(final: Final) -> Answer:
     """A final answer in HTTP's words."""
     if final.kind is Kind.SERVED:
