--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -480,7 +480,7 @@
 
     def _may_do(self, server: Server, cls: RequestClass) -> bool:
         sound = server.full_until <= self.now and self._sound(server, cls)
-        return sound and server.pace * (len(self._held_by(server, cls)) + 1) <= cls.aim
+        return sound and server.pace * (len(self._held_by(server, cls)) + 1) <= cls.aim * ALONE
 
     def _fails(self, server: Server, name: str) -> float:
         """The part of its answers to this class that fail. It is forgotten with time, the more slowly the
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -157,3 +157,21 @@
     balancer.handle(0, [full(endpoint("a1"))])
     (first,) = attempts(balancer.handle(SECOND, [request("r")]))
     assert of(Refuse, balancer.handle(SECOND + MS, [ended(first, Outcome.FULL)])) == [Refuse("r", 0)]
+
+
+def test_what_is_worth_most_is_not_queued_past_where_it_would_be_late():
+    """Past the deck, what is worth most still goes where it may be in time; not onto a queue that answers it only at
+    the end of its aim: a node that holds far more than its cores turns slow, and the whole of its queue is late."""
+    classes = {
+        "cheap": RequestClass("cheap", Effect.REPEATABLE, 200 * MS, 1000 * MS, worth=1.0),
+        "dear": RequestClass("dear", Effect.REPEATABLE, 200 * MS, 1000 * MS, worth=10.0),
+    }
+    balancer = make(zones=("a",), classes=classes)
+    now = SECOND
+    balancer.handle(now, [full(endpoint("a1"))])
+    (first,) = attempts(balancer.handle(now, [request("r0", "dear")]))
+    balancer.handle(now + 40 * MS, [ended(first, Outcome.OK, elapsed=40 * MS)])  # one more out adds 40 ms
+    sent = []
+    for number in range(1, 9):
+        sent += attempts(balancer.handle(now + (40 + number) * MS, [request(f"r{number}", "dear")]))
+    assert len(sent) == 3  # 3 x 40 ms within 0.6 of the aim; the rest is turned away, not queued for lateness
