Name the pushed-list test for what it causes: an agent that fails, not one that is silent

Need: the stand-in answers 503 at once when it fails; the test's name said silent, which it does not cause. Change: the name only. Measured: the test passes as before; no code changed.

--- a/tests/test_pushed.py
+++ b/tests/test_pushed.py
@@ -20,7 +20,7 @@
             self.assertEqual(self.invoke()[0], 200)
         self.assertEqual(len(self.providers[0].seen), before, "a drained provider is sent to")
 
-    def test_a_silent_agent_is_called_again_and_the_list_held_serves_on(self):
+    def test_a_failing_agent_is_called_again_and_the_list_held_serves_on(self):
         self.start(ok, settings=PUSHED)
         self.assertTrue(eventually(lambda: self.health() == 200), self.log())
         self.assertTrue(eventually(lambda: self.catalog.seen, 5))
