Test a silent agent of pushed lists: given up soon, called again, its news then taken

Need: the watch of a pushing agent is given up agent_wait plus agent_silent_after past each call; no test caused an agent that takes calls and never answers.

Change: test_pushed.py, a stand-in agent that holds every call unanswered; within 6 s more than two new calls must come, requests are served from the list held meanwhile, and once it answers again a drain it tells is kept.

--- a/tests/test_pushed.py
+++ b/tests/test_pushed.py
@@ -1,5 +1,6 @@
 """Lists that an agent on the sidecar's machine pushes: what it has counts as told, so it is always watched."""
 
+import threading
 import time
 
 from scene import SETTINGS, Scene, eventually, ok
@@ -30,3 +31,24 @@
         calls = len(self.catalog.seen)
         self.catalog.fail(False)
         self.assertTrue(eventually(lambda: len(self.catalog.seen) > calls + 1, 15), "not called again")
+
+    def test_a_silent_agent_is_given_up_soon_and_called_again(self):
+        self.start(ok, ok, settings=PUSHED)
+        self.assertTrue(eventually(lambda: self.health() == 200), self.log())
+        self.assertTrue(eventually(lambda: self.catalog.seen, 5))
+        answer, gate = self.catalog.answer, threading.Event()
+        self.addCleanup(gate.set)
+        self.catalog.answer = lambda head, body: answer(head, body) if gate.wait(20) else None
+        calls = len(self.catalog.seen)
+        # A call waits 1 s and is given up 0.25 s past that: within 6 s, more than two new calls.
+        self.assertTrue(eventually(lambda: len(self.catalog.seen) > calls + 2, 6), "a silent agent is waited for")
+        self.assertEqual(self.invoke()[0], 200)
+        self.catalog.answer = answer
+        gate.set()
+        self.catalog.change(self.entries[0] | {"status": "leaving"})
+        calls = len(self.catalog.seen)
+        self.assertTrue(eventually(lambda: len(self.catalog.seen) > calls + 1, 6))
+        before = len(self.providers[0].seen)
+        for _ in range(8):
+            self.assertEqual(self.invoke()[0], 200)
+        self.assertEqual(len(self.providers[0].seen), before, "news after the silence are not taken")
