--- a/loftweir/config/model.py
+++ b/loftweir/config/model.py
@@ -195,6 +195,16 @@
     access_sample: Annotated[float, share("of the others that `sampled` says, chosen by id", 0.0, 1.0)] = 0.01
 
 
+class State(Section, frozen=True, kw_only=True):
+    """The snapshot of the list, in `$TMPDIR`, that a start takes where the platform gives an older one or none."""
+
+    keep: Annotated[str, choice("the last list held, as a snapshot to start with", "off", "on", live=False)] = "off"
+    trust_for: Annotated[int, time("after it was written, that a snapshot may be started with", SECOND, HOUR)] = (
+        60 * SECOND
+    )
+    write_apart: Annotated[int, time("from one snapshot to the next at least", 10 * MS, MINUTE)] = SECOND
+
+
 class Options(Section, frozen=True, kw_only=True):
     """The operator's file as a whole."""
 
@@ -202,6 +212,7 @@
     providers: Providers = Providers()
     discovery: Discovery = Discovery()
     log: Log = Log()
+    state: State = State()
 
 
 class Key(NamedTuple):
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -5,7 +5,9 @@
 import os
 import signal
 import socket
+import time
 from collections.abc import Callable
+from pathlib import Path
 
 from loftweir.config.model import MIB, Options
 from loftweir.config.platform import Platform
@@ -14,12 +16,22 @@
 from loftweir.http1.back import Back
 from loftweir.http1.discovery import Discovery
 from loftweir.http1.front import Front
-from loftweir.interface import MembershipUpdate, Settings
+from loftweir.interface import MembershipUpdate, Settings, UpdateKind
 from loftweir.net.loop import MS, READABLE, SECOND, WRITABLE, Coroutine, Loop, Task, Wait
 from loftweir.operations.address import DESCRIPTORS, Address
 from loftweir.operations.desk import Desk
+from loftweir.state.disk import Disk
+from loftweir.state.snapshot import Choice, Damaged, Holding, Snapshot, choose
 from loftweir.telemetry import log
-from loftweir.telemetry.catalogue import DISCOVERY_LIST_IS, LIFE_CHANGED, STOP_BEGUN, STOP_DONE
+from loftweir.telemetry.catalogue import (
+    DISCOVERY_LIST_IS,
+    LIFE_CHANGED,
+    STATE_DAMAGED,
+    STATE_FAILED,
+    STATE_TAKEN,
+    STOP_BEGUN,
+    STOP_DONE,
+)
 from loftweir.telemetry.log import say
 
 TICK = SECOND  # how often the log is asked for what it owes
@@ -52,9 +64,19 @@
         bodies = int(memory * limits.requests_of_memory)
         self.front = Front(loop, self.host, self.life, options, platform.sockets, bodies)
         self.front.spare_descriptor = self.back.pool.spare
+        self.disk: Disk | None = None  # where the snapshot is kept, with `state.keep`
+        self.holding: Holding | None = None
+        self.written_at = 0  # when the last snapshot was written, by the loop's clock
+        self.writes = False  # a write of the snapshot is due
 
     def listed(self, update: MembershipUpdate, addresses: dict[str, str]) -> None:
         self.host.listed(update, addresses)
+        if self.holding is not None and update.kind is not UpdateKind.FAILED:
+            self.holding.told(update, addresses)
+            if not self.writes:
+                self.writes = True
+                apart = self.options.state.write_apart
+                self.loop.after(max(0, self.written_at + apart - self.loop.now()), self._write)
         say(
             DISCOVERY_LIST_IS,
             kind=update.kind.value,
@@ -78,8 +100,9 @@
     def start(self, reload: Callable[[], None]) -> None:
         """`reload` is called on SIGHUP, and answers for what it can't use."""
         platform = self.platform
-        if platform.known.endpoints:
-            self.discovery.version = platform.known.version
+        known, addresses = self._remembered(platform.known, platform.addresses)
+        if known.endpoints:
+            self.discovery.version = known.version
         woken, wakes = socket.socketpair()
         woken.setblocking(False)
         wakes.setblocking(False)
@@ -88,7 +111,7 @@
             signal.signal(number, lambda *_: None)
         if platform.operator:
             self.desk.begin(os.environ.get("TMPDIR"))
-        self.desk.listed(platform.known, platform.addresses)
+        self.desk.listed(known, addresses)
         if platform.listen_fd is None:
             self.front.listen(platform.listen)
         else:
@@ -104,6 +127,40 @@
         self.loop.spawn(self._obey(woken, wakes, reload))
         self.loop.spawn(self._keep_log())
 
+    def _remembered(
+        self, given: MembershipUpdate, addresses: dict[str, str]
+    ) -> tuple[MembershipUpdate, dict[str, str]]:
+        """The list to start with: the platform's, or the snapshot where it is newer and young enough."""
+        folder = os.environ.get("TMPDIR")
+        if self.options.state.keep != "on" or not folder:
+            return given, addresses
+        self.disk = Disk(Path(folder))
+        snapshot: Snapshot | None = None
+        try:
+            snapshot = self.disk.load()
+        except Damaged as damaged:
+            say(STATE_DAMAGED, file=str(self.disk.path), at=damaged.at, why=damaged.why)
+        except OSError as error:
+            say(STATE_DAMAGED, file=str(self.disk.path), at=0, why=error.strerror or str(error))
+        now = time.time_ns()
+        chosen = choose(given, snapshot, now, self.options.state.trust_for)
+        self.holding = Holding(snapshot.epoch if snapshot else 0)
+        if snapshot is not None and chosen is Choice.SNAPSHOT:
+            given, addresses = snapshot.update()
+        age = (now - snapshot.body.taken_at) // MS if snapshot else 0
+        epoch, index = (snapshot.epoch, snapshot.body.index) if snapshot else (0, given.version)
+        say(STATE_TAKEN, choice=chosen.value, epoch=epoch, index=index, age_ms=age, providers=len(given.endpoints))
+        return given, addresses
+
+    def _write(self) -> None:
+        self.writes, self.written_at = False, self.loop.now()
+        if self.disk is None or self.holding is None:
+            return
+        try:
+            self.disk.save(self.holding.snapshot(time.time_ns()))
+        except OSError as error:
+            say(STATE_FAILED, file=str(self.disk.path), why=error.strerror or str(error))
+
     def _obey(self, woken: socket.socket, wakes: socket.socket, reload: Callable[[], None]) -> Coroutine[None]:
         """Reads the numbers of the signals that came. One that sets off nothing is no reason to stop."""
         while True:
--- a/loftweir/telemetry/catalogue.py
+++ b/loftweir/telemetry/catalogue.py
@@ -135,6 +135,28 @@
     "as above",
     ("why",),
 )
+STATE_TAKEN = Event(
+    "state.taken",
+    INFO,
+    ("choice", "epoch", "index", "age_ms", "providers"),
+    "which list the start took: the platform's (`given`), the snapshot, or the platform's because the snapshot was"
+    " older than it (`stale`) or than `state.trust_for` (`old`)",
+)
+STATE_DAMAGED = Event(
+    "state.damaged",
+    WARNING,
+    ("file", "at", "why"),
+    "the snapshot can't be trusted (torn, foreign or altered): it was renamed `.damaged` and the start goes on without",
+    "nothing, unless it comes again: then look at the disk of `$TMPDIR`",
+)
+STATE_FAILED = Event(
+    "state.failed",
+    ERROR,
+    ("file", "why"),
+    "the snapshot could not be written: the file holds the one before, and is tried again with the next change",
+    "make room in `$TMPDIR`",
+    ("why",),
+)
 DISCOVERY_LIST_IS = Event(
     "discovery.list",
     DEBUG,
--- /dev/null
+++ b/tests/test_mass_restart.py
@@ -0,0 +1,135 @@
+"""Five sidecars killed together and started again while discovery is down: each comes back on its snapshot."""
+
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from scene import ROOT, SETTINGS, Catalog, Party, address_of, as_list, entry, eventually, listener, reply
+
+from loftweir.state.snapshot import read
+
+SIDECARS = 5
+
+
+def said(name):
+    return lambda head, body: reply(200, name.encode())
+
+
+class Fleet(unittest.TestCase):
+    """Sidecars, each with a folder of its own, beside three providers and discovery."""
+
+    def setUp(self):
+        self.catalog = Catalog()
+        self.old, self.new, self.leaving = Party(said("old")), Party(said("new")), Party(said("leaving"))
+        for party in (self.catalog, self.old, self.new, self.leaving):
+            self.addCleanup(party.close)
+        self.catalog.entries = [entry("s-old", self.old.address)]
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.programs = {}
+
+    def config(self, number):
+        with listener() as free:
+            listen = address_of(free)
+        return {
+            "name": f"n{number}",
+            "listen": listen,
+            "discovery": self.catalog.address,
+            "seed": f"{number:016x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "known": json.loads(as_list(0, self.catalog.entries, True)),  # what the platform gives, now and after
+            "settings": SETTINGS,
+        }
+
+    def launch(self, number, config):
+        own = self.folder / f"n{number}"
+        own.mkdir(exist_ok=True)
+        (own / "config.json").write_text(json.dumps(config), encoding="utf-8")
+        environment = {
+            "RELAY_CONFIG": str(own / "config.json"),
+            "RELAY_DISCOVERY": self.catalog.address,
+            "PYTHONPATH": str(ROOT),
+            "TMPDIR": str(own),
+            "LOFTWEIR_STATE_KEEP": "on",
+            "LOFTWEIR_STATE_WRITE_APART": "10ms",
+        }
+        with (own / "log").open("ab") as log:
+            program = subprocess.Popen([sys.executable, "-m", "loftweir"], env=os.environ | environment, stderr=log)
+        self.addCleanup(program.wait, 10)
+        self.addCleanup(program.kill)
+        self.programs[number] = program
+
+    def served_by(self, listen):
+        client = http.client.HTTPConnection(listen, timeout=10)
+        try:
+            headers = {"Req-Id": os.urandom(8).hex(), "Req-Kind": "status-read", "Req-Deadline-Ms": "2000"}
+            client.request("GET", "/api", headers=headers)
+            answer = client.getresponse()
+            return answer.status, answer.read()
+        except OSError:
+            return 0, b""
+        finally:
+            client.close()
+
+    def snapshot_index(self, number):
+        try:
+            return read((self.folder / f"n{number}" / "loftweir-snapshot").read_bytes()).body.index
+        except (OSError, ValueError):
+            return -1
+
+    def serves(self, config, answer, seconds=10):
+        return eventually(lambda: self.served_by(config["listen"]) == (200, answer), seconds)
+
+
+class MassRestart(Fleet):
+    def test_all_come_back_on_their_snapshots_with_discovery_down_and_a_drain_kept(self):
+        configs = {n: self.config(n) for n in range(SIDECARS)}
+        for number, config in configs.items():
+            self.launch(number, config)
+        for config in configs.values():
+            self.assertEqual(self.serves(config, b"old"), True)
+        # The list moves on: the old provider leaves, a new one comes, a third drains.
+        moved = [entry("s-new", self.new.address), entry("s-leaving", self.leaving.address, status="leaving")]
+        self.catalog.entries = moved
+        self.catalog.change(entry("s-old", self.old.address, status="left"), *moved)
+        for number in configs:
+            self.assertEqual(eventually(lambda n=number: self.snapshot_index(n) == 1, 15), True, number)
+        for program in self.programs.values():
+            program.send_signal(signal.SIGKILL)
+        for program in self.programs.values():
+            program.wait(10)
+        self.catalog.fail(True)  # down for the whole start
+        self.old.close()
+        before = len(self.leaving.seen)
+        for number, config in configs.items():
+            self.launch(number, config)  # the platform gives its old list again
+        for number, config in configs.items():
+            self.assertEqual(self.serves(config, b"new", 15), True, number)
+            for _ in range(5):
+                self.assertEqual(self.served_by(config["listen"]), (200, b"new"))
+            log = (self.folder / f"n{number}" / "log").read_text()
+            taken = [json.loads(line) for line in log.splitlines() if '"state.taken"' in line]
+            self.assertEqual([t["choice"] for t in taken], ["given", "snapshot"])
+            self.assertEqual(taken[-1]["index"], 1)
+        self.assertEqual(len(self.leaving.seen), before)
+
+
+class Spoilt(Fleet):
+    def test_a_torn_snapshot_is_set_aside_and_the_start_goes_on_with_the_given_list(self):
+        config = self.config(0)
+        own = self.folder / "n0"
+        own.mkdir()
+        (own / "loftweir-snapshot").write_bytes(b'loftweir-snapshot 1 4 0000abcd 900\n{"index": 9, "taken')
+        self.launch(0, config)
+        self.assertEqual(self.serves(config, b"old"), True)
+        log = (own / "log").read_text()
+        damaged = [json.loads(line) for line in log.splitlines() if '"state.damaged"' in line]
+        self.assertEqual(len(damaged), 1)
+        self.assertIn("torn", damaged[0]["why"])
+        self.assertTrue((own / "loftweir-snapshot.damaged").exists())
+        self.assertEqual(eventually(lambda: self.snapshot_index(0) == 0), True)  # written anew, whole
--- /dev/null
+++ b/tests/test_snapshot.py
@@ -0,0 +1,74 @@
+"""The snapshot of the list: found out where it can't be trusted, and taken at a start only where it should be."""
+
+import pytest
+
+from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, UpdateKind
+from loftweir.state.snapshot import Choice, Damaged, Holding, choose, read, written
+
+SECOND = 1_000_000_000
+
+
+def held(*names, index=3, taken_at=100 * SECOND):
+    holding = Holding(epoch=6)
+    ends = tuple(Endpoint(n, "a", "m", 0, Lifecycle.DRAINING if n == "gone-soon" else Lifecycle.READY) for n in names)
+    holding.told(
+        MembershipUpdate(UpdateKind.FULL, ends, index), {n: f"127.0.0.1:{9000 + i}" for i, n in enumerate(names)}
+    )
+    return holding.snapshot(taken_at)
+
+
+def test_a_snapshot_comes_back_as_it_was_held_with_a_drain_kept_and_a_greater_epoch():
+    snapshot = read(written(held("s1", "gone-soon")))
+    update, addresses = snapshot.update()
+    assert snapshot.epoch == 7 and update.version == 3 and update.kind is UpdateKind.REMEMBERED
+    assert [(e.address, e.lifecycle) for e in update.endpoints] == [
+        ("gone-soon", Lifecycle.DRAINING),
+        ("s1", Lifecycle.READY),
+    ]
+    assert addresses == {"s1": "127.0.0.1:9000", "gone-soon": "127.0.0.1:9001"}
+
+
+def test_changes_are_merged_and_one_that_left_is_dropped():
+    holding = Holding(0)
+    holding.told(MembershipUpdate(UpdateKind.FULL, (Endpoint("s1", "a", "m", 0, Lifecycle.READY),), 1), {"s1": "x:1"})
+    gone, new = Endpoint("s1", "a", "m", 0, Lifecycle.GONE), Endpoint("s2", "b", "m", 1, Lifecycle.READY)
+    holding.told(MembershipUpdate(UpdateKind.CHANGES, (gone, new), 2), {"s2": "x:2"})
+    body = holding.snapshot(0).body
+    assert body.index == 2 and [(e.name, e.address, e.zone) for e in body.entries] == [("s2", "x:2", "b")]
+
+
+@pytest.mark.parametrize(
+    "spoil, why",
+    [
+        (lambda data: data[: len(data) // 2], "torn"),
+        (lambda data: data[:10], "no head line"),
+        (lambda data: data.replace(b"loftweir-snapshot 1 ", b"loftweir-snapshot 2 ", 1), "version 2"),
+        (lambda data: b"other" + data, "not a snapshot"),
+        (lambda data: data[:-3] + b"xyz", "checksum"),
+    ],
+)
+def test_a_spoilt_snapshot_is_damaged_with_its_place(spoil, why):
+    with pytest.raises(Damaged, match=why) as caught:
+        read(spoil(written(held("s1"))))
+    assert caught.value.at >= 0
+
+
+def given(index, *names):
+    return MembershipUpdate(
+        UpdateKind.REMEMBERED, tuple(Endpoint(n, "a", "m", 0, Lifecycle.READY) for n in names), index
+    )
+
+
+@pytest.mark.parametrize(
+    "platform, now, chosen",
+    [
+        (given(0), 110 * SECOND, Choice.SNAPSHOT),  # nothing given: the snapshot
+        (given(2, "s0"), 110 * SECOND, Choice.SNAPSHOT),  # an older list given
+        (given(3, "s0"), 110 * SECOND, Choice.GIVEN),  # as new
+        (given(4, "s0"), 110 * SECOND, Choice.STALE),  # newer than the snapshot
+        (given(0), 161 * SECOND, Choice.OLD),  # past trust_for
+    ],
+)
+def test_a_start_takes_the_snapshot_only_where_it_is_newer_and_young_enough(platform, now, chosen):
+    assert choose(platform, read(written(held("s1"))), now, 60 * SECOND) is chosen
+    assert choose(platform, None, now, 60 * SECOND) is Choice.GIVEN
