--- a/tests/test_mass_restart.py
+++ b/tests/test_mass_restart.py
@@ -23,12 +23,13 @@
 
 
 class Fleet(unittest.TestCase):
-    """Sidecars, each with a folder of its own, beside three providers and discovery."""
+    """Sidecars, each with a folder of its own, beside providers and discovery; all but `far` in the sidecars' zone."""
 
     def setUp(self):
         self.catalog = Catalog()
         self.old, self.new, self.leaving = Party(said("old")), Party(said("new")), Party(said("leaving"))
-        for party in (self.catalog, self.old, self.new, self.leaving):
+        self.far = Party(said("far"))
+        for party in (self.catalog, self.old, self.new, self.leaving, self.far):
             self.addCleanup(party.close)
         self.catalog.entries = [entry("s-old", self.old.address)]
         self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
@@ -86,16 +87,8 @@
     def serves(self, config, answer, seconds=10):
         return eventually(lambda: self.served_by(config["listen"]) == (200, answer), seconds)
 
-
-class MassRestart(Fleet):
-    def test_all_come_back_on_their_snapshots_with_discovery_down_and_a_drain_kept(self):
-        configs = {n: self.config(n) for n in range(SIDECARS)}
-        for number, config in configs.items():
-            self.launch(number, config)
-        for config in configs.values():
-            self.assertEqual(self.serves(config, b"old"), True)
-        # The list moves on: the old provider leaves, a new one comes, a third drains.
-        moved = [entry("s-new", self.new.address), entry("s-leaving", self.leaving.address, status="leaving")]
+    def restart(self, configs, moved, *lost):
+        """The list moves on, is kept, and all sidecars are killed; discovery and `lost` are down at the new start."""
         self.catalog.entries = moved
         self.catalog.change(entry("s-old", self.old.address, status="left"), *moved)
         for number in configs:
@@ -104,11 +97,26 @@
             program.send_signal(signal.SIGKILL)
         for program in self.programs.values():
             program.wait(10)
-        self.catalog.fail(True)  # down for the whole start
-        self.old.close()
-        before, began = len(self.leaving.seen), time.monotonic()
+        self.catalog.fail(True)
+        for party in (self.old, *lost):
+            party.close()
+        began = time.monotonic()
         for number, config in configs.items():
             self.launch(number, config)  # the platform gives its old list again
+        return began
+
+
+class MassRestart(Fleet):
+    def test_all_come_back_on_their_snapshots_with_discovery_down_and_a_drain_kept(self):
+        configs = {n: self.config(n) for n in range(SIDECARS)}
+        for number, config in configs.items():
+            self.launch(number, config)
+        for config in configs.values():
+            self.assertEqual(self.serves(config, b"old"), True)
+        # The old provider leaves, a new one comes, a third drains.
+        moved = [entry("s-new", self.new.address), entry("s-leaving", self.leaving.address, status="leaving")]
+        before = len(self.leaving.seen)
+        began = self.restart(configs, moved)
         for number, config in configs.items():
             self.assertEqual(self.serves(config, b"new", 15), True, number)
         self.back_in = time.monotonic() - began  # until the last of them serves: benchmarks/restart.py
@@ -121,6 +129,17 @@
             self.assertEqual(taken[-1]["index"], 1)
         self.assertEqual(len(self.leaving.seen), before)
 
+    def test_a_restart_during_the_loss_of_the_own_zone_serves_from_the_other(self):
+        configs = {n: self.config(n) for n in range(SIDECARS)}
+        for number, config in configs.items():
+            self.launch(number, config)
+        for config in configs.values():
+            self.assertEqual(self.serves(config, b"old"), True)
+        self.restart(configs, [entry("s-new", self.new.address), entry("s-far", self.far.address, zone="b")], self.new)
+        for config in configs.values():
+            self.assertEqual(self.serves(config, b"far", 15), True)
+            self.assertEqual([self.served_by(config["listen"]) for _ in range(8)], [(200, b"far")] * 8)
+
 
 class Spoilt(Fleet):
     def test_a_torn_snapshot_is_set_aside_and_the_start_goes_on_with_the_given_list(self):
