--- a/tests/test_mass_restart.py
+++ b/tests/test_mass_restart.py
@@ -13,7 +13,7 @@
 
 from scene import ROOT, SETTINGS, Catalog, Party, address_of, as_list, entry, eventually, listener, reply
 
-from loftweir.state.snapshot import read
+from loftweir.state.snapshot import Body, Entry, Snapshot, read, written
 
 SIDECARS = 5
 
@@ -141,7 +141,7 @@
             self.assertEqual([self.served_by(config["listen"]) for _ in range(8)], [(200, b"far")] * 8)
 
 
-class Spoilt(Fleet):
+class Untrusted(Fleet):
     def test_a_torn_snapshot_is_set_aside_and_the_start_goes_on_with_the_given_list(self):
         config = self.config(0)
         own = self.folder / "n0"
@@ -155,3 +155,17 @@
         self.assertIn("torn", damaged[0]["why"])
         self.assertTrue((own / "loftweir-snapshot.damaged").exists())
         self.assertEqual(eventually(lambda: self.snapshot_index(0) == 0), True)  # written anew, whole
+
+    def test_a_snapshot_older_than_the_given_list_is_not_sent_by(self):
+        config = self.config(0)
+        config["known"] = json.loads(as_list(5, self.catalog.entries, True))
+        own = self.folder / "n0"
+        own.mkdir()
+        entries = [Entry("s-new", self.new.address, "a", "m", 0, "ready", 1.0, 0)]
+        (own / "loftweir-snapshot").write_bytes(written(Snapshot(2, Body(3, time.time_ns(), entries))))
+        self.launch(0, config)
+        self.assertEqual(self.serves(config, b"old"), True)
+        self.assertEqual([self.served_by(config["listen"]) for _ in range(5)], [(200, b"old")] * 5)
+        log = (own / "log").read_text()
+        self.assertIn('"choice":"stale"', log)
+        self.assertEqual(self.new.seen, [])
