--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -213,6 +213,8 @@
         """What was taken is answered. Where another process takes clients, this one stops at once; else it goes on
         for as long as clients may not know. What comes late gets an answer while there is one to give it."""
         front, limits = self.front, self.options.limits
+        if self.writes:
+            self._write()  # a change still waiting for `state.write_apart` is not lost with this process
         now = self.loop.now()
         longest = max(c.deadline for c in self.host.settings.classes.values())
         last = now + min(longest, LONGEST_COUNTED) + SECOND
--- a/tests/test_mass_restart.py
+++ b/tests/test_mass_restart.py
@@ -48,7 +48,7 @@
             "settings": SETTINGS,
         }
 
-    def launch(self, number, config):
+    def launch(self, number, config, write_apart="10ms"):
         own = self.folder / f"n{number}"
         own.mkdir(exist_ok=True)
         (own / "config.json").write_text(json.dumps(config), encoding="utf-8")
@@ -58,7 +58,7 @@
             "PYTHONPATH": str(ROOT),
             "TMPDIR": str(own),
             "LOFTWEIR_STATE_KEEP": "on",
-            "LOFTWEIR_STATE_WRITE_APART": "10ms",
+            "LOFTWEIR_STATE_WRITE_APART": write_apart,
         }
         with (own / "log").open("ab") as log:
             program = subprocess.Popen([sys.executable, "-m", "loftweir"], env=os.environ | environment, stderr=log)
@@ -169,3 +169,15 @@
         log = (own / "log").read_text()
         self.assertIn('"choice":"stale"', log)
         self.assertEqual(self.new.seen, [])
+
+    def test_a_change_that_waits_to_be_written_is_written_at_sigterm(self):
+        config = self.config(0)
+        self.launch(0, config, write_apart="60s")
+        self.assertEqual(self.serves(config, b"old"), True)  # its start is written, the next change waits a minute
+        self.catalog.entries = [entry("s-new", self.new.address)]
+        self.catalog.change(entry("s-old", self.old.address, status="left"), *self.catalog.entries)
+        self.assertEqual(self.serves(config, b"new"), True)
+        self.assertEqual(self.snapshot_index(0), 0)
+        self.programs[0].send_signal(signal.SIGTERM)
+        self.programs[0].wait(10)
+        self.assertEqual(self.snapshot_index(0), 1)
