--- a/loftweir/operations/desk.py
+++ b/loftweir/operations/desk.py
@@ -10,8 +10,9 @@
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Wait
 from loftweir.operations.calls import Call, No, Word
 from loftweir.operations.overlay import Overlay
-from loftweir.operations.record import Damaged, Record
+from loftweir.operations.record import Record
 from loftweir.operations.store import Store
+from loftweir.state.sealed import Damaged
 from loftweir.telemetry.catalogue import RECORD_FAILED, RECORD_HELD, RECORD_READ
 from loftweir.telemetry.log import say
 
--- a/loftweir/operations/record.py
+++ b/loftweir/operations/record.py
@@ -7,13 +7,14 @@
 
 from __future__ import annotations
 
-import zlib
 from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
 import ujson
 
-HEAD = "loftweir-operators"
+from loftweir.state.sealed import Damaged, opened, sealed
+
+HEAD = b"loftweir-operators"
 VERSION = 1
 HOUR = 3_600_000_000_000
 
@@ -55,26 +56,14 @@
     return max(now, word.at + 1)
 
 
-class Damaged(ValueError):
-    """A file that can't be trusted: says why."""
-
-
 def written(record: Record) -> bytes:
     value = {"bans": {name: list(word) for name, word in sorted(record.bans.items())}, "drain": list(record.drain)}
     body = ujson.dumps(value).encode()
-    return b"%s %d %08x\n%s\n" % (HEAD.encode(), VERSION, zlib.crc32(body), body)
+    return sealed(HEAD, VERSION, body)
 
 
 def read(data: bytes) -> Record:
-    head, sign, rest = data.partition(b"\n")
-    words = head.split(b" ")
-    if not sign or len(words) != 3 or words[0] != HEAD.encode():
-        raise Damaged("not a record of operators' calls")
-    if words[1] != b"%d" % VERSION:
-        raise Damaged(f"of version {words[1].decode('ascii', 'replace')[:16]}, this one reads {VERSION}")
-    body = rest.removesuffix(b"\n")
-    if words[2] != b"%08x" % zlib.crc32(body):
-        raise Damaged("cut short or changed: its checksum is another")
+    body = opened(HEAD, VERSION, data)
     try:
         value = ujson.loads(body)
         return Record({str(name): _word(pair) for name, pair in value["bans"].items()}, _word(value["drain"]))
--- a/loftweir/operations/store.py
+++ b/loftweir/operations/store.py
@@ -12,7 +12,8 @@
 from contextlib import suppress
 from pathlib import Path
 
-from loftweir.operations.record import Damaged, Record, read, written
+from loftweir.operations.record import Record, read, written
+from loftweir.state.sealed import Damaged
 
 NAME, LOCK, SERVING = "loftweir-operators", "loftweir-operators.lock", "loftweir-serving.lock"
 LARGEST = 1024 * 1024
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -21,7 +21,8 @@
 from loftweir.operations.address import DESCRIPTORS, Address
 from loftweir.operations.desk import Desk
 from loftweir.state.disk import Disk
-from loftweir.state.snapshot import Choice, Damaged, Holding, Snapshot, choose
+from loftweir.state.sealed import Damaged
+from loftweir.state.snapshot import Choice, Holding, Snapshot, choose
 from loftweir.telemetry import log
 from loftweir.telemetry.catalogue import (
     DISCOVERY_LIST_IS,
@@ -147,8 +148,8 @@
         self.holding = Holding(snapshot.epoch if snapshot else 0)
         if snapshot is not None and chosen is Choice.SNAPSHOT:
             given, addresses = snapshot.update()
-        age = (now - snapshot.body.taken_at) // MS if snapshot else 0
-        epoch, index = (snapshot.epoch, snapshot.body.index) if snapshot else (0, given.version)
+        age = (now - snapshot.taken_at) // MS if snapshot else 0
+        epoch, index = (snapshot.epoch, snapshot.index) if snapshot else (0, given.version)
         say(STATE_TAKEN, choice=chosen.value, epoch=epoch, index=index, age_ms=age, providers=len(given.endpoints))
         return given, addresses
 
--- a/loftweir/state/__init__.py
+++ b/loftweir/state/__init__.py
@@ -1,1 +1,4 @@
-"""What a sidecar keeps on disk to come back with: the last list it held, as a snapshot with an epoch and a checksum."""
+"""What a sidecar keeps on disk: the form of its files (`sealed`), and the snapshot of the last list it held.
+
+Beneath the subsystems that keep files: it imports only `interface`.
+"""
--- a/loftweir/state/disk.py
+++ b/loftweir/state/disk.py
@@ -6,7 +6,8 @@
 import os
 from pathlib import Path
 
-from loftweir.state.snapshot import Damaged, Snapshot, read, written
+from loftweir.state.sealed import Damaged
+from loftweir.state.snapshot import Snapshot, read, written
 
 NAME = "loftweir-snapshot"
 LARGEST = 16 * 1024 * 1024
@@ -43,7 +44,7 @@
             return None
         try:
             if len(data) > LARGEST:
-                raise Damaged(LARGEST, "larger than a snapshot may be")
+                raise Damaged("larger than a snapshot may be", LARGEST)
             return read(data)
         except Damaged:
             os.replace(self.path, self.path.with_name(f"{NAME}.damaged"))
--- a/loftweir/state/snapshot.py
+++ b/loftweir/state/snapshot.py
@@ -1,35 +1,23 @@
-"""The snapshot of a sidecar's list: its form on disk, how it is found out when it can't be trusted, and which list a
+"""The snapshot of a sidecar's list: what it holds, how it is found out when it can't be trusted, and which list a
 start takes. Pure: no I/O, no clock; times come in as arguments.
 
-The form is one head line, `loftweir-snapshot <version> <epoch> <crc32 of the body> <length of the body>`, then the
-body in JSON. A file that is torn (short of its length), foreign (another head or version) or altered (another
-checksum) is `Damaged`, with the byte where that was found.
+On disk it has the form of `sealed`, with the snapshot in JSON as its body.
 
 Invariants: an epoch only grows from one snapshot of a sidecar to its next; a start never takes a snapshot older than
-the list it was given, nor one older than `trust_for`; a provider that was leaving stays leaving.
+the list it was given, nor one older than `trust_for`; a provider that was draining stays draining.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
-from zlib import crc32
 
 import msgspec
 
 from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, UpdateKind
+from loftweir.state.sealed import Damaged, opened, sealed
 
 HEAD = b"loftweir-snapshot"
 VERSION = 1
-LONGEST_HEAD = 128
-
-
-class Damaged(ValueError):
-    """A snapshot that can't be trusted. `at` is the byte where that was found."""
-
-    def __init__(self, at: int, why: str) -> None:
-        super().__init__(f"byte {at}: {why}")
-        self.at, self.why = at, why
 
 
 class Entry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -43,58 +31,35 @@
     started_at: int
 
 
-class Body(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Snapshot(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    epoch: int
     index: int  # discovery's version of the list
     taken_at: int  # wall time, in ns since the epoch of Unix
     entries: list[Entry]
 
-
-@dataclass(slots=True)
-class Snapshot:
-    epoch: int
-    body: Body
-
     def update(self) -> tuple[MembershipUpdate, dict[str, str]]:
         """The list as it was held, and where each provider on it listens."""
         endpoints = tuple(
             Endpoint(e.name, e.zone, e.kind, e.cell, Lifecycle(e.lifecycle), e.weight, e.started_at)
-            for e in self.body.entries
+            for e in self.entries
         )
-        addresses = {e.name: e.address for e in self.body.entries}
-        return MembershipUpdate(UpdateKind.REMEMBERED, endpoints, self.body.index), addresses
+        return MembershipUpdate(UpdateKind.REMEMBERED, endpoints, self.index), {e.name: e.address for e in self.entries}
 
 
 def written(snapshot: Snapshot) -> bytes:
-    body = msgspec.json.encode(snapshot.body)
-    return b"%s %d %d %08x %d\n" % (HEAD, VERSION, snapshot.epoch, crc32(body), len(body)) + body
+    return sealed(HEAD, VERSION, msgspec.json.encode(snapshot))
 
 
 def read(data: bytes) -> Snapshot:
     """The snapshot in `data`; `Damaged` where it can't be trusted."""
-    end = data.find(b"\n", 0, LONGEST_HEAD)
-    if end < 0:
-        raise Damaged(min(len(data), LONGEST_HEAD), "no head line")
-    words = data[:end].split(b" ")
-    if len(words) != 5 or words[0] != HEAD:
-        raise Damaged(0, "not a snapshot of loftweir")
-    if words[1] != b"%d" % VERSION:
-        raise Damaged(len(HEAD) + 1, f"version {words[1].decode(errors='replace')}, not {VERSION}")
-    try:
-        epoch, checksum, length = int(words[2]), int(words[3], 16), int(words[4])
-    except ValueError:
-        raise Damaged(0, "a head line that is not numbers") from None
-    body = data[end + 1 :]
-    if len(body) != length:
-        raise Damaged(end + 1 + min(len(body), length), f"a body of {len(body)} bytes, not {length}: torn")
-    if crc32(body) != checksum:
-        raise Damaged(end + 1, "the checksum does not match the body")
+    body = opened(HEAD, VERSION, data)
     try:
-        found = msgspec.json.decode(body, type=Body)
+        found = msgspec.json.decode(body, type=Snapshot)
         for entry in found.entries:
             Lifecycle(entry.lifecycle)
     except (msgspec.ValidationError, msgspec.DecodeError, ValueError) as error:
-        raise Damaged(end + 1, f"a body that is not a list: {error}") from None
-    return Snapshot(epoch, found)
+        raise Damaged(f"not in its form: {error}", len(data) - len(body) - 1) from None
+    return found
 
 
 class Choice(Enum):
@@ -108,11 +73,11 @@
     """Which list a start takes: the one the platform gave, or the snapshot where it is newer and young enough."""
     if snapshot is None:
         return Choice.GIVEN
-    if given.endpoints and snapshot.body.index < given.version:
+    if given.endpoints and snapshot.index < given.version:
         return Choice.STALE
-    if now - snapshot.body.taken_at > trust_for:
+    if now - snapshot.taken_at > trust_for:
         return Choice.OLD
-    if given.endpoints and snapshot.body.index == given.version:
+    if given.endpoints and snapshot.index == given.version:
         return Choice.GIVEN
     return Choice.SNAPSHOT
 
@@ -124,7 +89,6 @@
         self.epoch = epoch  # of the last snapshot written or read
         self.index = 0
         self.entries: dict[str, Entry] = {}
-        self.changed = False
 
     def told(self, update: MembershipUpdate, addresses: dict[str, str]) -> None:
         if update.kind is UpdateKind.FAILED:
@@ -138,8 +102,8 @@
             where = addresses.get(e.address, self.entries[e.address].address if e.address in self.entries else "")
             entry = Entry(e.address, where, e.zone, e.kind, e.cell, e.lifecycle.value, e.weight, e.started_at)
             self.entries[e.address] = entry
-        self.index, self.changed = max(self.index, update.version), True
+        self.index = max(self.index, update.version)
 
     def snapshot(self, now: int) -> Snapshot:
-        self.epoch, self.changed = self.epoch + 1, False
-        return Snapshot(self.epoch, Body(self.index, now, sorted(self.entries.values(), key=lambda e: e.name)))
+        self.epoch += 1
+        return Snapshot(self.epoch, self.index, now, sorted(self.entries.values(), key=lambda e: e.name))
--- a/tests/test_mass_restart.py
+++ b/tests/test_mass_restart.py
@@ -13,7 +13,7 @@
 
 from scene import ROOT, SETTINGS, Catalog, Party, address_of, as_list, entry, eventually, listener, reply
 
-from loftweir.state.snapshot import Body, Entry, Snapshot, read, written
+from loftweir.state.snapshot import Entry, Snapshot, read, written
 
 SIDECARS = 5
 
@@ -80,13 +80,34 @@
 
     def snapshot_index(self, number):
         try:
-            return read((self.folder / f"n{number}" / "loftweir-snapshot").read_bytes()).body.index
+            return read((self.folder / f"n{number}" / "loftweir-snapshot").read_bytes()).index
         except (OSError, ValueError):
             return -1
 
     def serves(self, config, answer, seconds=10):
         return eventually(lambda: self.served_by(config["listen"]) == (200, answer), seconds)
 
+    def logged(self, number, event):
+        log = (self.folder / f"n{number}" / "log").read_text()
+        return [json.loads(line) for line in log.splitlines() if f'"{event}"' in line]
+
+    def started(self, sidecars=SIDECARS):
+        """All serve the old provider, as the platform's list has it."""
+        configs = {n: self.config(n) for n in range(sidecars)}
+        for number, config in configs.items():
+            self.launch(number, config)
+        for config in configs.values():
+            self.assertEqual(self.serves(config, b"old"), True)
+        return configs
+
+    def started_beside(self, data, config):
+        """One sidecar that finds `data` in its snapshot's place; it serves the old provider all the same."""
+        (self.folder / "n0").mkdir()
+        (self.folder / "n0" / "loftweir-snapshot").write_bytes(data)
+        self.launch(0, config)
+        self.assertEqual(self.serves(config, b"old"), True)
+        self.assertEqual([self.served_by(config["listen"]) for _ in range(5)], [(200, b"old")] * 5)
+
     def restart(self, configs, moved, *lost):
         """The list moves on, is kept, and all sidecars are killed; discovery and `lost` are down at the new start."""
         self.catalog.entries = moved
@@ -108,11 +129,7 @@
 
 class MassRestart(Fleet):
     def test_all_come_back_on_their_snapshots_with_discovery_down_and_a_drain_kept(self):
-        configs = {n: self.config(n) for n in range(SIDECARS)}
-        for number, config in configs.items():
-            self.launch(number, config)
-        for config in configs.values():
-            self.assertEqual(self.serves(config, b"old"), True)
+        configs = self.started()
         # The old provider leaves, a new one comes, a third drains.
         moved = [entry("s-new", self.new.address), entry("s-leaving", self.leaving.address, status="leaving")]
         before = len(self.leaving.seen)
@@ -123,18 +140,13 @@
         for number, config in configs.items():
             for _ in range(5):
                 self.assertEqual(self.served_by(config["listen"]), (200, b"new"))
-            log = (self.folder / f"n{number}" / "log").read_text()
-            taken = [json.loads(line) for line in log.splitlines() if '"state.taken"' in line]
+            taken = self.logged(number, "state.taken")
             self.assertEqual([t["choice"] for t in taken], ["given", "snapshot"])
             self.assertEqual(taken[-1]["index"], 1)
         self.assertEqual(len(self.leaving.seen), before)
 
     def test_a_restart_during_the_loss_of_the_own_zone_serves_from_the_other(self):
-        configs = {n: self.config(n) for n in range(SIDECARS)}
-        for number, config in configs.items():
-            self.launch(number, config)
-        for config in configs.values():
-            self.assertEqual(self.serves(config, b"old"), True)
+        configs = self.started()
         self.restart(configs, [entry("s-new", self.new.address), entry("s-far", self.far.address, zone="b")], self.new)
         for config in configs.values():
             self.assertEqual(self.serves(config, b"far", 15), True)
@@ -143,31 +155,18 @@
 
 class Untrusted(Fleet):
     def test_a_torn_snapshot_is_set_aside_and_the_start_goes_on_with_the_given_list(self):
-        config = self.config(0)
-        own = self.folder / "n0"
-        own.mkdir()
-        (own / "loftweir-snapshot").write_bytes(b'loftweir-snapshot 1 4 0000abcd 900\n{"index": 9, "taken')
-        self.launch(0, config)
-        self.assertEqual(self.serves(config, b"old"), True)
-        log = (own / "log").read_text()
-        damaged = [json.loads(line) for line in log.splitlines() if '"state.damaged"' in line]
-        self.assertEqual(len(damaged), 1)
-        self.assertIn("torn", damaged[0]["why"])
-        self.assertTrue((own / "loftweir-snapshot.damaged").exists())
+        self.started_beside(b'loftweir-snapshot 1 0000abcd\n{"epoch": 4, "index": 9, "taken', self.config(0))
+        (damaged,) = self.logged(0, "state.damaged")
+        self.assertIn("cut short", damaged["why"])
+        self.assertTrue((self.folder / "n0" / "loftweir-snapshot.damaged").exists())
         self.assertEqual(eventually(lambda: self.snapshot_index(0) == 0), True)  # written anew, whole
 
     def test_a_snapshot_older_than_the_given_list_is_not_sent_by(self):
         config = self.config(0)
         config["known"] = json.loads(as_list(5, self.catalog.entries, True))
-        own = self.folder / "n0"
-        own.mkdir()
         entries = [Entry("s-new", self.new.address, "a", "m", 0, "ready", 1.0, 0)]
-        (own / "loftweir-snapshot").write_bytes(written(Snapshot(2, Body(3, time.time_ns(), entries))))
-        self.launch(0, config)
-        self.assertEqual(self.serves(config, b"old"), True)
-        self.assertEqual([self.served_by(config["listen"]) for _ in range(5)], [(200, b"old")] * 5)
-        log = (own / "log").read_text()
-        self.assertIn('"choice":"stale"', log)
+        self.started_beside(written(Snapshot(2, 3, time.time_ns(), entries)), config)
+        self.assertEqual([t["choice"] for t in self.logged(0, "state.taken")], ["stale"])
         self.assertEqual(self.new.seen, [])
 
     def test_a_change_that_waits_to_be_written_is_written_at_sigterm(self):
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -10,8 +10,9 @@
 from loftweir.interface import Lifecycle, MembershipUpdate, UpdateKind
 from loftweir.operations.calls import ARGUMENTS, LONGEST, Call, No, Word, no, parse
 from loftweir.operations.overlay import Overlay
-from loftweir.operations.record import HOUR, Damaged, Record, read, written
+from loftweir.operations.record import HOUR, Record, read, written
 from loftweir.operations.record import Word as Said
+from loftweir.state.sealed import Damaged
 
 IDS = st.sampled_from(["s-1", "s-2", "s-3"])
 SAID = st.builds(Said, st.integers(0, 5), st.booleans())
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -3,7 +3,8 @@
 import pytest
 
 from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, UpdateKind
-from loftweir.state.snapshot import Choice, Damaged, Holding, choose, read, written
+from loftweir.state.sealed import Damaged, opened, sealed
+from loftweir.state.snapshot import Choice, Holding, choose, read, written
 
 SECOND = 1_000_000_000
 
@@ -33,24 +34,30 @@
     holding.told(MembershipUpdate(UpdateKind.FULL, (Endpoint("s1", "a", "m", 0, Lifecycle.READY),), 1), {"s1": "x:1"})
     gone, new = Endpoint("s1", "a", "m", 0, Lifecycle.GONE), Endpoint("s2", "b", "m", 1, Lifecycle.READY)
     holding.told(MembershipUpdate(UpdateKind.CHANGES, (gone, new), 2), {"s2": "x:2"})
-    body = holding.snapshot(0).body
+    body = holding.snapshot(0)
     assert body.index == 2 and [(e.name, e.address, e.zone) for e in body.entries] == [("s2", "x:2", "b")]
 
 
 @pytest.mark.parametrize(
-    "spoil, why",
+    "spoil, why, at",
     [
-        (lambda data: data[: len(data) // 2], "torn"),
-        (lambda data: data[:10], "no head line"),
-        (lambda data: data.replace(b"loftweir-snapshot 1 ", b"loftweir-snapshot 2 ", 1), "version 2"),
-        (lambda data: b"other" + data, "not a snapshot"),
-        (lambda data: data[:-3] + b"xyz", "checksum"),
+        (lambda data: data[:-9], "cut short", 20),
+        (lambda data: data[:10], "not a file of", 0),
+        (lambda data: data.replace(b"kept 1 ", b"kept 2 ", 1), "version 2", 5),
+        (lambda data: data[:-4] + b"xyz\n", "changed", 16),
     ],
 )
-def test_a_spoilt_snapshot_is_damaged_with_its_place(spoil, why):
+def test_a_spoilt_file_is_damaged_with_its_place(spoil, why, at):
+    data = sealed(b"kept", 1, b'{"index": 3}')
+    assert opened(b"kept", 1, data) == b'{"index": 3}'
     with pytest.raises(Damaged, match=why) as caught:
-        read(spoil(written(held("s1"))))
-    assert caught.value.at >= 0
+        opened(b"kept", 1, spoil(data))
+    assert caught.value.at == at
+
+
+def test_a_sound_file_that_is_no_snapshot_is_damaged():
+    with pytest.raises(Damaged, match="not in its form"):
+        read(sealed(b"loftweir-snapshot", 1, b'{"epoch": 1}'))
 
 
 def given(index, *names):
