Ask a silent watch anew before what it missed counts as told

At fault: `Discovery._call`, whose one limit was the clock's own, and `Discovery._watch`, which left the fresh call to the balancer's spread asking.

Now `listclock` reads the clock backwards: a watch is given up 600 ms past its wait, a fresh call that does not wait follows at once over another connection, and one more where that fails; each has half of what is left until told and grace. An answer that has begun has to be whole within `answer_within`. `discovery` figures that leave no room for it are faults of the configuration. A move of discovery no longer calls a new address with the old one's version.

Weighed and left out: a second call beside the silent one (as many calls, and two connections), a shorter wait (2.5 times the calls at 4 s, for the same room).

--- a/loftweir/config/model.py
+++ b/loftweir/config/model.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from loftweir.config.units import Unit, written
+from loftweir.listclock import longest_silence
 
 MS, SECOND, MINUTE, HOUR = 1_000_000, 1_000_000_000, 60_000_000_000, 3_600_000_000_000
 KIB, MIB, GIB = 1024, 1024**2, 1024**3
@@ -155,8 +156,12 @@
     """Calls to discovery."""
 
     wait: Annotated[int, time("that discovery may hold a watch with no news", 100 * MS, MINUTE)] = 10 * SECOND
+    # What a silent call misses counts as told soon: `listclock` has the figures that these must leave room for.
     silent_after: Annotated[
-        int, time("past its wait, until a call with no answer is taken for failed", 50 * MS, MINUTE)
+        int, time("past its wait, until a watch with no answer is taken for silent, and asked anew", 50 * MS, MINUTE)
+    ] = 600 * MS
+    answer_within: Annotated[
+        int, time("until a call that does not wait is taken for silent, and asked anew", 50 * MS, MINUTE)
     ] = 2 * SECOND
     connect_within: Annotated[int, time("for a connection to discovery to be up", 10 * MS, MINUTE)] = SECOND
     # A watch goes on where its next call comes within 200 ms of the last answer: later ones begin anew.
@@ -248,10 +253,18 @@
 
 def contradictions(options: Options) -> Iterator[tuple[str, str]]:
     """Pairs of keys that can't both be meant: the path, and what it must be to go with the other."""
-    limits, log = options.limits, options.log
+    limits, log, discovery = options.limits, options.log, options.discovery
     if limits.sends_within > limits.request_within:
         yield "limits.sends_within", "at most limits.request_within"
     if limits.idle_of_sockets > limits.consumers_of_sockets:
         yield "limits.idle_of_sockets", "at most limits.consumers_of_sockets: those at rest are consumers too"
     if log.access == "sampled" and log.access_sample == 0:
         yield "log.access_sample", "above 0%, since log.access asks for a sample"
+    waits = {"silent_after": discovery.wait, "answer_within": 0, "agent_silent_after": discovery.agent_wait}
+    for name, wait in waits.items():
+        most = longest_silence(wait)
+        if getattr(discovery, name) > most:
+            yield f"discovery.{name}", (
+                f"at most {written(Unit.DURATION, most)}: what a call misses that falls silent counts as told soon "
+                "after its wait, and there must be time to ask anew"
+            )
--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -4,10 +4,12 @@
 
 from collections.abc import Callable
 from socket import socket
+from typing import NamedTuple
 
 import h11
 import ujson
 
+from loftweir import listclock
 from loftweir.config.lists import NotAList, read_list
 from loftweir.config.model import Options
 from loftweir.http1.strict import Strict
@@ -24,6 +26,18 @@
     """A call to discovery that brought no list: says why."""
 
 
+class Silent(CallFailed):
+    """A call that was not answered, or not to its end, in time."""
+
+
+class End(NamedTuple):
+    """How a watch ended."""
+
+    answered: bool  # some call of it, before
+    silent: bool  # its last call
+    version: int | None  # of the list that it had got to
+
+
 class Discovery:
     """Calls discovery as the balancer asks, and hands over what it tells."""
 
@@ -42,6 +56,7 @@
         # Where an agent pushes lists, what it has counts as told whether asked or not: it is watched always,
         # whatever the balancer says, and a watch that fails is set up again at once.
         self.pushed = False
+        self.drain_grace = 0  # of the settings, from when a change of the list is told
 
     def push(self, pushed: bool) -> None:
         self.pushed = pushed
@@ -86,49 +101,82 @@
         self.told(MembershipUpdate(UpdateKind.FAILED), {})
 
     def _fetch(self) -> Coroutine[None]:
-        try:
-            sock = yield from self._connect()
+        options = self.options.discovery
+        for left in range(listclock.ANEW, -1, -1):
+            begun = self.loop.now()
+            within = options.answer_within if left == listclock.ANEW else self._anew_within(0)
             try:
-                update, addresses, _ = yield from self._call(sock, PATH, 0, self.options.discovery.silent_after)
-            finally:
-                self.loop.close(sock)
-        except CallFailed as error:
-            say(DISCOVERY_LIST, why=error, address=self.address)
-            self._fail()
-        else:
-            self.told(update, addresses)
+                sock = yield from self._connect(self.address, begun + within)
+                try:
+                    update, addresses, _ = yield from self._call(sock, PATH, begun + within)
+                finally:
+                    self.loop.close(sock)
+            except CallFailed as error:
+                say(DISCOVERY_LIST, why=error, address=self.address)
+                if not left or (left == listclock.ANEW and not isinstance(error, Silent)):
+                    self._fail()
+                    return
+                yield Wait(None, 0, begun + within)
+            else:
+                self.told(update, addresses)
+                return
+
+    def _anew_within(self, wait: int) -> int:
+        options = self.options.discovery
+        silent_after = options.silent_after if wait else options.answer_within
+        return listclock.anew_within(wait, silent_after, self.drain_grace)
 
     def _follow(self, version: int | None) -> Coroutine[None]:
-        """Watches until a call fails; where lists are pushed, anew after each failure, and a run of them is
-        logged once."""
-        address, quiet = self.address, False
+        """Watches until a call fails. One that fell silent is asked anew at once, over another connection, and once
+        more if that fails: what it missed counts as told soon, and the balancer's own asking is spread in time. Where
+        lists are pushed, it watches anew after each failure, and a run of them is logged once."""
+        address, quiet, left = self.address, False, 0
         while True:
-            answered = yield from self._watch(version, address, quiet)
-            if not self.pushed or address != self.address:
+            begun = self.loop.now()
+            end = yield from self._watch(version, address, quiet, bool(left))
+            if address != self.address:
+                return  # left while it watched, and another goes on
+            version = end.version
+            if self.pushed:
+                quiet = not end.answered
+                self._fail()
+                yield Wait(None, 0, self.loop.now() + self.options.discovery.calls_apart)
+            elif left > 1 and not end.answered:
+                left -= 1
+                yield Wait(None, 0, begun + self._anew_within(self.options.discovery.wait))
+            elif end.silent and (end.answered or not left):
+                left = listclock.ANEW
+            else:
+                self._fail()
+                return
+            if address != self.address:
                 return
-            quiet = not answered
-            version = self.version
-            yield Wait(None, 0, self.loop.now() + self.options.discovery.calls_apart)
 
-    def _watch(self, version: int | None, address: str, quiet: bool) -> Coroutine[bool]:
-        """One call after another over one connection: the next starts at once, so that the watch goes on.
-        It ends as a call fails: True if one answered before."""
+    def _watch(self, version: int | None, address: str, quiet: bool, anew: bool) -> Coroutine[End]:
+        """One call after another over one connection: the next starts at once, so that the watch goes on. It ends as
+        a call fails. `anew`: the first does not wait, so that it is soon known whether this one is silent too."""
         options = self.options.discovery
         wait_for, silent_after = options.wait, options.silent_after
         if self.pushed:
             wait_for, silent_after = options.agent_wait, options.agent_silent_after
         answered = False
         try:
-            sock = yield from self._connect()
+            begun = self.loop.now()
+            until = begun + (self._anew_within(wait_for) if anew else options.connect_within)
+            sock = yield from self._connect(address, until)
             try:
                 first = True
                 while True:
                     asked_at = self.loop.now()
-                    target, wait = PATH, 0
-                    if version is not None:
-                        wait = wait_for
-                        target = f"{PATH}?after={version}&wait_ms={wait // MS}"
-                    update, addresses, again = yield from self._call(sock, target, wait, silent_after)
+                    target = PATH
+                    if anew and first:
+                        target = PATH if version is None else f"{PATH}?after={version}&wait_ms=0"
+                    elif version is None:
+                        until = asked_at + (silent_after if self.pushed else options.answer_within)
+                    else:
+                        until = asked_at + wait_for + silent_after
+                        target = f"{PATH}?after={version}&wait_ms={wait_for // MS}"
+                    update, addresses, again = yield from self._call(sock, target, until)
                     if address == self.address:
                         self._drop_before()
                     # The first answer of a watch is told with or without news: the watch stands.
@@ -141,38 +189,35 @@
                     yield Wait(None, 0, asked_at + self.options.discovery.calls_apart)
                     if not again:
                         self.loop.close(sock)
-                        sock = yield from self._connect()
+                        sock = yield from self._connect(address, self.loop.now() + options.connect_within)
             finally:
                 self.loop.close(sock)
         except CallFailed as error:
-            if address == self.address:  # else it was left, and another goes on
-                if not quiet:
-                    say(DISCOVERY_WATCH, why=error, address=address)
-                self._fail()
-        return answered
+            if address == self.address and not quiet:
+                say(DISCOVERY_WATCH, why=error, address=address)
+            return End(answered, isinstance(error, Silent), version)
 
-    def _connect(self) -> Coroutine[socket]:
+    def _connect(self, address: str, until: int) -> Coroutine[socket]:
         try:
             within = self.options.discovery.connect_within
-            return (yield from connect(self.loop, self.address, within, self.loop.now() + within))
+            return (yield from connect(self.loop, address, within, until))
         except NotUp:
             raise CallFailed("not up") from None
 
-    def _call(
-        self, sock: socket, target: str, wait: int, silent_after: int
-    ) -> Coroutine[tuple[MembershipUpdate, dict[str, str], bool]]:
-        """One answer of discovery, and whether its connection can be used again."""
+    def _call(self, sock: socket, target: str, until: int) -> Coroutine[tuple[MembershipUpdate, dict[str, str], bool]]:
+        """One answer of discovery, and whether its connection can be used again. One that has begun is whole soon:
+        what trickles is as good as silent."""
         wire = Strict(sock, h11.CLIENT)
-        until = self.loop.now() + wait + silent_after
         try:
             head = f"GET {target} HTTP/1.1\r\nHost: {self.address}\r\n\r\n"
             yield from send(sock, [head.encode()], until)
             answer = yield from wire.next_event(until)
             if not isinstance(answer, h11.Response):
                 raise CallFailed("no answer")
-            body = yield from wire.body(lambda _: until, self.options.discovery.list_size)
+            whole_by = min(until, self.loop.now() + self.options.discovery.answer_within)
+            body = yield from wire.body(lambda _: whole_by, self.options.discovery.list_size)
         except TookTooLong:
-            raise CallFailed("silent") from None
+            raise Silent("silent") from None
         except (OSError, h11.RemoteProtocolError, TooLarge) as error:
             raise CallFailed(f"broken: {error}") from None
         if answer.status_code != 200:
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -71,7 +71,8 @@
 
 
 class Party:
-    """A server that hands each request to `self.answer`; bytes are sent, None closes the connection."""
+    """A server that hands each request to `self.answer`; bytes are sent, whole or as they are yielded; None closes the
+    connection."""
 
     def __init__(self, answer):
         self.answer = answer
@@ -104,7 +105,8 @@
                 data = self.answer(head, body)
                 if data is None:
                     break
-                sock.sendall(data)
+                for piece in [data] if isinstance(data, bytes) else data:
+                    sock.sendall(piece)
         except OSError:
             pass
         self.ends.append(number)
