Bring the errors that exist into one family, with a page of what to do about each

Need: an operator who meets an error in the log, at the program's end or as an answer had to find out from the code what can be done about it; the types had nothing in common.

Change: Damaged, Faulty, No, NotAList, SettingsError, CallFailed and WireError are kinds of Trouble, with the messages, bases and attributes that they had, a remedy each, and where they came up. The line is drawn in errors.py: what is caught and becomes something else before it reaches an operator stays out, by name. `python -m loftweir.errors` imports every module and prints the table of docs/errors.md. ERR answers, the log and `--json` stay.

Measured: seven types caused in tests/test_errors.py, which fails for a type with no remedy, missing on the page or named by no test, and for an exception outside the family that errors.py does not name.

--- a/loftweir/adapter.py
+++ b/loftweir/adapter.py
@@ -255,7 +255,7 @@
     try:
         Adapter().run(sys.stdin, sys.stdout)
     except WireError as error:
-        print(f"loftweir.adapter: {error}", file=sys.stderr)
+        print(f"loftweir.adapter: {error}\n{error.remedy}", file=sys.stderr)
         return 1
     return 0
 
--- a/loftweir/cli/check.py
+++ b/loftweir/cli/check.py
@@ -6,7 +6,7 @@
 
 import click
 
-from loftweir.cli.common import as_json, configured, print_json, where_from
+from loftweir.cli.common import as_json, configured, end_with, print_json, where_from
 from loftweir.config.faults import Faulty
 from loftweir.daemon import UNUSABLE, read
 
@@ -26,8 +26,7 @@
         faults = error.faults
     if as_json:
         print_json([fault._asdict() for fault in faults])
-    for fault in [] if as_json else faults:
-        click.echo(str(fault), err=True)
-    if not faults and not as_json:
-        click.echo("nothing wrong")
-    sys.exit(UNUSABLE if faults else 0)
+        sys.exit(UNUSABLE if faults else 0)
+    if faults:
+        end_with(faults)
+    click.echo("nothing wrong")
--- a/loftweir/cli/common.py
+++ b/loftweir/cli/common.py
@@ -43,6 +43,7 @@
 def end_with(faults: Iterable[Fault]) -> NoReturn:
     for fault in faults:
         click.echo(str(fault), err=True)
+    click.echo(Faulty.remedy, err=True)
     sys.exit(UNUSABLE)
 
 
--- a/loftweir/cli/explain.py
+++ b/loftweir/cli/explain.py
@@ -12,12 +12,14 @@
 import ujson
 
 from loftweir.cli.common import as_json, configured, print_json, print_table, read_or_end, where_from
-from loftweir.config.lists import NotAList, read_list
+from loftweir.config.lists import read_list
 from loftweir.config.model import time as duration
 from loftweir.config.operator import value_of
 from loftweir.config.units import host_and_port
+from loftweir.errors import Trouble
 from loftweir.explain import BEHAVIOURS, Explanation, Traffic
 from loftweir.explain import explain as play
+from loftweir.http1.discovery import CallFailed
 from loftweir.interface import MembershipUpdate, UpdateKind
 
 MS = 1_000_000
@@ -83,8 +85,10 @@
             known = fetched(of_platform.discovery)
         elif list_file is not None:
             known = read_list(ujson.loads(list_file.read()), UpdateKind.FULL)[0]
-    except (OSError, ValueError, NotAList, http.client.HTTPException) as error:
+    except (OSError, ValueError, Trouble, http.client.HTTPException) as error:
         click.echo(f"no list: {error}", err=True)
+        if isinstance(error, Trouble):
+            click.echo(error.remedy, err=True)
         sys.exit(2)
     found = play(
         of_platform.settings,
@@ -123,7 +127,7 @@
         client.request("GET", PATH)
         answer = client.getresponse()
         if answer.status != 200:
-            raise ValueError(f"discovery at {address} answered {answer.status}")
+            raise CallFailed(f"discovery at {address} answered {answer.status}")
         return read_list(ujson.loads(answer.read()), UpdateKind.FULL)[0]
     finally:
         client.close()
--- a/loftweir/config/faults.py
+++ b/loftweir/config/faults.py
@@ -5,6 +5,8 @@
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
+from loftweir.errors import Trouble
+
 MISSING = "(missing)"
 LONGEST = 80  # characters of a value that a fault repeats
 
@@ -23,9 +25,13 @@
         return f"{at}: got {shown}, expected {self.expected}"
 
 
-class Faulty(ValueError):
-    """A configuration that can't be used: carries all its faults."""
+class Faulty(Trouble, ValueError):
+    """A configuration, or a scenario, can't be used: each of its `faults` has the file, the path, the value and what
+    was expected."""
+
+    remedy = "Mend each place that is named, in its file; `loftweir check` reads a configuration and starts nothing."
 
     def __init__(self, faults: Sequence[Fault]) -> None:
         super().__init__("; ".join(map(str, faults)))
         self.faults = list(faults)
+        self.where = ", ".join(dict.fromkeys(fault.file for fault in faults))
--- a/loftweir/config/lists.py
+++ b/loftweir/config/lists.py
@@ -5,18 +5,25 @@
 from typing import Any
 
 from loftweir.config.faults import MISSING
+from loftweir.errors import Trouble
 from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, UpdateKind
 
 MS = 1_000_000
 LIFECYCLES = {"active": Lifecycle.READY, "leaving": Lifecycle.DRAINING, "left": Lifecycle.GONE}
 
 
-class NotAList(ValueError):
-    """Not in discovery's form: every place that is not, its value and what was expected."""
+class NotAList(Trouble, ValueError):
+    """A list of providers is not in discovery's form: every place that is not, its value and what was expected."""
+
+    remedy = (
+        "See that discovery's address leads to discovery itself, and that each entry it lists, or `known` in "
+        "the platform's file, has what is named."
+    )
 
     def __init__(self, faults: list[tuple[str, Any, str]]) -> None:
         super().__init__("; ".join(f"{path}: got {value!r}, expected {expected}" for path, value, expected in faults))
         self.faults = faults
+        self.where = ", ".join(path for path, _, _ in faults)
 
 
 def read_list(data: Any, kind: UpdateKind | None = None) -> tuple[MembershipUpdate, dict[str, str]]:
--- a/loftweir/errors.py
+++ b/loftweir/errors.py
@@ -1,7 +1,12 @@
 """The family of the errors that an operator may meet: each says what happened, where, and what can be done about it.
 
-Beneath all else: it imports nothing of the project. A type states its `remedy` once, as text in the class; one error
-may say more with an own. docs/errors.md is made from the types (`table`), and a test holds the two together.
+Beneath all else: with it nothing of the project is imported. A type states its `remedy` once, as text in the class; one
+error may say more with an own. docs/errors.md is made from the types (`table`), and a test holds the two together.
+
+In the family is what can come to an operator as it is: in the log, at the program's end, as the answer of a call or of
+a command. What is caught before that, and there becomes something else, stays out. `TookTooLong`, `TooLarge`, `NoRoom`,
+`NotUp` and `Unsent` become an invoker call's outcome, a status or a `CallFailed`; `Malformed` and `Unfit` become the
+answer to the application's own request (docs/on-call.md has the statuses).
 """
 
 from __future__ import annotations
@@ -34,3 +39,27 @@
         meaning = " ".join((kind.__doc__ or "").split("\n\n")[0].split())
         lines.append(f"| `{kind.__name__}` | {meaning} | {kind.remedy} |")
     return "\n".join(lines) + "\n"
+
+
+def everything() -> None:
+    """Imports every module of the program, so that `types` gives the whole family. Never called by `run`. A module that
+    needs a package of an extra which is not installed is left out."""
+    from importlib import import_module
+    from pkgutil import walk_packages
+
+    import loftweir
+
+    for found in walk_packages(loftweir.__path__, "loftweir."):
+        try:
+            if not found.name.endswith(".__main__"):
+                import_module(found.name)
+        except ModuleNotFoundError as error:
+            if (error.name or "").partition(".")[0] == "loftweir":
+                raise
+
+
+if __name__ == "__main__":  # `python -m loftweir.errors` prints the table
+    from loftweir import errors  # this file as `__main__` is another module, with a family of its own
+
+    errors.everything()
+    print(errors.table(), end="")
--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -10,6 +10,7 @@
 
 from loftweir.config.lists import NotAList, read_list
 from loftweir.config.model import Options
+from loftweir.errors import Trouble
 from loftweir.http1.strict import Strict
 from loftweir.interface import MembershipUpdate, UpdateKind
 from loftweir.net.loop import MS, Coroutine, Loop, Task, Wait
@@ -20,8 +21,10 @@
 PATH = "/catalog/members"
 
 
-class CallFailed(Exception):
-    """A call to discovery that brought no list: says why."""
+class CallFailed(Trouble):
+    """A call to discovery brought no list: says why. A sidecar serves on with the list that it holds."""
+
+    remedy = "If it goes on, see that discovery runs at the address that is named and answers `GET /catalog/members`."
 
 
 class Discovery:
--- a/loftweir/interface.py
+++ b/loftweir/interface.py
@@ -11,6 +11,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from loftweir.errors import Trouble
+
 
 class Effect(Enum):
     """What may happen to a request that has possibly run already."""
@@ -279,12 +281,16 @@
     expected: str
 
 
-class SettingsError(ValueError):
-    """Settings that can't be used: carries all that is wrong with them."""
+class SettingsError(Trouble, ValueError):
+    """The platform's settings can be read but not used: each of the `faults` names a figure, its value and what it must
+    be."""
+
+    remedy = "Bring each figure that is named within what is said it must be, under `settings` in the platform's file."
 
     def __init__(self, faults: list[SettingFault]) -> None:
         super().__init__("; ".join(f"settings: {name}: must be {expected}" for name, _, expected in faults))
         self.faults = faults
+        self.where = ", ".join(name for name, _, _ in faults)
 
 
 @dataclass(slots=True, frozen=True)
--- a/loftweir/operations/calls.py
+++ b/loftweir/operations/calls.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from loftweir.errors import Trouble
+
 LONGEST = 1024  # bytes of a line; an id has 64 at most
 
 
@@ -32,8 +34,13 @@
     id: str = ""
 
 
-class No(Exception):
-    """A call that is not done: says why, in one line."""
+class No(Trouble):
+    """An operator's call is not done: the answer is ERR, and why in one line."""
+
+    remedy = (
+        "Do what the line names, then make the call again: another word or id, room in `$TMPDIR`, a moment's "
+        "wait for `not yet`, or the new process where this one comes to its end."
+    )
 
 
 def parse(line: bytes) -> Call:
--- a/loftweir/settings.py
+++ b/loftweir/settings.py
@@ -9,12 +9,15 @@
 from typing import NamedTuple, TypeVar
 
 from loftweir import interface as api
+from loftweir.errors import Trouble
 
 T = TypeVar("T")
 
 
-class WireError(Exception):
-    """A line that is not of the wire: says which field and why."""
+class WireError(Trouble):
+    """A line is not of the simulator's wire, and `loftweir.adapter` ends with 1: which line and field, and why."""
+
+    remedy = "Mend that line where it is written, in what drives `python -m loftweir.adapter`, and start both again."
 
 
 def integer(field: str, text: str) -> int:
--- a/loftweir/state/sealed.py
+++ b/loftweir/state/sealed.py
@@ -6,13 +6,22 @@
 
 from zlib import crc32
 
+from loftweir.errors import Trouble
 
-class Damaged(ValueError):
-    """A file that can't be trusted: why, and the byte where that was found."""
+
+class Damaged(Trouble, ValueError):
+    """A file that the sidecar keeps can't be trusted, and nothing of it is taken over: why, and the byte where that
+    was found."""
+
+    remedy = (
+        "Look at the disk of `$TMPDIR` if it comes again; the file is set aside or written anew by itself, and "
+        "after `operator.record_damaged` say those bans again that `operator.record` does not name."
+    )
 
     def __init__(self, why: str, at: int = 0) -> None:
         super().__init__(f"{why}, at byte {at}")
         self.why, self.at = why, at
+        self.what, self.where = why, f"byte {at}"
 
 
 def sealed(name: bytes, version: int, body: bytes) -> bytes:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -13,6 +13,7 @@
 from support import MS, SECOND, endpoint, full, settings
 
 from loftweir.cli.root import COMMANDS, loftweir
+from loftweir.config.faults import Faulty
 from loftweir.explain import Traffic, explain
 from loftweir.interface import Lifecycle
 
@@ -36,7 +37,8 @@
     (tmp_path / "c.json").write_text('{"listen": "nowhere"}')
     (tmp_path / "o.toml").write_text("[limits]\nbody = 5\nidle = 1\n")
     words = ("check", "--config", str(tmp_path / "c.json"), "--operator", str(tmp_path / "o.toml"))
-    lines = call(*words, code=2).stderr.splitlines()
+    *lines, remedy = call(*words, code=2).stderr.splitlines()
+    assert remedy == Faulty.remedy
     assert {line.split(": ")[1] for line in lines} == {
         "limits.body", "limits.idle", "listen", "discovery", "limits.sockets", "limits.memory_mb", "seed", "settings",
         "known",
--- /dev/null
+++ b/tests/test_errors.py
@@ -0,0 +1,86 @@
+"""The family of errors: each is caused, each says what to do, and docs/errors.md has them all."""
+
+import ast
+import io
+import re
+from unittest import mock
+
+import pytest
+from scene import ROOT
+from support import SECOND, settings
+
+from loftweir import errors
+from loftweir.adapter import Adapter
+from loftweir.config.faults import Faulty
+from loftweir.config.lists import NotAList, read_list
+from loftweir.config.model import Options
+from loftweir.daemon import origin, read
+from loftweir.http1.discovery import CallFailed, Discovery
+from loftweir.interface import SettingsError
+from loftweir.net.loop import Loop
+from loftweir.operations.calls import No, parse
+from loftweir.settings import WireError
+from loftweir.state.sealed import Damaged, opened
+
+errors.everything()
+FAMILY = list(errors.types())
+SOURCES = {path: path.read_text(encoding="utf-8") for path in (ROOT / "loftweir").rglob("*.py")}
+
+
+def call_discovery():
+    """What the log is given where discovery's address leads nowhere."""
+    loop, said = Loop(), []
+    loop.after(10 * SECOND, setattr, loop, "stopped", True)
+    with mock.patch("loftweir.http1.discovery.say", lambda event, why, **_: said.append(why)):
+        Discovery(loop, "nowhere", Options(), lambda *_: setattr(loop, "stopped", True)).fetch()
+        loop.run()
+    raise said[0]
+
+
+CAUSES = {
+    CallFailed: (call_discovery, "not up", ""),
+    Damaged: (lambda: opened(b"kept", 1, b"kept 2 0\n"), "of version 2, this one reads 1, at byte 5", "byte 5"),
+    Faulty: (lambda: read(origin({})), "environment: RELAY_CONFIG: got (missing), expected", "environment"),
+    No: (lambda: parse(b"DISABLE"), "usage: DISABLE ID", ""),
+    NotAList: (lambda: read_list({"endpoints": []}), "index: got '(missing)', expected a whole number", "index"),
+    SettingsError: (lambda: settings(me=7), "settings: me: must be from 0 to balancers - 1", "me"),
+    WireError: (lambda: Adapter().run(io.StringIO("TURN\tx\nGO\n"), io.StringIO()), "line 1: TURN: field clock", ""),
+}
+
+
+@pytest.mark.parametrize("kind", CAUSES, ids=lambda kind: kind.__name__)
+def test_each_is_caused_and_reads_as_it_did(kind):
+    cause, text, place = CAUSES[kind]
+    with pytest.raises(errors.Trouble) as caught:
+        cause()
+    assert type(caught.value) is kind and str(caught.value).startswith(text) and caught.value.where == place
+    assert isinstance(caught.value, ValueError) is (kind in (Damaged, Faulty, NotAList, SettingsError))
+
+
+def test_the_page_has_every_type():
+    page = (ROOT / "docs" / "errors.md").read_text(encoding="utf-8")
+    shown = "".join(f"{line}\n" for line in page.splitlines() if line.startswith("|"))
+    assert shown == errors.table(), "print the table anew: python -m loftweir.errors"
+
+
+def test_every_type_that_is_raised_says_what_happened_and_what_to_do():
+    raised = set(re.findall(r"\braise (?:\w+\.)?(\w+)", "".join(SOURCES.values())))
+    assert set(CAUSES) <= set(FAMILY) and len({kind.__name__ for kind in FAMILY}) == len(FAMILY)
+    for kind in FAMILY:
+        group = kind.__subclasses__() and kind.__name__ not in raised
+        assert kind.__doc__ and "|" not in kind.__doc__ + kind.remedy, kind
+        assert group or kind.remedy.endswith("."), f"{kind} has no remedy"
+
+
+def test_every_type_is_named_by_a_test():
+    trees = [ast.parse(path.read_text(encoding="utf-8")) for path in (ROOT / "tests").glob("*.py")]
+    named = {getattr(n, "id", getattr(n, "attr", "")) for tree in trees for n in ast.walk(tree)}
+    assert not {kind.__name__ for kind in FAMILY if kind.remedy} - named, "cause it in a test"
+
+
+def test_an_exception_outside_the_family_is_one_that_the_docstring_names():
+    def kinds(of):
+        return {k for kind in of.__subclasses__() for k in {kind, *kinds(kind)}}
+
+    outside = {k.__name__ for k in kinds(Exception) - set(FAMILY) if k.__module__.startswith("loftweir.")}
+    assert outside - {"Trouble"} == set(re.findall(r"`([A-Z]\w+)`", errors.__doc__)) - {"CallFailed"}
