--- a/loftweir/standins/toy.py
+++ b/loftweir/standins/toy.py
@@ -1,11 +1,13 @@
 """Toy providers and a toy discovery on loopback, to try the sidecar with. Standard library only.
 
-Run as ``python -m loftweir.standins.toy`` they take the ports that examples/config.json names.
+Run as ``python -m loftweir.standins.toy`` they take the addresses that examples/config.json, or the platform's file
+named behind it, has for providers and discovery.
 """
 
 from __future__ import annotations
 
 import json
+import sys
 import threading
 from collections.abc import Iterable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -160,9 +162,17 @@
     }
 
 
+def port_of(address: str) -> int:
+    return int(address.rpartition(":")[2])
+
+
 def main() -> None:
-    toys = [(name, provider(name, port)) for name, port in (("toy-1", 8091), ("toy-2", 8092))]
-    discovery(Members((name, toy.address) for name, toy in toys), 8500)
+    with open(sys.argv[1] if len(sys.argv) > 1 else "examples/config.json", encoding="utf-8") as opened:
+        config = json.load(opened)
+    listed = [(entry["name"], entry["address"]) for entry in config["known"]["endpoints"]]
+    for name, address in listed:
+        provider(name, port_of(address))
+    discovery(Members(listed, config["settings"]["zone"]), port_of(config["discovery"]))
     threading.Event().wait()
 
 
