--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -30,7 +30,9 @@
 
 
 class Silent(CallFailed):
-    """A call that was not answered, or not to its end, in time."""
+    """A call to discovery was not answered, or not to its end, in time. It was asked anew at once."""
+
+    remedy = "See whether discovery's machine hangs or is cut off from this one. Drains are not seen meanwhile."
 
 
 class End(NamedTuple):
