--- a/tests/scene.py
+++ b/tests/scene.py
@@ -168,6 +168,7 @@
     environment: dict[str, str] = {}
     operator: str | None = None  # the text of the operator's file, where a test has one
     stderr = None  # where the log goes, instead of a file
+    command = [sys.executable, "-m", "loftweir"]
 
     def start(self, *answers, known=None, fault="", **changes):
         self.catalog = Catalog()
@@ -213,7 +214,7 @@
         settings = {"RELAY_CONFIG": str(self.path), "PYTHONPATH": f"{folder}:{ROOT}"} | self.environment | environment
         with self.errors.open("ab") as errors:
             program = subprocess.Popen(
-                [sys.executable, "-m", "loftweir"],
+                self.command,
                 env=os.environ | settings,
                 stderr=self.stderr or errors,
                 cwd=folder,
