--- a/loftweir/config/model.py
+++ b/loftweir/config/model.py
@@ -9,12 +9,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Annotated, Any, NamedTuple, get_args, get_type_hints
 
 import msgspec
 
-from loftweir.config.units import Unit, written
+from loftweir.config.units import Unit, plain, seats, written
 from loftweir.listclock import longest_silence
 
 MS, SECOND, MINUTE, HOUR = 1_000_000, 1_000_000_000, 60_000_000_000, 3_600_000_000_000
@@ -30,8 +30,11 @@
     most: float = float("inf")
     live: bool = True
     choices: tuple[str, ...] = ()
+    check: Callable[[str], object] = plain  # of text: a ValueError says what was expected
 
     def expected(self) -> str:
+        if self.unit is Unit.TEXT:
+            return "text"
         if self.unit is Unit.CHOICE:
             return f"one of {', '.join(self.choices)}"
         return f"{self.unit.value}, from {written(self.unit, self.least)} to {written(self.unit, self.most)}"
@@ -57,6 +60,10 @@
     return Spec(Unit.CHOICE, about, live=live, choices=choices)
 
 
+def text(about: str, check: Callable[[str], object] = plain, live: bool = True) -> Spec:
+    return Spec(Unit.TEXT, about, live=live, check=check)
+
+
 class Section(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """A table of the file."""
 
@@ -210,6 +217,63 @@
     write_apart: Annotated[int, time("from one snapshot to the next at least", 10 * MS, MINUTE)] = SECOND
 
 
+class Replication(Section, frozen=True, kw_only=True):
+    """Copies: what is said to the whole fleet is kept by three to five sidecars that vote; off without members."""
+
+    members: Annotated[
+        str,
+        text(
+            "the sidecars that vote, by the platform's `name`, each with the address where it listens for the others: "
+            '"n0=127.0.0.1:7101, n1=..."; the same in the file of every sidecar; empty: off',
+            seats,
+            live=False,
+        ),
+    ] = ""
+    cluster: Annotated[str, text("name of the whole; who names another one is turned away", live=False)] = "loftweir"
+    folder: Annotated[
+        str,
+        text(
+            "where a sidecar that votes keeps its files, on a disk that outlives the process; no other needs one",
+            live=False,
+        ),
+    ] = ""
+    beat: Annotated[
+        int, time("from one sign of life of the leader to the next", 5 * MS, 10 * SECOND, live=False)
+    ] = 100 * MS
+    election: Annotated[
+        int,
+        time(
+            "without a leader, from this to twice as long, until another stands; above the longest pause of a disk's "
+            "sync and of the network",
+            20 * MS,
+            MINUTE,
+            live=False,
+        ),
+    ] = 500 * MS
+    write_within: Annotated[
+        int,
+        time(
+            "for the promise that a word to the fleet is kept; past it the answer is an error",
+            100 * MS,
+            MINUTE,
+            live=False,
+        ),
+    ] = 2 * SECOND
+    follow_wait: Annotated[
+        int, time("that a call for news may be held where there are none", 50 * MS, MINUTE, live=False)
+    ] = SECOND
+    callers: Annotated[
+        int,
+        count(
+            "connections of sidecars that don't vote, which one that votes takes at a time, out of the platform's "
+            "`sockets`; over it they are turned away to the others",
+            4,
+            4096,
+            live=False,
+        ),
+    ] = 32
+
+
 class Options(Section, frozen=True, kw_only=True):
     """The operator's file as a whole."""
 
@@ -218,6 +282,7 @@
     discovery: Discovery = Discovery()
     log: Log = Log()
     state: State = State()
+    replication: Replication = Replication()
 
 
 class Key(NamedTuple):
@@ -260,6 +325,8 @@
         yield "limits.idle_of_sockets", "at most limits.consumers_of_sockets: those at rest are consumers too"
     if log.access == "sampled" and log.access_sample == 0:
         yield "log.access_sample", "above 0%, since log.access asks for a sample"
+    if options.replication.election < 3 * options.replication.beat:
+        yield "replication.election", "at least three times replication.beat: one sign of life may be lost"
     waits = {"silent_after": discovery.wait, "answer_within": 0, "agent_silent_after": discovery.agent_wait}
     for name, wait in waits.items():
         most = longest_silence(wait)
--- a/loftweir/config/operator.py
+++ b/loftweir/config/operator.py
@@ -12,7 +12,7 @@
 
 from loftweir.config.faults import Fault, Faulty
 from loftweir.config.model import Key, Options, Spec, contradictions, keys, sections
-from loftweir.config.units import Unit, parse, written
+from loftweir.config.units import Unit, parse, plain, written
 
 FILE_VARIABLE = "LOFTWEIR_OPERATOR"
 LARGEST = 1024 * 1024  # bytes of a file that is read at all
@@ -122,6 +122,12 @@
         if raw not in spec.choices:
             raise ValueError(spec.expected())
         return raw
+    if spec.unit is Unit.TEXT:
+        if not isinstance(raw, str):
+            raise ValueError(spec.expected())
+        plain(raw)
+        spec.check(raw)
+        return raw
     try:
         value = msgspec.convert(raw, int, strict=not loose) if spec.unit is Unit.COUNT else parse(spec.unit, raw)
     except (msgspec.ValidationError, ValueError):
--- a/loftweir/config/platform.py
+++ b/loftweir/config/platform.py
@@ -12,7 +12,7 @@
 from loftweir.config.faults import MISSING, Fault, Faulty
 from loftweir.config.lists import NotAList, read_list
 from loftweir.config.model import Options
-from loftweir.config.units import host_and_port
+from loftweir.config.units import host_and_port, seats
 from loftweir.interface import MembershipUpdate, Settings, UpdateKind
 from loftweir.settings import settings_and_faults
 
@@ -192,6 +192,9 @@
     seed = reader.whole("seed", 0, 16)
     settings = reader.settings()
     known, addresses = reader.known()
+    name = str(reader.data.get("name", ""))
+    if name in seats(options.replication.members) and not options.replication.folder:
+        reader.fault("name", "no member of the operator's replication.members while replication.folder is empty", name)
     if settings is not None:
         rests_for = settings.conn_idle - options.providers.idle_margin
         if options.providers.rest_least >= max(settings.conn_idle // 2, rests_for):
@@ -203,7 +206,7 @@
     if reader.faults or settings is None:
         raise Faulty(reader.faults)
     return Platform(
-        str(reader.data.get("name", "")),
+        name,
         listen,
         discovery,
         operator,
--- a/loftweir/config/reference.py
+++ b/loftweir/config/reference.py
@@ -20,6 +20,8 @@
 def bounds(key: Key) -> str:
     if key.spec.unit is Unit.CHOICE:
         return ", ".join(f"`{choice}`" for choice in key.spec.choices)
+    if key.spec.unit is Unit.TEXT:
+        return key.spec.expected()
     return f"{written(key.spec.unit, key.spec.least)} to {written(key.spec.unit, key.spec.most)}"
 
 
--- a/loftweir/config/units.py
+++ b/loftweir/config/units.py
@@ -18,6 +18,7 @@
     SHARE = 'a share such as "12.5%"'
     COUNT = "a whole number"
     CHOICE = "one of"
+    TEXT = "text"
 
 
 def parse(unit: Unit, text: object) -> int | float:
@@ -63,3 +64,36 @@
     if not sign or not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
         raise ValueError(f"{address!r} is not host:port")
     return host.strip("[]"), int(port)
+
+
+SEAT = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}", re.ASCII)
+FEWEST, MOST = 3, 5  # seats: fewer keep nothing when one is lost, more make every write slower
+
+
+def seats(text: str) -> dict[str, str]:
+    """The members that vote, "n0=127.0.0.1:7101, n1=...": name to address, in the order of names; none: no copies.
+    A ValueError names the place that is wrong."""
+    found: dict[str, str] = {}
+    for part in text.split(",") if text.strip() else ():
+        name, _, address = (piece.strip() for piece in part.partition("="))
+        if not SEAT.fullmatch(name):
+            raise ValueError(f"name=host:port for each member, not {part.strip()[:40]!r}")
+        if name in found:
+            raise ValueError(f"each member once, {name} is there twice")
+        try:
+            host_and_port(address)
+        except ValueError:
+            raise ValueError(f"host:port behind {name}=, not {address[:40]!r}") from None
+        if address in found.values():
+            raise ValueError(f"an address of its own behind {name}=, {address} is another's")
+        found[name] = address
+    if found and not FEWEST <= len(found) <= MOST:
+        raise ValueError(f"{FEWEST} to {MOST} members as name=host:port, not {len(found)}")
+    return dict(sorted(found.items()))
+
+
+def plain(text: str) -> str:
+    """A word for a name or a path; a ValueError where it holds what no line of a log should."""
+    if not text.isprintable() or len(text) > 1024:
+        raise ValueError("plain text of up to 1024 characters")
+    return text
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from scene import SETTINGS, as_list, entry
 
-from loftweir.config import operator, platform, reference
+from loftweir.config import operator, platform, reference, units
 from loftweir.config.faults import MISSING, Faulty
 from loftweir.config.model import Options, keys
 from loftweir.config.units import DURATIONS, SIZES, Unit, parse, written
@@ -83,6 +83,30 @@
     assert found["limits.sends_within"].value == "3s"
 
 
+@pytest.mark.parametrize(
+    ("members", "place"),
+    [
+        ("n0=127.0.0.1:1, n1=127.0.0.1:2", "not 2"),
+        ("n0=127.0.0.1:1, n1=127.0.0.1:x, n2=127.0.0.1:3", "behind n1="),
+        ("n0=127.0.0.1:1, n1=127.0.0.1:1, n2=127.0.0.1:3", "behind n1="),
+        ("n0=127.0.0.1:1, n0=127.0.0.1:2, n2=127.0.0.1:3", "n0 is there twice"),
+        ("n0=127.0.0.1:1, 127.0.0.1:2, n2=127.0.0.1:3", "127.0.0.1:2"),
+    ],
+)
+def test_members_that_cannot_be_are_named_by_their_place(tmp_path, members, place):
+    found = faults_of(lambda: load(tmp_path, f'[replication]\nmembers = "{members}"\n'))
+    assert place in found["replication.members"].expected
+
+
+def test_a_member_without_a_folder_and_an_election_within_a_beat_are_faults(tmp_path):
+    seats = "n2=127.0.0.1:3, n1=127.0.0.1:2, n0=127.0.0.1:1"
+    options = load(tmp_path, f'[replication]\nmembers = "{seats}"\n').options
+    assert list(units.seats(options.replication.members)) == ["n0", "n1", "n2"]
+    assert "name" in platform_faults(tmp_path, config(name="n1"), options=options)
+    short = '[replication]\nbeat = "100ms"\nelection = "200ms"\n'
+    assert "replication.election" in faults_of(lambda: load(tmp_path, short))
+
+
 def test_every_documented_key_is_accepted_with_its_example_value(tmp_path):
     text = (ROOT / "deploy" / "loftweir.toml").read_text(encoding="utf-8")
     table = tomllib.loads(text)
@@ -98,7 +122,7 @@
     assert (ROOT / "deploy" / "loftweir.toml").read_text(encoding="utf-8") == reference.toml()
 
 
-@pytest.mark.parametrize("path", [path for path, key in KEYS.items() if key.spec.unit is not Unit.CHOICE])
+@pytest.mark.parametrize("path", [path for path, key in KEYS.items() if key.spec.unit not in (Unit.CHOICE, Unit.TEXT)])
 def test_each_key_takes_its_bounds_and_nothing_beyond(path):
     spec = KEYS[path].spec
     for bound in (spec.least, spec.most):
