--- a/loftweir/replication/api.py
+++ b/loftweir/replication/api.py
@@ -77,7 +77,8 @@
 class AskVote(Message, frozen=True, kw_only=True, tag="ask-vote"):
     last_index: int
     last_term: int
-    pre: bool  # a question only: no term is entered and no vote given (dissertation, 9.6)
+    pre: bool  # a question only, for the term after the asker's: it is not entered, no vote given (dissertation, 9.6)
+    handed: bool = False  # the leader itself said `LeadNow`: heard though a leader is well (dissertation, 4.2.3)
 
 
 class Vote(Message, frozen=True, kw_only=True, tag="vote"):
