--- /dev/null
+++ b/loftweir/replication/machine.py
@@ -0,0 +1,537 @@
+"""What the copies keep: operators' words for the fleet, leases, fenced values, sessions. Pure: the log alone decides.
+
+Every replica applies the same entries and must come to the same state and the same results, whatever build of Python
+it runs on; so there is no clock here, no randomness, and nothing that depends on a version (`at` of a word is stated by
+who says it, and orders nothing). What is wrong with an order is its result, a type of its own with a text that says
+what to do; no order ends a member.
+
+Exactly once: an order names its session and a number that grows within it. The last number of each session is kept with
+its result (Ongaro's dissertation, 2014, 6.3), so that an order sent again is answered and not applied. A session that
+is not known can begin only with number 1. A late copy of such a first order could begin its session a second time after
+that was let go; an order that states `since` can't: see `Order`.
+
+Fencing: the token of a lease is the index in the log of its grant. So tokens only grow, over all duties, and the one in
+force is the highest that was ever granted for its duty; an act under any other is refused (Gray and Cheriton, "Leases",
+1989; the tokens as in Burrows, "Chubby", 2006, 2.4, its sequencers).
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from loftweir.errors import Trouble
+from loftweir.replication.api import Value
+
+VERSION = 1  # of a snapshot
+SECOND = 1_000_000_000
+MIB = 1024 * 1024
+
+WORDS = 10_000
+LEASES = 1_000
+FACTS = 10_000
+FACTS_SIZE = 64 * MIB  # of all fenced values with their keys
+VALUE_SIZE = MIB  # of one
+SESSIONS = 4_096
+TTL_LEAST = SECOND
+TTL_MOST = 3_600 * SECOND
+ORDER_SIZE = VALUE_SIZE + 16 * 1024  # of one order, in bytes of msgpack
+LARGEST = 2**63 - 1
+
+
+class Foreign(Trouble):
+    """A snapshot of the copies that this build can't read: of another version, or not in its form."""
+
+    remedy = "Run the build that wrote it, or let this member begin anew: it gets all from the others."
+
+
+# ---- orders -------------------------------------------------------------------------------------
+
+
+class Word(Value, frozen=True, tag="word"):
+    """A provider is taken out, or called back, for the whole fleet."""
+
+    name: str
+    out: bool
+    at: int  # Unix time by the clock of who says it, ns; shown, and the start of a provider called back
+
+
+class Acquire(Value, frozen=True, tag="acquire"):
+    """The lease of a duty, if none is in force. The holder's name is of one life of one process, never used again."""
+
+    duty: str
+    holder: str
+    ttl: int  # ns
+
+
+class Renew(Value, frozen=True, tag="renew"):
+    """The leader counts the lease anew from here."""
+
+    duty: str
+    holder: str
+    token: int
+
+
+class Release(Value, frozen=True, tag="release"):
+    duty: str
+    holder: str
+    token: int
+
+
+class Expire(Value, frozen=True, tag="expire"):
+    """The leader's clock says that the lease's time is up, and it saw no renewal behind `renewed`. One that is in the
+    log before this one, and that the leader had not seen, so saves the lease: its holder was told OK."""
+
+    duty: str
+    token: int
+    renewed: int
+
+
+class Fenced(Value, frozen=True, tag="fenced"):
+    """Put a value for a duty, under the token of its lease; the empty value takes the key away."""
+
+    duty: str
+    token: int
+    key: str
+    value: bytes
+
+
+class EndSession(Value, frozen=True, tag="end-session"):
+    """No more orders of it are taken. What it held stays: leases are of holders, not of sessions."""
+
+    session: str
+
+
+Act = Word | Acquire | Renew | Release | Expire | Fenced | EndSession
+
+
+class Order(Value, frozen=True):
+    """One write. An `Expire` is of no session, the empty one, and has number 0: its token makes it harmless when it
+    comes twice; every other act is of one. A member takes no order without a session from its callers (`checked`).
+
+    `since` is an index that the caller knew of before it began the session (of any answer; 0 where nothing was known).
+    Where it is stated, a first order can't be applied a second time after its session was let go: a session let go
+    raises `horizon` to the index at which it began, which is above the `since` of its orders, and below that none
+    begins. Who is refused by this begins another session with the refusal's index.
+    """
+
+    session: str
+    number: int  # from 1 on
+    act: Act
+    since: int | None = None
+
+
+# ---- results ------------------------------------------------------------------------------------
+
+
+class Result(Value, frozen=True):
+    """Of an order, as of the index at which it was applied or refused. `text`: what happened, and what to do."""
+
+    index: int
+
+
+class Ok(Result, frozen=True, tag="ok"):
+    value: int = 0  # of a lease: its token
+
+    @property
+    def text(self) -> str:
+        return f"done, at index {self.index}"
+
+
+class Held(Result, frozen=True, tag="held"):
+    """Not granted: a lease is in force."""
+
+    holder: str
+    token: int
+
+    @property
+    def text(self) -> str:
+        return (
+            f"held by {self.holder} under token {self.token}: ask again later; it ends when its holder lets it go, "
+            "or a while after the holder has stopped renewing it"
+        )
+
+
+class NotHeld(Result, frozen=True, tag="not-held"):
+    """No lease is in force under this token."""
+
+    token: int
+
+    @property
+    def text(self) -> str:
+        return f"token {self.token} holds no lease: stop acting under it and acquire the duty again"
+
+
+class Lower(Result, frozen=True, tag="lower"):
+    """A newer token was granted for the duty."""
+
+    token: int
+    highest: int
+
+    @property
+    def text(self) -> str:
+        return (
+            f"token {self.token} is fenced off by {self.highest}, granted later: another holds the duty; "
+            "stop acting under the old one"
+        )
+
+
+class Unfit(Result, frozen=True, tag="unfit"):
+    """A name, a size or a time that is never taken."""
+
+    what: str
+
+    @property
+    def text(self) -> str:
+        return f"not taken: {self.what}; correct it, as the same order is refused again"
+
+
+class Full(Result, frozen=True, tag="full"):
+    what: str
+    limit: int
+
+    @property
+    def text(self) -> str:
+        return f"no room: at most {self.limit} {self.what} are kept; take some away first"
+
+
+class Unreadable(Result, frozen=True, tag="unreadable"):
+    """The entry is no order that this version knows. It changed nothing."""
+
+    @property
+    def text(self) -> str:
+        return "not an order of this version: run the same version on all members and callers"
+
+
+class Stale(Result, frozen=True, tag="stale"):
+    """A later order of the session was applied; whether this one was is not kept."""
+
+    last: int
+
+    @property
+    def text(self) -> str:
+        return f"order {self.last} of this session came already: read what holds now, and go on with a higher number"
+
+
+class UnknownSession(Result, frozen=True, tag="unknown-session"):
+    """Ended, unused for long, or never begun. The order was not applied now; it may have been before."""
+
+    @property
+    def text(self) -> str:
+        return f"the session is not known: read what holds now, and begin another with number 1 and since {self.index}"
+
+
+AnyResult = Ok | Held | NotHeld | Lower | Unfit | Full | Unreadable | Stale | UnknownSession
+
+_orders = msgspec.msgpack.Decoder(Order)
+_results = msgspec.msgpack.Decoder(AnyResult)
+_encode = msgspec.msgpack.Encoder().encode
+
+
+def written(value: Order | AnyResult) -> bytes:
+    return _encode(value)
+
+
+def read_result(data: bytes) -> AnyResult:
+    """Raises `msgspec.MsgspecError`."""
+    result: AnyResult = _results.decode(data)
+    return result
+
+
+def _read(data: bytes) -> Order | None:
+    if len(data) > ORDER_SIZE:
+        return None
+    try:
+        return _orders.decode(data)
+    except (ValueError, RecursionError):  # of which msgspec's errors are kinds
+        return None
+
+
+def checked(data: bytes) -> AnyResult | None:
+    """What a member says at once to a caller's order that the machine would refuse whatever it holds (index 0); None:
+    into the log with it. Only a leader's own orders have no session."""
+    order = _read(data)
+    if order is None:
+        return Unreadable(0)
+    return _unfit(0, order) if order.session else Unfit(0, "an order without a session")
+
+
+# ---- what is kept -------------------------------------------------------------------------------
+
+
+class Said(NamedTuple):
+    """A word that holds."""
+
+    out: bool
+    order: int  # the index of its entry: a later one has a higher
+    at: int
+
+
+class Lease(NamedTuple):
+    """In force until it is released, or the leader says that its time is up."""
+
+    holder: str
+    token: int  # the index of its grant
+    ttl: int
+    renewed: int  # the index of its grant or last renewal
+
+
+class Fact(NamedTuple):
+    value: bytes
+    token: int  # under which it was put
+    order: int
+
+
+class Session(NamedTuple):
+    began: int
+    used: int  # the index of its last order, also of one sent again
+    last: int  # number
+    result: AnyResult  # of that
+    ended: bool
+
+
+class _Dump(Value, frozen=True):
+    version: int
+    index: int
+    thinned: int
+    horizon: int
+    words: list[tuple[str, Said]]  # in order of the log
+    leases: list[tuple[str, Lease]]  # in order of names
+    facts: list[tuple[str, str, Fact]]  # in order of names
+    sessions: list[tuple[str, Session]]  # the longest unused first
+
+
+class _Version(msgspec.Struct):
+    version: int
+
+
+_dumps = msgspec.msgpack.Decoder(_Dump)
+_versions = msgspec.msgpack.Decoder(_Version)
+
+# Neither control characters nor breaks of lines. `str.isprintable` knows more, and other things in each version.
+_name = re.compile("[^\x00-\x1f\x7f-\x9f\u2028\u2029]+").fullmatch
+
+
+def fit(name: str, most: int) -> bool:
+    return 0 < len(name) <= most and _name(name) is not None
+
+
+def _of_session(order: Order) -> bool:
+    return fit(order.session, 64) and 0 < order.number <= LARGEST
+
+
+def _unfit(index: int, order: Order) -> Unfit | None:
+    """What makes an order one that is never taken, if anything does."""
+    act = order.act
+    if isinstance(act, Expire) and (order.session or order.number):
+        return Unfit(index, "an end of a lease that is not the leader's own")
+    if not isinstance(act, Expire) and not _of_session(order):
+        return Unfit(index, "a session's name of 1 to 64 printable characters and a number from 1 on are needed")
+    if isinstance(act, Word):
+        if not fit(act.name, 64) or not 0 <= act.at <= LARGEST:
+            return Unfit(index, "a provider's id has 1 to 64 printable characters, and a time is not negative")
+        return None
+    if isinstance(act, EndSession):
+        return None
+    if not fit(act.duty, 128):
+        return Unfit(index, "a duty's name has 1 to 128 printable characters")
+    if not isinstance(act, Expire | Fenced) and not fit(act.holder, 128):
+        return Unfit(index, "a holder's name has 1 to 128 printable characters")
+    if isinstance(act, Acquire) and not TTL_LEAST <= act.ttl <= TTL_MOST:
+        return Unfit(index, f"a lease's time is {TTL_LEAST // SECOND} to {TTL_MOST // SECOND} s")
+    if isinstance(act, Fenced):
+        if not fit(act.key, 256):
+            return Unfit(index, "a key has 1 to 256 printable characters")
+        if len(act.value) > VALUE_SIZE:
+            return Unfit(index, f"a value has at most {VALUE_SIZE} bytes")
+    return None
+
+
+class Machine:
+    """Invariants:
+
+    - Two machines that applied the same entries are equal, and so are their dumps and all their results.
+    - `words` is in order of `order`, `sessions` in order of `used`: what goes first when there is no room is at the
+      front, on every replica.
+    - A lease's token is above every token granted before it, of any duty.
+    """
+
+    def __init__(self) -> None:
+        self.index = 0  # of the last entry applied or passed over
+        self.words: dict[str, Said] = {}
+        self.leases: dict[str, Lease] = {}
+        self.facts: dict[tuple[str, str], Fact] = {}  # by duty and key
+        self.facts_size = 0
+        self.sessions: dict[str, Session] = {}
+        self.thinned = 0  # the index at which a word went to make room
+        self.horizon = 0  # the highest index at which a session that was let go began
+
+    # ---- entries ----
+
+    def passed(self, index: int) -> None:
+        """An entry of another kind is committed. Raises ValueError where the log does not go forward."""
+        if index <= self.index:
+            raise ValueError(f"entry {index} after {self.index}")
+        self.index = index
+
+    def apply(self, index: int, data: bytes) -> AnyResult:
+        """A committed write. Raises ValueError only where the log does not go forward, whatever the data."""
+        self.passed(index)
+        order = _read(data)
+        if order is None:
+            return Unreadable(index)
+        unfit = _unfit(index, order)
+        if not _of_session(order):  # a leader's own, or unfit
+            return unfit or self._do(order.act)
+        known = self.sessions.pop(order.session, None)
+        if known is None:
+            if order.number != 1 or (order.since is not None and order.since < self.horizon):
+                return UnknownSession(index)
+            if len(self.sessions) >= SESSIONS:
+                gone = self.sessions.pop(next(iter(self.sessions)))
+                self.horizon = max(self.horizon, gone.began)
+            known = Session(index, index, 0, Ok(0), False)
+        self.sessions[order.session] = known = known._replace(used=index)  # at the end now
+        if order.number < known.last:
+            return Stale(index, known.last)
+        if order.number == known.last:
+            return known.result
+        if known.ended:
+            return UnknownSession(index)
+        result = unfit or self._do(order.act)
+        known = self.sessions[order.session]  # which the act may have ended
+        self.sessions[order.session] = known._replace(last=order.number, result=result)
+        return result
+
+    def _do(self, act: Act) -> AnyResult:
+        return STEPS[type(act)](self, act)
+
+    def _word(self, act: Word) -> AnyResult:
+        if act.name not in self.words and len(self.words) >= WORDS:
+            # A provider called back is as one of whom nothing was said, but for its start.
+            back = next((name for name, said in self.words.items() if not said.out), None)
+            if back is None:
+                return Full(self.index, "providers taken out", WORDS)
+            del self.words[back]
+            self.thinned = self.index
+        self.words.pop(act.name, None)
+        self.words[act.name] = Said(act.out, self.index, act.at)
+        return Ok(self.index)
+
+    def _acquire(self, act: Acquire) -> AnyResult:
+        lease = self.leases.get(act.duty)
+        if lease is not None:  # its own holder's too: the answer may have been lost, and the old token must end first
+            return Held(self.index, lease.holder, lease.token)
+        if len(self.leases) >= LEASES:
+            return Full(self.index, "leases", LEASES)
+        self.leases[act.duty] = Lease(act.holder, self.index, act.ttl, self.index)
+        return Ok(self.index, self.index)
+
+    def _refused(self, duty: str, token: int, holder: str | None = None) -> AnyResult | None:
+        lease = self.leases.get(duty)
+        if lease is not None and token < lease.token:
+            return Lower(self.index, token, lease.token)
+        if lease is None or token != lease.token or holder not in (None, lease.holder):
+            return NotHeld(self.index, token)
+        return None
+
+    def _renew(self, act: Renew) -> AnyResult:
+        refused = self._refused(act.duty, act.token, act.holder)
+        if refused is None:
+            self.leases[act.duty] = self.leases[act.duty]._replace(renewed=self.index)
+        return refused or Ok(self.index, act.token)
+
+    def _release(self, act: Release) -> AnyResult:
+        refused = self._refused(act.duty, act.token, act.holder)
+        if refused is None:
+            del self.leases[act.duty]
+        return refused or Ok(self.index, act.token)
+
+    def _expire(self, act: Expire) -> AnyResult:
+        refused = self._refused(act.duty, act.token)
+        if refused is not None:
+            return refused
+        lease = self.leases[act.duty]
+        if lease.renewed > act.renewed:
+            return Held(self.index, lease.holder, lease.token)
+        del self.leases[act.duty]
+        return Ok(self.index, act.token)
+
+    def _fenced(self, act: Fenced) -> AnyResult:
+        refused = self._refused(act.duty, act.token)
+        if refused is not None:
+            return refused
+        where = (act.duty, act.key)
+        old = self.facts.get(where)
+        names = len(act.duty) + len(act.key)
+        size = self.facts_size - (names + len(old.value) if old else 0)
+        if act.value:
+            size += names + len(act.value)
+            if old is None and len(self.facts) >= FACTS:
+                return Full(self.index, "fenced values", FACTS)
+            if size > max(FACTS_SIZE, self.facts_size):
+                return Full(self.index, "bytes of fenced values", FACTS_SIZE)
+            self.facts[where] = Fact(act.value, act.token, self.index)
+        else:
+            self.facts.pop(where, None)
+        self.facts_size = size
+        return Ok(self.index, act.token)
+
+    def _end_session(self, act: EndSession) -> AnyResult:
+        """It stays as one that takes no more, until there is no room: a late copy of its orders finds it."""
+        known = self.sessions.get(act.session)
+        if known is not None:
+            self.sessions[act.session] = known._replace(ended=True)
+        return Ok(self.index)
+
+    # ---- views ----
+
+    def words_since(self, index: int) -> tuple[bool, dict[str, Said]]:
+        """What was said behind an index. With True they are all words, in place of what was known before: one that the
+        reader may know of has gone."""
+        whole = index < self.thinned or index > self.index
+        words: dict[str, Said] = {}
+        for name, said in reversed(self.words.items()):
+            if said.order <= index and not whole:
+                break
+            words[name] = said
+        return whole, dict(reversed(words.items()))
+
+    # ---- snapshots ----
+
+    def dump(self) -> bytes:
+        """The same bytes of equal machines."""
+        facts = [(duty, key, fact) for (duty, key), fact in sorted(self.facts.items())]
+        words, sessions, leases = list(self.words.items()), list(self.sessions.items()), sorted(self.leases.items())
+        return _encode(_Dump(VERSION, self.index, self.thinned, self.horizon, words, leases, facts, sessions))
+
+    @classmethod
+    def load(cls, data: bytes) -> Machine:
+        """Raises `Foreign`."""
+        try:
+            version = _versions.decode(data).version
+            if version != VERSION:
+                raise Foreign(f"a snapshot of version {version}; this build reads {VERSION}")
+            kept = _dumps.decode(data)
+        except (ValueError, RecursionError) as error:
+            raise Foreign(f"a snapshot that is not in its form: {error}") from None
+        machine = cls()
+        machine.index, machine.thinned, machine.horizon = kept.index, kept.thinned, kept.horizon
+        machine.words, machine.leases, machine.sessions = dict(kept.words), dict(kept.leases), dict(kept.sessions)
+        machine.facts = {(duty, key): fact for duty, key, fact in kept.facts}
+        machine.facts_size = sum(len(duty) + len(key) + len(fact.value) for duty, key, fact in kept.facts)
+        return machine
+
+
+STEPS: dict[type, Callable[[Machine, Any], AnyResult]] = {
+    Word: Machine._word,
+    Acquire: Machine._acquire,
+    Renew: Machine._renew,
+    Release: Machine._release,
+    Expire: Machine._expire,
+    Fenced: Machine._fenced,
+    EndSession: Machine._end_session,
+}
