--- a/loftweir/operations/calls.py
+++ b/loftweir/operations/calls.py
@@ -15,6 +15,10 @@
     ENABLE = "ENABLE"
     DRAIN = "DRAIN"
     UNDRAIN = "UNDRAIN"
+    FLEET = "FLEET"
+    FLEET_DISABLE = "FLEET-DISABLE"
+    FLEET_ENABLE = "FLEET-ENABLE"
+    FLEET_REMOVE = "FLEET-REMOVE"
 
 
 # The arguments that each word takes.
@@ -24,12 +28,16 @@
     Word.ENABLE: ("ID",),
     Word.DRAIN: (),
     Word.UNDRAIN: (),
+    Word.FLEET: (),
+    Word.FLEET_DISABLE: ("ID",),
+    Word.FLEET_ENABLE: ("ID",),
+    Word.FLEET_REMOVE: ("NAME",),
 }
 
 
 class Call(NamedTuple):
     word: Word
-    id: str = ""
+    id: str = ""  # or a member's name
 
 
 class No(Exception):
--- a/loftweir/operations/desk.py
+++ b/loftweir/operations/desk.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
+from typing import Protocol
 
 from loftweir.core.life import Life, Step
 from loftweir.interface import MembershipUpdate
@@ -11,6 +12,7 @@
 from loftweir.operations.calls import Call, No, Word
 from loftweir.operations.overlay import Overlay
 from loftweir.operations.record import Record
+from loftweir.operations.record import Word as Said
 from loftweir.operations.store import Store
 from loftweir.state.sealed import Damaged
 from loftweir.telemetry.catalogue import RECORD_FAILED, RECORD_HELD, RECORD_READ
@@ -23,6 +25,12 @@
 Told = Callable[[MembershipUpdate, dict[str, str]], None]
 
 
+class Fleet(Protocol):
+    """This sidecar's part in the copies, where the operator's file names members."""
+
+    def do(self, call: Call) -> Coroutine[str]: ...
+
+
 class Desk:
     """Invariant: what `overlay.record` says holds: the balancer was told, and `life` stands where the drain says."""
 
@@ -32,6 +40,7 @@
         self.told = told
         self.takes_clients = takes_clients
         self.overlay = Overlay()
+        self.fleet: Fleet | None = None
         self.store: Store | None = None
         self.follows = False  # another process served when this one began
         self.begun = False  # the record was read, or could not be
@@ -42,6 +51,22 @@
     def listed(self, update: MembershipUpdate, addresses: dict[str, str]) -> None:
         self.told(*self.overlay.update(update, addresses))
 
+    # ---- the fleet ------------------------------------------------------------------------------
+
+    def fleet_said(self, words: Mapping[str, Said], whole: bool) -> None:
+        """What holds for the whole fleet; `whole`: nothing else does."""
+        update = self.overlay.lay(words, whole)
+        if update is not None:
+            self.told(*update)
+
+    def _fleet(self, call: Call) -> Coroutine[str]:
+        if self.fleet is None:
+            raise No("replication is off: the operator's file names no replication.members")
+        # What this sidecar's list does not name yet, others may serve from: it may be taken out all the same.
+        if call.word is Word.FLEET_ENABLE and not self.overlay.knows(call.id):
+            raise No("no such upstream")
+        return (yield from self.fleet.do(call))
+
     # ---- the record -----------------------------------------------------------------------------
 
     def begin(self, folder: str | None) -> None:
@@ -132,6 +157,8 @@
     def do(self, call: Call) -> Coroutine[str]:
         """What is said after OK; a `No` where the call is not done."""
         now, record = self.loop.now(), self.overlay.record
+        if call.word in (Word.FLEET, Word.FLEET_DISABLE, Word.FLEET_ENABLE, Word.FLEET_REMOVE):
+            return (yield from self._fleet(call))
         if call.word is Word.READY:
             if self.life.ends:
                 raise No("this process comes to its end")
--- a/loftweir/operations/overlay.py
+++ b/loftweir/operations/overlay.py
@@ -1,16 +1,17 @@
 """The operators' bans over discovery's list: what the balancer is told of each provider. No I/O, no clock.
 
-A banned provider drains, whatever the list says of it, also where it leaves the list and comes back under another
-address. One that was called back has been restarted meanwhile: it starts, at the earliest, at that moment.
+A ban is this sidecar's own or the whole fleet's: a provider is out while either says so. It drains then, whatever the
+list says of it, also where it leaves the list and comes back under another address. One that was called back has been
+restarted meanwhile: it starts, at the earliest, at that moment.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
 from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, UpdateKind
-from loftweir.operations.record import Record, changed
+from loftweir.operations.record import Record, Word, changed
 
 
 class Overlay:
@@ -20,17 +21,19 @@
         self.listed: dict[str, Endpoint] = {}  # as discovery has them, those that are gone left out
         self.addresses: dict[str, str] = {}
         self.record = Record()
+        self.fleet: dict[str, Word] = {}
 
     def knows(self, name: str) -> bool:
-        return name in self.listed or self.record.banned(name)
+        return name in self.listed or self.record.banned(name) or name in self.fleet
 
     def effective(self, endpoint: Endpoint) -> Endpoint:
-        word = self.record.bans.get(endpoint.address)
-        if word is None or endpoint.lifecycle is Lifecycle.GONE:
+        name = endpoint.address
+        words = [bans[name] for bans in (self.record.bans, self.fleet) if name in bans]
+        if not words or endpoint.lifecycle is Lifecycle.GONE:
             return endpoint
-        if word.on:
+        if any(word.on for word in words):
             return replace(endpoint, lifecycle=Lifecycle.DRAINING)
-        return replace(endpoint, started_at=max(endpoint.started_at, word.at), called_back=True)
+        return replace(endpoint, started_at=max(endpoint.started_at, *(w.at for w in words)), called_back=True)
 
     def update(
         self, update: MembershipUpdate, addresses: Mapping[str, str]
@@ -49,8 +52,19 @@
 
     def hold(self, record: Record) -> tuple[MembershipUpdate, dict[str, str]] | None:
         """Another record holds from now on: what the balancer is to be told, if anything."""
-        names = [name for name in changed(self.record, record) if name in self.listed]
+        names = changed(self.record, record)
         self.record = record
+        return self._again(names)
+
+    def lay(self, words: Mapping[str, Word], whole: bool) -> tuple[MembershipUpdate, dict[str, str]] | None:
+        """Words to the fleet hold from now on; `whole`: in place of all before, else beside them."""
+        after = dict(words) if whole else {**self.fleet, **words}
+        names = changed(Record(self.fleet), Record(after))
+        self.fleet = after
+        return self._again(names)
+
+    def _again(self, changed: Iterable[str]) -> tuple[MembershipUpdate, dict[str, str]] | None:
+        names = [name for name in changed if name in self.listed]
         if not names:
             return None
         endpoints = tuple(self.effective(self.listed[name]) for name in names)
--- /dev/null
+++ b/loftweir/replication/joining.py
@@ -0,0 +1,142 @@
+"""A listed member that is not one yet, or no more: founding, joining step by step, and finding out that it is out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Task, Wait
+from loftweir.net.stream import NotUp
+from loftweir.replication.api import Member
+from loftweir.replication.line import Broken, dial
+from loftweir.replication.member import Removed, Voter
+from loftweir.replication.seats import founders, waits_for
+from loftweir.replication.wire import VERSION, Am, Frame, Hello, Join, Joined, Kind, TurnedAway, Who
+from loftweir.telemetry.catalogue import REPLICATION_BEGUN, REPLICATION_JOINED, REPLICATION_TURNED, REPLICATION_WAITS
+from loftweir.telemetry.log import say
+
+ASK_EVERY = 200 * MS  # while it is no member; half as long again at random
+STEP_APART = 30 * MS  # from one step of joining to the next
+LOOK_EVERY = SECOND  # once it is a member
+ANSWER_WITHIN = SECOND
+LONG = 4  # election timeouts without a leader, after which a member asks whether it still is one
+SILENT_FOR = 3 * SECOND  # from the start, before waiting is worth a line
+
+
+class Joining:
+    def __init__(self, loop: Loop, voter: Voter, still: Callable[[], bool]) -> None:
+        """`still`: whether the voter takes part."""
+        self.loop = loop
+        self.voter = voter
+        self.still = still
+        self.own = Member(voter.me, voter.name, voter.seats[voter.name])
+        self.hello = Hello(VERSION, voter.options.cluster, voter.me, voter.name, Kind.CALLER)
+        self.random = Random(f"{voter.me} joining")
+        self.begun_at = loop.now()
+        self.joins = False
+        self.task: Task = loop.spawn(self._run())
+
+    def _run(self) -> Coroutine[None]:
+        while self.still():
+            if self._settled():
+                pause = LOOK_EVERY
+            elif (yield from self._step()):
+                pause = STEP_APART
+            else:
+                pause = ASK_EVERY + self.random.randrange(ASK_EVERY // 2)
+            yield Wait(None, 0, self.loop.now() + pause)
+
+    def _settled(self) -> bool:
+        """A member that votes, at the address that it has, with a leader or without one for a short time."""
+        voter = self.voter
+        own, age = voter.member(voter.me), voter.age()
+        if own is None or not own.votes or own.address != self.own.address:
+            return False
+        if self.joins:
+            self.joins = False
+            say(REPLICATION_JOINED, id=voter.me, leader=voter.leader()[0])
+        away = age if age is not None else self.loop.now() - self.begun_at
+        return away < LONG * voter.options.election
+
+    def _step(self) -> Coroutine[bool]:
+        """Whether something moved, so that the next step is worth a try at once."""
+        voter = self.voter
+        answers = yield from self._ask_all()
+        if not self.still():
+            return False
+        if not voter.begun:
+            members = tuple(founders(self.own, min(voter.seats), voter.seats, answers))
+            if members:
+                say(REPLICATION_BEGUN, id=voter.me, members=[m.name for m in members])
+                voter.found(members)
+                return True
+        for name, (_, am) in answers.items():
+            if am.leader == name and voter.voted and all(m.id != voter.me for m in am.members):
+                voter.end(Removed(f"{name} leads, and its members are without {voter.me}", voter.name))
+                return False
+        own = voter.member(voter.me)
+        if own is not None and own.votes and own.address == self.own.address:
+            return False
+        leaders = {am.leader: am.address for _, am in answers.values() if am.leader not in ("", voter.name)}
+        for name, address in leaders.items():
+            joined = yield from self._call(voter.seats.get(name, address), name, self._join())
+            if isinstance(joined, Joined):
+                if joined.on:
+                    self.joins = True
+                    return True
+                say(REPLICATION_WAITS, why=f"{name}: {joined.why}")
+        if not leaders and self.loop.now() > self.begun_at + SILENT_FOR:
+            say(REPLICATION_WAITS, why=waits_for(voter.name, min(voter.seats), voter.seats, answers))
+        return False
+
+    def _join(self) -> Join:
+        return Join(self.own.id, self.own.name, self.own.address)
+
+    def _ask_all(self) -> Coroutine[dict[str, tuple[str, Am]]]:
+        """How the other listed members stand, all asked at once."""
+        answers: dict[str, tuple[str, Am]] = {}
+        others = {name: address for name, address in self.voter.seats.items() if name != self.voter.name}
+        left = len(others)
+
+        def one(name: str, address: str) -> Coroutine[None]:
+            nonlocal left
+            try:
+                frame = yield from self._call(address, name, Who(tuple(self.voter.seats)), answers)
+                if not isinstance(frame, Am):
+                    answers.pop(name, None)
+            finally:
+                left -= 1
+                self.task.wake()
+
+        for name, address in others.items():
+            self.loop.spawn(one(name, address))
+        until = self.loop.now() + 2 * ANSWER_WITHIN
+        while left and self.loop.now() < until:
+            yield Wait(None, 0, until)
+        return dict(answers)
+
+    def _call(
+        self, address: str, name: str, frame: Frame, answers: dict[str, tuple[str, Am]] | None = None
+    ) -> Coroutine[Frame | None]:
+        """One question to a member, and its answer; None where none came."""
+        until = self.loop.now() + ANSWER_WITHIN
+        try:
+            line, there = yield from dial(self.loop, address, self.hello, until)
+        except TurnedAway as error:
+            say(REPLICATION_TURNED, name=name, why=error)
+            return None
+        except NotUp:
+            return None
+        try:
+            if there.name != name:
+                say(REPLICATION_TURNED, name=name, why=f"{there.name} is at {address}")
+                return None
+            line.say(frame)
+            answer = yield from line.next(until)
+            if answers is not None and isinstance(answer, Am):
+                answers[name] = there.id, answer
+            return answer
+        except Broken:
+            return None
+        finally:
+            line.close()
--- a/loftweir/replication/line.py
+++ b/loftweir/replication/line.py
@@ -84,6 +84,17 @@
         except OSError:
             self.shut()
 
+    def alive(self) -> bool:
+        """Whether the other side has not ended it, as far as its packets tell by now."""
+        if self.over:
+            return False
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+
     def shut(self) -> None:
         """Nothing more goes out, and whoever runs the line finds it at its end."""
         if not self.over:
--- a/loftweir/replication/links.py
+++ b/loftweir/replication/links.py
@@ -1,4 +1,4 @@
-"""A voter's way out to each other member: one connection, set up again when it fails; what is lost the core says anew."""
+"""A voter's way to each other member: one connection, set up again when it fails. What is lost the core says anew."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/loftweir/replication/reception.py
@@ -0,0 +1,356 @@
+"""A voter's listener: other members, and the sidecars that ask, write and follow.
+
+Members' messages go before all else on the loop. All others together are bounded; of too many, the one that comes is
+turned away to the other voters, and who is listed as a member is never among them.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from loftweir.config.units import host_and_port
+from loftweir.net.loop import MS, READABLE, SECOND, Coroutine, Loop, Task, Wait
+from loftweir.net.stream import TookTooLong, prepare
+from loftweir.replication.api import Heard, Message
+from loftweir.replication.line import GREETED_WITHIN, Broken, Line
+from loftweir.replication.machine import AnyResult, checked
+from loftweir.replication.machine import written as result_written
+from loftweir.replication.member import Voter
+from loftweir.replication.seats import step_in
+from loftweir.replication.wire import (
+    VERSION,
+    Answer,
+    Ask,
+    BadFrame,
+    FactOf,
+    Fetch,
+    Follow,
+    Frame,
+    Hello,
+    How,
+    Join,
+    Joined,
+    Kind,
+    LeaseOf,
+    Outcome,
+    Query,
+    Remove,
+    Submit,
+    Turned,
+    TurnedAway,
+    Who,
+    Whole,
+    Why,
+    WordOf,
+    turned,
+    written,
+)
+from loftweir.telemetry.catalogue import REPLICATION_TURNED
+from loftweir.telemetry.log import say
+
+BACKLOG = 512  # a voter that comes back is called by many at once
+UNGREETED = 64  # connections that have not said who they are; more wait to be accepted
+SLOW_AFTER = 250 * MS  # of too many, the oldest goes after this
+BESIDE = 4  # lines of each listed member that asks or joins, beside those for others
+UNUSED_FOR = 30 * SECOND  # of a line that asks nothing
+LONGEST_WAIT = 60 * SECOND
+NEWS_APART = 20 * MS  # from one round of news to the next: what is applied meanwhile goes together
+RETRY_ACCEPT = 20 * MS
+PIECE = 256 * 1024  # of the machine as a whole, to a follower
+DESCRIPTORS = 40  # beside those of others: listener, links both ways, UNGREETED in part, disk, epoll's wakes
+
+
+class Reception:
+    """Invariant: every line that is open has its one coroutine, and is in `ungreeted`, `members` or `others`."""
+
+    def __init__(self, loop: Loop, voter: Voter, most: int) -> None:
+        self.loop = loop
+        self.voter = voter
+        self.most = most
+        self.hello = Hello(VERSION, voter.options.cluster, voter.me, voter.name, Kind.MEMBER)
+        self.ungreeted: dict[Line, int] = {}  # the oldest first, with when it came
+        self.members: dict[str, Line] = {}  # by id, the newest of each
+        self.others: dict[Line, Hello] = {}
+        self.parked: dict[Line, tuple[int, int]] = {}  # who waits for news: behind which index, and until when
+        self.asked_from: dict[str, str] = {}  # by name, the id that asked last how this one stands while it was empty
+        self.news_due = False
+        self.news_at = 0
+        self.listener: socket.socket | None = None
+        self.accepting: Task | None = None
+        self.over = False
+
+    def listen(self, address: str) -> None:
+        """OSError where it can't be had."""
+        host, port = host_and_port(address)
+        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind((host, port))
+            sock.listen(BACKLOG)
+            sock.setblocking(False)
+        except OSError:
+            sock.close()
+            raise
+        self.listener = sock
+        self.accepting = self.loop.spawn(self._accept(sock), urgent=True)
+
+    def close(self) -> None:
+        """Not to be called by what this listener itself runs."""
+        self.over = True
+        if self.accepting is not None:
+            self.accepting.cancel()
+        if self.listener is not None:
+            self.loop.close(self.listener)
+        for line in [*self.ungreeted, *self.members.values(), *self.others]:
+            assert line.task is not None
+            line.task.cancel()
+
+    # ---- lines ----------------------------------------------------------------------------------
+
+    def _accept(self, listener: socket.socket) -> Coroutine[None]:
+        while True:
+            yield Wait(listener, READABLE, None)
+            while True:
+                while len(self.ungreeted) >= UNGREETED:
+                    line, came_at = next(iter(self.ungreeted.items()))
+                    if self.loop.now() > came_at + SLOW_AFTER and line.task is not None:
+                        line.task.cancel()
+                    else:
+                        yield Wait(None, 0, self.loop.now() + RETRY_ACCEPT // 4)
+                try:
+                    sock, _ = listener.accept()
+                except BlockingIOError:
+                    break
+                except OSError:  # most often no descriptor is free
+                    yield Wait(None, 0, self.loop.now() + RETRY_ACCEPT)
+                    break
+                prepare(sock)
+                line = Line(self.loop, sock)
+                self.ungreeted[line] = self.loop.now()
+                self._run(line, self._greet(line), self.loop.due)
+
+    def _run(self, line: Line, coroutine: Coroutine[None], lane: deque[Callable[[], None]]) -> None:
+        """Runs a line's coroutine, at once to its first wait: from then on, what ends it closes the line."""
+        line.task = Task(self.loop, coroutine, None, lane)
+        line.task.step()
+
+    def _greet(self, line: Line) -> Coroutine[None]:
+        """Finds out who it is, and goes over to the coroutine that serves such a one."""
+        kept = False
+        try:
+            hello = yield from line.greeting(self.loop.now() + GREETED_WITHIN)
+            refused = self._refused(hello)
+            if refused is None:
+                line.say(self.hello)
+                kept = True
+                self._serve(line, hello)
+            else:
+                say(REPLICATION_TURNED, name=hello.name, why=f"{refused.why.value} here: {refused.about}")
+                yield from self._send_away(line, refused)
+        except (BadFrame, TurnedAway) as error:
+            say(REPLICATION_TURNED, name="", why=error)
+            yield from self._send_away(line, Turned(Why.FORM, f"version {VERSION}"))
+        except Broken:
+            pass
+        finally:
+            self.ungreeted.pop(line, None)
+            if not kept:
+                line.close()
+
+    def _send_away(self, line: Line, word: Turned) -> Coroutine[None]:
+        """The last word, and a moment to read it: closing with something unread would reset the connection."""
+        line.say(word)
+        yield Wait(None, 0, self.loop.now() + 100 * MS)
+
+    def _refused(self, hello: Hello) -> Turned | None:
+        foreign = turned(hello, self.voter.options.cluster)
+        if foreign is not None or hello.kind is Kind.MEMBER:
+            return foreign
+        if hello.name in self.voter.seats:
+            beside = sum(other.name == hello.name for other in self.others.values())
+            return Turned(Why.FULL, str(BESIDE)) if beside >= BESIDE else None
+        others = sum(other.name not in self.voter.seats for other in self.others.values())
+        return Turned(Why.FULL, str(self.most)) if others >= self.most else None
+
+    def _serve(self, line: Line, hello: Hello) -> None:
+        if hello.kind is Kind.MEMBER:
+            before = self.members.get(hello.id)
+            if before is not None and before.task is not None:
+                before.task.cancel()  # its other side may be gone without a word
+            self.members[hello.id] = line
+            self.voter.names[hello.id] = hello.name
+            self._run(line, self._hear(line, hello), self.loop.urgent)
+        else:
+            self.others[line] = hello
+            self._run(line, self._answer(line), self.loop.due)
+
+    # ---- members --------------------------------------------------------------------------------
+
+    def _hear(self, line: Line, hello: Hello) -> Coroutine[None]:
+        voter = self.voter
+        try:
+            while not self.over:
+                frame = yield from line.next(None)
+                if not isinstance(frame, Message) or frame.sender != hello.id:
+                    raise BadFrame("not a member's message, or in another's name", hello.name)
+                if frame.to != voter.me:
+                    line.say(Turned(Why.ANOTHER_ID, voter.me))
+                    continue
+                # Whoever asked last of a seat, before anything was kept here, is the one that may be begun with.
+                if voter.begun or self.asked_from.get(hello.name, hello.id) == hello.id:
+                    voter.feed(Heard(frame))
+        except Broken as error:
+            if isinstance(error, BadFrame):
+                say(REPLICATION_TURNED, name=hello.name, why=error)
+        finally:
+            if self.members.get(hello.id) is line:
+                del self.members[hello.id]
+            line.close()
+
+    # ---- all others -----------------------------------------------------------------------------
+
+    def _answer(self, line: Line) -> Coroutine[None]:
+        try:
+            unused_at = self.loop.now() + UNUSED_FOR
+            while not self.over:
+                parked = self.parked.get(line)
+                try:
+                    frame = yield from line.next(parked[1] if parked else unused_at)
+                except TookTooLong:
+                    if line in self.parked:
+                        self._news(line, self.parked[line][0])
+                    elif self.loop.now() >= unused_at:
+                        return
+                    continue
+                unused_at = self.loop.now() + UNUSED_FOR
+                answer = ANSWERS.get(type(frame))
+                if answer is None:
+                    yield from self._send_away(line, Turned(Why.FORM, type(frame).__name__))
+                    return
+                answer(self, line, frame)
+        except Broken as error:
+            if isinstance(error, BadFrame):
+                say(REPLICATION_TURNED, name=self.others[line].name, why=error)
+        finally:
+            self.others.pop(line, None)
+            self.parked.pop(line, None)
+            line.close()
+
+    def _who(self, line: Line, frame: Who) -> None:
+        hello, am = self.others[line], self.voter.am(frame.names)
+        if am.empty:
+            self.asked_from[hello.name] = hello.id
+        line.say(am)
+
+    def _join(self, line: Line, frame: Join) -> None:
+        voter = self.voter
+        if not voter.leads():
+            line.say(Joined(False, False, "not the leader", *voter.leader()))
+            return
+        step = step_in(frame, voter.core.members, voter.seats, voter.lately, voter.behind)
+        if isinstance(step, Joined):
+            line.say(step)
+            return
+
+        def answered(how: How, index: int, _: AnyResult | None) -> None:
+            on = how in (How.DONE, How.BUSY)
+            line.say(Joined(False, on, "" if on else how.value, *voter.leader()))
+
+        voter.change(step, answered)
+
+    def _remove(self, line: Line, frame: Remove) -> None:
+        members = self.voter.core.members
+        left = tuple(m for m in members if m.name != frame.name)
+        if left == members and self.voter.leads():
+            line.say(Outcome(frame.token, How.UNFIT, 0, f"no member has the name {frame.name}".encode()))
+            return
+        self.voter.change(left, self._outcome(line, frame.token))
+
+    def _submit(self, line: Line, frame: Submit) -> None:
+        refused = checked(frame.order)
+        if refused is not None:
+            line.say(Outcome(frame.token, How.DONE, 0, result_written(refused)))
+        else:
+            self.voter.write(frame.order, self._outcome(line, frame.token))
+
+    def _outcome(self, line: Line, token: int) -> Callable[[How, int, AnyResult | None], None]:
+        def answered(how: How, index: int, result: AnyResult | None) -> None:
+            data = b"" if result is None else result_written(result)
+            line.say(Outcome(token, how, index, data, *self.voter.leader()))
+
+        return answered
+
+    def _ask(self, line: Line, frame: Ask) -> None:
+        def answered(how: How, index: int, _: AnyResult | None) -> None:
+            voter = self.voter
+            value = msgspec.msgpack.encode(looked_up(voter, frame.query))
+            sure = how is How.DONE
+            line.say(
+                Answer(frame.token, how, sure, voter.machine.index, 0 if sure else voter.age(), value, *voter.leader())
+            )
+
+        self.voter.read(answered)
+
+    # ---- news -----------------------------------------------------------------------------------
+
+    def _follow(self, line: Line, frame: Follow) -> None:
+        if frame.after < self.voter.machine.index or frame.wait <= 0:
+            self._news(line, frame.after)
+        else:
+            self.parked[line] = frame.after, self.loop.now() + min(frame.wait, LONGEST_WAIT)
+
+    def _news(self, line: Line, after: int) -> None:
+        self.parked.pop(line, None)
+        line.say(self.voter.news(after))
+
+    def applied(self) -> None:
+        """Something was applied: all who wait are told at once, but no more often than they need it."""
+        if not self.news_due and self.parked:
+            self.news_due = True
+            self.loop.after(max(0, self.news_at + NEWS_APART - self.loop.now()), self._tell)
+
+    def _tell(self) -> None:
+        self.news_due, self.news_at = False, self.loop.now()
+        if self.over:
+            return
+        news: dict[int, bytes] = {}
+        for line, (after, _) in list(self.parked.items()):
+            if after < self.voter.machine.index:
+                del self.parked[line]
+                if after not in news:
+                    news[after] = written(self.voter.news(after))
+                line.write(news[after])
+
+    def _fetch(self, line: Line, frame: Fetch) -> None:
+        voter, snapshot = self.voter, self.voter.core.snapshot
+        index, data = (snapshot.index, snapshot.data) if snapshot else (0, b"")
+        at = frame.at if frame.index == index and frame.at < len(data) else 0
+        piece, members = data[at : at + PIECE], tuple(m.id for m in voter.core.members)
+        line.say(Whole(index, at, piece, len(data), voter.age(), voter.leader()[0], members))
+
+
+def looked_up(voter: Voter, query: Query) -> Any:
+    machine = voter.machine
+    match query:
+        case WordOf(name):
+            return machine.words.get(name)
+        case LeaseOf(duty):
+            return machine.leases.get(duty)
+        case FactOf(duty, key):
+            return machine.facts.get((duty, key))
+
+
+ANSWERS: dict[type[Frame], Callable[[Reception, Line, Any], None]] = {
+    Who: Reception._who,
+    Join: Reception._join,
+    Remove: Reception._remove,
+    Submit: Reception._submit,
+    Ask: Reception._ask,
+    Follow: Reception._follow,
+    Fetch: Reception._fetch,
+}
--- a/loftweir/replication/wire.py
+++ b/loftweir/replication/wire.py
@@ -172,7 +172,7 @@
     how: How
     sure: bool = False
     index: int = 0
-    age: int = 0
+    age: int | None = None
     value: bytes = b""  # msgpack: what the machine holds, or nil
     leader: str = ""
     address: str = ""
@@ -198,7 +198,7 @@
 class News(Value, frozen=True, tag="news"):
     after: int  # as it was asked
     index: int  # applied there; below `after`: this one is behind who asks
-    age: int  # since it last knew a leader with a majority
+    age: int | None  # since it last knew a leader with a majority; None: never
     leads: bool  # it leads with a majority: nothing that was promised is behind its index
     leader: str  # a name
     members: tuple[str, ...]  # ids
@@ -218,7 +218,7 @@
     at: int
     data: bytes
     size: int
-    age: int
+    age: int | None
     leader: str
     members: tuple[str, ...]
 
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from loftweir.config.model import MIB, Options
 from loftweir.config.platform import Platform
@@ -35,6 +36,9 @@
 )
 from loftweir.telemetry.log import say
 
+if TYPE_CHECKING:
+    from loftweir.replication.part import Part
+
 TICK = SECOND  # how often the log is asked for what it owes
 LEAVES_FOR = SECOND  # from a drain on, until connections that rest are closed
 SWEEP_EVERY = 50 * MS
@@ -59,6 +63,13 @@
         self.discovery.drain_grace = platform.settings.safety.drain_grace
         shared = max(int(platform.sockets * limits.consumers_of_sockets), 1)
         others = limits.other_sockets + (DESCRIPTORS if platform.operator else 0)
+        self.fleet: Part | None = None
+        if options.replication.members:
+            # Here: a sidecar whose operator names no members has no use for it, and does not pay for it.
+            from loftweir.replication import part
+
+            self.fleet = self.desk.fleet = part.Part(loop, platform.name, options.replication, self.desk.fleet_said)
+            others += part.descriptors(platform.name, options.replication)
         most_calls = max(platform.sockets - shared - others, 1)
         self.back = Back(loop, platform.settings, options, most_calls, int(memory * limits.answers_of_memory))
         self.host = Host(loop, platform.settings, platform.seed, self.back, self.discovery)
@@ -127,6 +138,8 @@
             # News bind soon after this process says that it is ready, and there is one of it: no crowd to spread.
             self.discovery.watch(True)
         self.discovery.push(platform.settings.discovery_pushes)
+        if self.fleet is not None:
+            self.fleet.start()
         self.loop.spawn(self._obey(woken, wakes, reload))
         self.loop.spawn(self._keep_log())
 
@@ -218,6 +231,8 @@
         front, limits = self.front, self.options.limits
         if self.writes:
             self._write()  # a change still waiting for `state.write_apart` is not lost with this process
+        if self.fleet is not None:
+            self.fleet.leave()
         now = self.loop.now()
         longest = max(c.deadline for c in self.host.settings.classes.values())
         last = now + min(longest, LONGEST_COUNTED) + SECOND
@@ -231,5 +246,7 @@
             front.send_away(half=self.loop.now() > now + HALF_FOR)
             yield Wait(None, 0, self.loop.now() + 5 * MS)
         say(STOP_DONE, left=len(front.consumers))
+        if self.fleet is not None:
+            self.fleet.close()
         wakes.close()
         self.loop.stopped = True
--- a/loftweir/telemetry/catalogue.py
+++ b/loftweir/telemetry/catalogue.py
@@ -157,6 +157,93 @@
     "make room in `$TMPDIR`",
     ("why",),
 )
+REPLICATION_ROLE = Event(
+    "replication.role",
+    INFO,
+    ("role", "term", "leader", "members", "id"),
+    "this sidecar's part in the copies: `leader`, `follower`, `asking` or `candidate` (it knows no leader and wants to "
+    "be one), `out` (no member, or not yet); an empty `leader` is none that it knows of",
+    "many in a row: the network between the members or their disks stall; raise `replication.election`, or mend them",
+    None,
+)
+REPLICATION_BEGUN = Event(
+    "replication.begun",
+    INFO,
+    ("id", "members"),
+    "all listed members had empty disks, and this one began the copies with them",
+    told_apart_by=None,
+)
+REPLICATION_OPENED = Event(
+    "replication.opened",
+    INFO,
+    ("id", "begun", "torn", "index", "folder"),
+    "the files of a member were read. `begun`: there were none, and it has a new id; `torn`: bytes of a last write that"
+    " never finished, normal after a crash",
+    told_apart_by=None,
+)
+REPLICATION_DAMAGED = Event(
+    "replication.damaged",
+    ERROR,
+    ("why", "before", "id", "aside"),
+    "a member's files are not what it wrote. They were set `aside`, and it begins anew under another `id`; the id "
+    "`before` is taken out of its seat by the leader, and this one in",
+    "look at the disk, or at who put the file there; look for `replication.joined`",
+    None,
+)
+REPLICATION_WAITS = Event(
+    "replication.waits",
+    WARNING,
+    ("why",),
+    "a listed member is not one yet: it neither begins the copies nor is it taken in, because of `why`",
+    "start the listed members that are named, or mend the list; where all but an empty one are lost, empty all folders",
+    ("why",),
+)
+REPLICATION_JOINED = Event(
+    "replication.joined",
+    INFO,
+    ("id", "leader"),
+    "the leader took this sidecar in as a member that votes",
+    told_apart_by=None,
+)
+REPLICATION_TURNED = Event(
+    "replication.turned_away",
+    WARNING,
+    ("name", "why"),
+    "this sidecar and `name` do not speak: another version, cluster, list or id on one of the two sides, or no room",
+    "another id: nothing, while a member is replaced; else give all sidecars the same version, `cluster` and `members`",
+    ("name", "why"),
+)
+REPLICATION_ENDED = Event(
+    "replication.ended",
+    ERROR,
+    ("why", "remedy"),
+    "this sidecar's part as a member is over: its storage failed, it was taken out, or a fault of the program. It "
+    "serves on, and follows the other members",
+    "as `remedy` says",
+    None,
+)
+REPLICATION_FOLLOWS = Event(
+    "replication.follows",
+    INFO,
+    ("member", "index", "behind"),
+    "it has what is said to the fleet from this member, from now on; `behind` entries came at once",
+    told_apart_by=("member",),
+)
+REPLICATION_LOST = Event(
+    "replication.lost",
+    WARNING,
+    ("member", "why"),
+    "no news of the fleet came from this member; the next one is asked. What it knew holds on, and ages (`FLEET`)",
+    "nothing if rare; else look at the member that is named, and at the way to it",
+    ("member", "why"),
+)
+REPLICATION_WORDS = Event(
+    "replication.words",
+    INFO,
+    ("out", "index"),
+    "what holds for the whole fleet has changed: providers that are out by it",
+    told_apart_by=None,
+)
 DISCOVERY_LIST_IS = Event(
     "discovery.list",
     DEBUG,
--- /dev/null
+++ b/tests/fleet_scene.py
@@ -0,0 +1,187 @@
+"""A fleet of real sidecars for tests: voters and followers, each a process that can be ended, stopped and wiped.
+
+How one sidecar reaches a member can be set for each pair (`reach`), so that a test can put a proxy between them."""
+
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from contextlib import suppress
+from pathlib import Path
+
+from scene import READ, ROOT, SETTINGS, Catalog, Party, address_of, as_list, entry, eventually, listener, ok
+
+
+class Sidecar:
+    """One sidecar of the fleet: its files stay when its process ends, and the next one begins with them."""
+
+    def __init__(self, fleet, name):
+        self.fleet, self.name = fleet, name
+        self.folder = fleet.folder / name
+        self.folder.mkdir()
+        (self.folder / "tmp").mkdir()
+        self.copies = self.folder / "copies"  # what a voter keeps
+        self.listen, self.desk = fleet.free(), fleet.free()
+        self.program = None
+        self.fault = ""  # code that runs before the program
+
+    def start(self, **replication):
+        """`replication`: further keys of that section, as the file has them."""
+        keys = {"members": self.fleet.members_of(self.name), "folder": str(self.copies), **self.fleet.keys, **replication}
+        if not self.fleet.on:
+            keys = {}
+        lines = ["[log]", 'level = "debug"', "[replication]", *(f"{k} = {json.dumps(v)}" for k, v in keys.items())]
+        (self.folder / "loftweir.toml").write_text("\n".join(lines) + "\n", encoding="utf-8")
+        (self.folder / "sitecustomize.py").write_text(self.fault, encoding="utf-8")
+        catalog = self.fleet.catalog
+        config = {
+            "name": self.name,
+            "listen": self.listen,
+            "discovery": catalog.address,
+            "operator": self.desk,
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.fleet.sockets},
+            "known": json.loads(as_list(catalog.index, catalog.entries, True)),
+            "settings": SETTINGS,
+        }
+        (self.folder / "config.json").write_text(json.dumps(config), encoding="utf-8")
+        settings = {
+            "RELAY_CONFIG": str(self.folder / "config.json"),
+            "LOFTWEIR_OPERATOR": str(self.folder / "loftweir.toml"),
+            "PYTHONPATH": f"{self.folder}:{ROOT}",
+            "TMPDIR": str(self.folder / "tmp"),
+        }
+        with (self.folder / "log").open("ab") as errors:
+            self.program = subprocess.Popen(
+                [sys.executable, "-m", "loftweir"], env=os.environ | settings, stderr=errors, cwd=self.folder
+            )
+        return self
+
+    def ready(self):
+        return self.call("READY") == "OK"
+
+    def signal(self, number):
+        self.program.send_signal(number)
+
+    def kill(self):
+        """SIGKILL, and its end."""
+        if self.program is not None:
+            self.program.kill()
+            self.program.wait(10)
+            self.program = None
+
+    def terminate(self):
+        """SIGTERM, and its exit code."""
+        self.program.terminate()
+        code = self.program.wait(20)
+        self.program = None
+        return code
+
+    def stop(self):
+        self.signal(signal.SIGSTOP)
+
+    def go_on(self):
+        self.signal(signal.SIGCONT)
+
+    def wipe(self):
+        """All that it kept as a voter is lost; only while it does not run."""
+        assert self.program is None
+        shutil.rmtree(self.copies, ignore_errors=True)
+
+    def call(self, line, timeout=10):
+        """One line to its operators' address, and the line that answers; empty: none."""
+        host, port = self.desk.split(":")
+        try:
+            with socket.create_connection((host, int(port)), timeout=timeout) as sock:
+                sock.sendall(line.encode() + b"\n")
+                return b"".join(iter(lambda: sock.recv(4096), b"")).decode().rstrip("\n")
+        except OSError:
+            return ""
+
+    def stands(self):
+        """What FLEET says, by key; empty: nothing."""
+        answer = self.call("FLEET", 2)
+        return dict(pair.split("=", 1) for pair in answer.split()[1:]) if answer.startswith("OK ") else {}
+
+    def log(self):
+        return (self.folder / "log").read_text()
+
+    def logged(self, event):
+        records = [json.loads(line) for line in self.log().splitlines() if line.endswith("}")]
+        return [record for record in records if record["event"] == event]
+
+    def invoke(self, timeout=5):
+        """One request through it: the status."""
+        host, port = self.listen.split(":")
+        head = [f"GET /api HTTP/1.1\r\nHost: x\r\nReq-Id: {os.urandom(8).hex()}\r\nReq-Kind: {READ}"]
+        head += ["Req-Deadline-Ms: 2000", "Connection: close", "", ""]
+        with socket.create_connection((host, int(port)), timeout=timeout) as sock:
+            sock.sendall("\r\n".join(head).encode())
+            return int(b"".join(iter(lambda: sock.recv(65536), b"")).split(b" ", 2)[1])
+
+
+class FleetScene(unittest.TestCase):
+    """`fleet` makes the sidecars, by name; a test starts those that it wants. All of it ends with the test."""
+
+    on = True  # off: the operator's file names no members
+    sockets = 512
+    keys = {"beat": "50ms", "election": "300ms"}
+
+    def fleet(self, voters=3, followers=2, providers=2):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.catalog = Catalog()
+        self.providers = [Party(ok) for _ in range(providers)]
+        for party in (self.catalog, *self.providers):
+            self.addCleanup(party.close)
+        self.catalog.entries = [entry(f"s{n}", p.address) for n, p in enumerate(self.providers)]
+        self.voters = [f"n{n}" for n in range(voters)]
+        self.seats = {name: self.free() for name in self.voters}
+        self.reach = {}  # (who, whom): the address by which one reaches another, where it is not that one's own
+        self.sidecars = {n: Sidecar(self, n) for n in [*self.voters, *(f"f{n}" for n in range(followers))]}
+        self.addCleanup(lambda: [sidecar.kill() for sidecar in self.sidecars.values()])
+        return self.sidecars
+
+    def free(self):
+        with listener() as sock:
+            return address_of(sock)
+
+    def members_of(self, name):
+        """The list of members in one sidecar's file."""
+        return ", ".join(f"{n}={self.reach.get((name, n), seat)}" for n, seat in self.seats.items())
+
+    def begin(self, *names):
+        """Starts sidecars, all where none is named, until they serve and know a leader."""
+        chosen = [self.sidecars[name] for name in names or self.sidecars]
+        for sidecar in chosen:
+            sidecar.start()
+        for sidecar in chosen:
+            self.wait(lambda sidecar=sidecar: sidecar.ready() and self.knows_leader(sidecar), 20)
+        return chosen
+
+    def knows_leader(self, sidecar):
+        return sidecar.stands().get("leader", "-") != "-"
+
+    def leader(self, seconds=10):
+        """The sidecar that leads."""
+
+        def find():
+            running = [s for s in self.sidecars.values() if s.program is not None]
+            return [s for s in running if s.stands().get("role") == "leader"]
+
+        return self.wait(find, seconds)[0]
+
+    def wait(self, check, seconds=10):
+        found = eventually(check, seconds)
+        if not found:
+            for sidecar in self.sidecars.values():
+                with suppress(OSError):
+                    print(f"---- {sidecar.name}\n{sidecar.log()[-4000:]}")
+            self.fail("it did not come to that")
+        return found
