--- a/loftweir/replication/caller.py
+++ b/loftweir/replication/caller.py
@@ -193,7 +193,7 @@
                 yield from self._pause(until)
                 continue
             try:
-                line.say(frame(self.tokens))
+                line.put(frame(self.tokens))
                 answer = yield from self._answer(line, self.tokens, min(until, self.loop.now() + self.a_try))
             except Broken as error:
                 uncertain, why = True, f"{self.at}: {str(error) or 'no answer'}"
--- a/loftweir/replication/follower.py
+++ b/loftweir/replication/follower.py
@@ -26,7 +26,7 @@
 SILENT_AFTER = SECOND  # past its wait, until a call for news is given up
 ANSWER_WITHIN = 2 * SECOND  # for a piece of the whole
 NEXT_WITHIN = 60 * MS  # at random, until the next voter is asked after one that failed
-APART, MOST_APART = 100 * MS, 2 * SECOND  # after a round over all voters that brought nothing; twice as long each time
+APART, MOST_APART = 100 * MS, SECOND  # after a round over all voters that brought nothing; twice as long each time
 OLD = 3  # election timeouts that a voter may be without a leader, until another one is tried
 LARGEST = 512 * 1024 * 1024  # bytes of a machine as a whole
 
@@ -52,7 +52,7 @@
 
 
 class Follower:
-    """`applied` is called after each change of the machine, with whether it is no later state of the one before."""
+    """`applied` is called after each change of the machine."""
 
     def __init__(
         self,
@@ -61,7 +61,7 @@
         id: str,
         options: Replication,
         seats: dict[str, str],
-        applied: Callable[[bool], None],
+        applied: Callable[[], None],
     ) -> None:
         self.loop = loop
         self.options = options
@@ -129,7 +129,7 @@
             # The first does not wait: it is soon known whether this one is of use.
             wait = 0 if first else self.options.follow_wait
             after = self.machine.index
-            line.say(Follow(after, wait))
+            line.put(Follow(after, wait))
             news = yield from self._next(line, wait + SILENT_AFTER)
             if not isinstance(news, News):
                 raise Gap(f"not news: {type(news).__name__}", self.member)
@@ -172,7 +172,7 @@
             raise Gap(f"news up to {news.index} end at {self.machine.index}", self.member)
         self._knows(news, members)
         if news.entries:
-            self.applied(False)
+            self.applied()
 
     def _knows(self, news: News | Whole, members: frozenset[str]) -> None:
         self.leader, self.members = news.leader, members or self.members
@@ -183,7 +183,7 @@
         """The machine as a whole, piece by piece. `anew`: it need not be a later state of the one held."""
         index, data = 0, bytearray()
         while True:
-            line.say(Fetch(index, len(data)))
+            line.put(Fetch(index, len(data)))
             piece = yield from self._next(line, ANSWER_WITHIN)
             if not isinstance(piece, Whole) or piece.size > LARGEST:
                 raise Gap(f"not a piece of the whole: {type(piece).__name__}", self.member)
@@ -199,4 +199,4 @@
             raise Behind(f"the whole is of index {machine.index}, behind {self.machine.index}", self.member)
         self.machine = machine
         self._knows(piece, frozenset(piece.members))
-        self.applied(anew)
+        self.applied()
--- a/loftweir/replication/joining.py
+++ b/loftweir/replication/joining.py
@@ -34,7 +34,14 @@
         self.random = Random(f"{voter.me} joining")
         self.begun_at = loop.now()
         self.joins = False
-        self.task: Task = loop.spawn(self._run())
+        self.task: Task = loop.spawn(self._run(), self._crashed)
+
+    def _crashed(self, _: Exception) -> None:
+        self.loop.after(LOOK_EVERY, self._again)
+
+    def _again(self) -> None:
+        if self.still():
+            self.task = self.loop.spawn(self._run(), self._crashed)
 
     def _run(self) -> Coroutine[None]:
         while self.still():
@@ -131,7 +138,7 @@
             if there.name != name:
                 say(REPLICATION_TURNED, name=name, why=f"{there.name} is at {address}")
                 return None
-            line.say(frame)
+            line.put(frame)
             answer = yield from line.next(until)
             if answers is not None and isinstance(answer, Am):
                 answers[name] = there.id, answer
--- a/loftweir/replication/line.py
+++ b/loftweir/replication/line.py
@@ -1,6 +1,6 @@
 """Frames over one socket, both ways, and the greeting that comes first.
 
-One coroutine runs a line by `next`; whoever has something to say calls `say`, which writes at once what the socket
+One coroutine runs a line by `next`; whoever has something to say calls `put`, which writes at once what the socket
 takes and leaves the rest to that coroutine. Nothing here waits for a reader: what it does not take is held, bounded.
 """
 
@@ -39,7 +39,7 @@
 
     # ---- out ----
 
-    def say(self, frame: Frame, may_drop: bool = False) -> None:
+    def put(self, frame: Frame, may_drop: bool = False) -> None:
         self.write(written(frame), may_drop)
 
     def write(self, data: bytes, may_drop: bool = False) -> None:
@@ -151,7 +151,7 @@
     line = Line(loop, sock)
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, DEAD_AFTER)
-        line.say(hello)
+        line.put(hello)
         there = yield from line.greeting(min(until, loop.now() + GREETED_WITHIN))
     except Broken:
         line.close()
--- a/loftweir/replication/links.py
+++ b/loftweir/replication/links.py
@@ -37,14 +37,14 @@
         self.random = Random(f"{hello.id} {id}")
         self.task: Task = loop.spawn(self._run(), urgent=True)
 
-    def say(self, message: AnyMessage) -> None:
+    def put(self, message: AnyMessage) -> None:
         self.said_at = self.loop.now()
         if self.line is None:
             self.waiting.append(message)
             if self.rests:
                 self.task.wake()
         else:
-            self.line.say(message, isinstance(message, Append | Piece))
+            self.line.put(message, isinstance(message, Append | Piece))
 
     def close(self) -> None:
         self.task.cancel()
@@ -80,7 +80,7 @@
     def _talk(self, line: Line) -> Coroutine[None]:
         line.most, line.task, self.line = HELD, self.task, line
         while self.waiting:
-            self.say(self.waiting.popleft())
+            self.put(self.waiting.popleft())
         while True:
             frame = yield from line.next(None)
             if isinstance(frame, Turned):
--- a/loftweir/replication/member.py
+++ b/loftweir/replication/member.py
@@ -219,7 +219,7 @@
         if link is None:
             link = Link(self.loop, id, self.hello, lambda: self.address_of(id), self._turned)
             self.links[id] = link
-        link.say(action.message)
+        link.put(action.message)
 
     def _apply(self, action: Apply) -> None:
         machine = self.machine
@@ -233,6 +233,12 @@
             if entry.kind is Kind.NOOP and self.core.role is Role.LEADER and entry.term == self.core.term:
                 self.keeper.led(self.loop.now(), machine.leases)
 
+        core = self.core
+        if core.role is Role.LEADER and core.commit == core.last_index and self.results:
+            # The others learn what is committed by the next message, and their followers wait for it: a read sends one
+            # to all at once.
+            self.pending.append(Read(self._token(lambda *_: None)))
+
     def _restore(self, action: Restore) -> None:
         try:
             self.machine = Machine.load(action.snapshot.data)
@@ -309,6 +315,8 @@
 
     def name_of(self, id: str) -> str:
         """Empty: not known."""
+        if id == self.me:
+            return self.name
         found = self.member(id)
         return found.name if found else self.names.get(id, "")
 
--- a/loftweir/replication/part.py
+++ b/loftweir/replication/part.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import os
 import secrets
 from collections.abc import Callable, Mapping
 from pathlib import Path
@@ -15,7 +16,7 @@
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Wait
 from loftweir.operations.calls import Call, No, Word
 from loftweir.operations.record import Word as Said
-from loftweir.replication import reception
+from loftweir.replication import reception, remembered
 from loftweir.replication.api import Role
 from loftweir.replication.caller import Caller
 from loftweir.replication.disk import open_disk
@@ -26,10 +27,13 @@
 from loftweir.replication.machine import Word as Say
 from loftweir.replication.member import Voter
 from loftweir.replication.reception import Reception
+from loftweir.replication.remembered import Remembered
 from loftweir.replication.wire import WordOf
+from loftweir.state.sealed import Damaged
 from loftweir.telemetry.catalogue import (
     REPLICATION_DAMAGED,
     REPLICATION_ENDED,
+    REPLICATION_FORGOT,
     REPLICATION_OPENED,
     REPLICATION_WAITS,
     REPLICATION_WORDS,
@@ -37,6 +41,7 @@
 from loftweir.telemetry.log import say
 
 TRY_EVERY = 300 * MS  # for the folder and the address, that the process before this one may hold yet
+SAVE_WITHIN = 100 * MS  # from a change of what holds, until it is written where the next process finds it
 FOLLOWERS_OWN = 6  # descriptors: a line for news, two for calls, and what is between one and the next
 
 
@@ -46,8 +51,9 @@
 
 
 class Part:
-    """Invariant: it votes or follows, one of the two; what it has told holds by a state at `index`, and a state behind
-    that is told only where the copies were begun anew."""
+    """Invariants: it votes or follows, one of the two; `told` has heard `words`, which are those of the machine at
+    `index` and what was promised here since; a machine behind that is told only where its members are all others: the
+    copies were begun anew."""
 
     def __init__(
         self, loop: Loop, name: str, options: Replication, told: Callable[[Mapping[str, Said], bool], None]
@@ -58,8 +64,12 @@
         self.told = told
         self.seats = seats(options.members)
         self.id = secrets.token_hex(8)  # of this process, where it does not vote
-        self.index = 0
-        self.out: set[str] = set()
+        self.folder = Path(os.environ["TMPDIR"]) if os.environ.get("TMPDIR") else None
+        self.index = 0  # of what holds here
+        self.known_at: int | None = None  # where only what was remembered does: when it was the latest
+        self.members: frozenset[str] = frozenset()  # ids of the voters that it is of
+        self.words: dict[str, Said] = {}
+        self.saves = False  # a file is to be written
         self.voter: Voter | None = None
         self.reception: Reception | None = None
         self.follower: Follower | None = None
@@ -69,6 +79,20 @@
 
     # ---- begin and end --------------------------------------------------------------------------
 
+    def recall(self) -> None:
+        """What the process before this one knew holds from the start on."""
+        if self.folder is None:
+            return
+        try:
+            found = remembered.load(self.folder, self.options.cluster)
+        except (OSError, Damaged) as error:
+            say(REPLICATION_FORGOT, folder=str(self.folder), why=error)
+            return
+        if found is not None:
+            self.index, self.known_at, self.members = found.index, found.known_at, frozenset(found.members)
+            self.words = {name: Said(*word) for name, word in found.words.items()}
+            self.told(self.words, True)
+
     def start(self) -> None:
         if self.name not in self.seats:
             self._follow()
@@ -155,38 +179,64 @@
     def close(self) -> None:
         """The end: what was asked to be kept is."""
         self.leaves = True
+        if self.saves:
+            self._save()
         self._end_voting()
         self._end_following()
         self.caller.close()
 
     # ---- what holds -----------------------------------------------------------------------------
 
-    @property
-    def machine(self) -> Machine | None:
-        holder = self.voter or self.follower
-        return holder.machine if holder is not None else None
-
     def _applied(self) -> None:
         if self.voter is not None and self.reception is not None:
             self.reception.applied()
-            self._tell(self.voter.machine)
+            self._tell(self.voter.machine, frozenset(m.id for m in self.voter.core.members))
 
-    def _followed(self, anew: bool) -> None:
+    def _followed(self) -> None:
         if self.follower is not None:
-            if anew:
-                self.index = 0
-            self._tell(self.follower.machine, anew)
+            self._tell(self.follower.machine, self.follower.members)
 
-    def _tell(self, machine: Machine, anew: bool = False) -> None:
+    def _tell(self, machine: Machine, members: frozenset[str]) -> None:
+        anew = bool(self.members and members) and not self.members & members
+        if anew:
+            self.index = 0
+        self.members = members or self.members
         if machine.index < self.index:
-            return
+            return  # a voter that has yet to hear how much of its log holds, or one that joins
         whole, words = machine.words_since(self.index)
-        self.index = machine.index
+        self.index, self.known_at = machine.index, None
         if not words and not whole and not anew:
             return
-        self.out = {name for name, word in machine.words.items() if word.out}
-        say(REPLICATION_WORDS, out=sorted(self.out), index=self.index)
-        self.told({name: Said(word.at, word.out) for name, word in words.items()}, whole or anew)
+        said = {name: Said(word.at, word.out) for name, word in words.items()}
+        self.words = said if whole or anew else {**self.words, **said}
+        say(REPLICATION_WORDS, out=self.out(), index=self.index)
+        self.told(said, whole or anew)
+        if self.folder is not None and not self.saves:
+            self.saves = True
+            self.loop.after(SAVE_WITHIN, self._save)
+
+    def _save(self) -> None:
+        self.saves = False
+        if self.folder is None:
+            return
+        words = {name: (word.at, word.on) for name, word in self.words.items()}
+        now = self.loop.now() - (self.age() or 0)
+        try:
+            remembered.save(
+                self.folder, Remembered(self.options.cluster, self.index, now, sorted(self.members), words)
+            )
+        except OSError as error:
+            say(REPLICATION_FORGOT, folder=str(self.folder), why=error)
+
+    def out(self) -> list[str]:
+        return sorted(name for name, word in self.words.items() if word.on)
+
+    def age(self) -> int | None:
+        """Since what holds here was last known to be all that was promised, ns; None: not known."""
+        if self.known_at is not None:
+            return max(0, self.loop.now() - self.known_at)
+        holder = self.voter or self.follower
+        return holder.age() if holder is not None else None
 
     # ---- operators' calls -----------------------------------------------------------------------
 
@@ -210,19 +260,16 @@
             raise No(f"{type(error).__name__}: {error}; {error.remedy}") from None
         if not isinstance(result, Ok):
             raise No(result.text)
+        if result.index > self.index:  # it holds here by the time of the answer; the machine's state follows
+            self.words = {**self.words, call.id: Said(act.at, act.out)}
+            self.told(self.words, False)
         return f"{'disabled' if act.out else 'enabled'}, at index {result.index}"
 
     def line(self) -> str:
         """How it stands, in one line."""
-        leader, age, machine = "", None, self.machine
+        role, term, leader = "follows", "-", self.follower.leader if self.follower is not None else ""
         if self.voter is not None:
-            role, term = self.voter.core.role.value, str(self.voter.core.term)
-            leader, age = self.voter.leader()[0], self.voter.age()
-        else:
-            role, term = "follows", "-"
-            if self.follower is not None:
-                leader, age = self.follower.leader, self.follower.age()
-        aged = "-" if age is None else str(age // MS)
-        out = sorted(name for name, word in machine.words.items() if word.out) if machine else []
-        index = machine.index if machine else 0
-        return f"role={role} leader={leader or '-'} term={term} index={index} age_ms={aged} out={','.join(out) or '-'}"
+            role, term, leader = self.voter.core.role.value, str(self.voter.core.term), self.voter.leader()[0]
+        age = self.age()
+        aged, out = "-" if age is None else str(age // MS), ",".join(self.out())
+        return f"role={role} leader={leader or '-'} term={term} index={self.index} age_ms={aged} out={out or '-'}"
--- a/loftweir/replication/reception.py
+++ b/loftweir/replication/reception.py
@@ -146,7 +146,7 @@
             hello = yield from line.greeting(self.loop.now() + GREETED_WITHIN)
             refused = self._refused(hello)
             if refused is None:
-                line.say(self.hello)
+                line.put(self.hello)
                 kept = True
                 self._serve(line, hello)
             else:
@@ -164,7 +164,7 @@
 
     def _send_away(self, line: Line, word: Turned) -> Coroutine[None]:
         """The last word, and a moment to read it: closing with something unread would reset the connection."""
-        line.say(word)
+        line.put(word)
         yield Wait(None, 0, self.loop.now() + 100 * MS)
 
     def _refused(self, hello: Hello) -> Turned | None:
@@ -199,7 +199,7 @@
                 if not isinstance(frame, Message) or frame.sender != hello.id:
                     raise BadFrame("not a member's message, or in another's name", hello.name)
                 if frame.to != voter.me:
-                    line.say(Turned(Why.ANOTHER_ID, voter.me))
+                    line.put(Turned(Why.ANOTHER_ID, voter.me))
                     continue
                 # Whoever asked last of a seat, before anything was kept here, is the one that may be begun with.
                 if voter.begun or self.asked_from.get(hello.name, hello.id) == hello.id:
@@ -245,21 +245,21 @@
         hello, am = self.others[line], self.voter.am(frame.names)
         if am.empty:
             self.asked_from[hello.name] = hello.id
-        line.say(am)
+        line.put(am)
 
     def _join(self, line: Line, frame: Join) -> None:
         voter = self.voter
         if not voter.leads():
-            line.say(Joined(False, False, "not the leader", *voter.leader()))
+            line.put(Joined(False, False, "not the leader", *voter.leader()))
             return
         step = step_in(frame, voter.core.members, voter.seats, voter.lately, voter.behind)
         if isinstance(step, Joined):
-            line.say(step)
+            line.put(step)
             return
 
         def answered(how: How, index: int, _: AnyResult | None) -> None:
             on = how in (How.DONE, How.BUSY)
-            line.say(Joined(False, on, "" if on else how.value, *voter.leader()))
+            line.put(Joined(False, on, "" if on else how.value, *voter.leader()))
 
         voter.change(step, answered)
 
@@ -267,21 +267,21 @@
         members = self.voter.core.members
         left = tuple(m for m in members if m.name != frame.name)
         if left == members and self.voter.leads():
-            line.say(Outcome(frame.token, How.UNFIT, 0, f"no member has the name {frame.name}".encode()))
+            line.put(Outcome(frame.token, How.UNFIT, 0, f"no member has the name {frame.name}".encode()))
             return
         self.voter.change(left, self._outcome(line, frame.token))
 
     def _submit(self, line: Line, frame: Submit) -> None:
         refused = checked(frame.order)
         if refused is not None:
-            line.say(Outcome(frame.token, How.DONE, 0, result_written(refused)))
+            line.put(Outcome(frame.token, How.DONE, 0, result_written(refused)))
         else:
             self.voter.write(frame.order, self._outcome(line, frame.token))
 
     def _outcome(self, line: Line, token: int) -> Callable[[How, int, AnyResult | None], None]:
         def answered(how: How, index: int, result: AnyResult | None) -> None:
             data = b"" if result is None else result_written(result)
-            line.say(Outcome(token, how, index, data, *self.voter.leader()))
+            line.put(Outcome(token, how, index, data, *self.voter.leader()))
 
         return answered
 
@@ -290,7 +290,7 @@
             voter = self.voter
             value = msgspec.msgpack.encode(looked_up(voter, frame.query))
             sure = how is How.DONE
-            line.say(
+            line.put(
                 Answer(frame.token, how, sure, voter.machine.index, 0 if sure else voter.age(), value, *voter.leader())
             )
 
@@ -306,7 +306,7 @@
 
     def _news(self, line: Line, after: int) -> None:
         self.parked.pop(line, None)
-        line.say(self.voter.news(after))
+        line.put(self.voter.news(after))
 
     def applied(self) -> None:
         """Something was applied: all who wait are told at once, but no more often than they need it."""
@@ -331,7 +331,7 @@
         index, data = (snapshot.index, snapshot.data) if snapshot else (0, b"")
         at = frame.at if frame.index == index and frame.at < len(data) else 0
         piece, members = data[at : at + PIECE], tuple(m.id for m in voter.core.members)
-        line.say(Whole(index, at, piece, len(data), voter.age(), voter.leader()[0], members))
+        line.put(Whole(index, at, piece, len(data), voter.age(), voter.leader()[0], members))
 
 
 def looked_up(voter: Voter, query: Query) -> Any:
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -125,6 +125,8 @@
             signal.signal(number, lambda *_: None)
         if platform.operator:
             self.desk.begin(os.environ.get("TMPDIR"))
+        if self.fleet is not None:
+            self.fleet.recall()
         self.desk.listed(known, addresses)
         if platform.listen_fd is None:
             self.front.listen(platform.listen)
--- a/loftweir/telemetry/catalogue.py
+++ b/loftweir/telemetry/catalogue.py
@@ -244,6 +244,15 @@
     "what holds for the whole fleet has changed: providers that are out by it",
     told_apart_by=None,
 )
+REPLICATION_FORGOT = Event(
+    "replication.not_remembered",
+    WARNING,
+    ("folder", "why"),
+    "what holds for the fleet can't be kept in `$TMPDIR`, or what was kept can't be read: a start knows nothing of it "
+    "until it hears from a member",
+    "make room in `$TMPDIR`",
+    ("why",),
+)
 DISCOVERY_LIST_IS = Event(
     "discovery.list",
     DEBUG,
--- a/tests/fleet_scene.py
+++ b/tests/fleet_scene.py
@@ -32,7 +32,8 @@
 
     def start(self, **replication):
         """`replication`: further keys of that section, as the file has them."""
-        keys = {"members": self.fleet.members_of(self.name), "folder": str(self.copies), **self.fleet.keys, **replication}
+        keys = {"members": self.fleet.members_of(self.name), "folder": str(self.copies)}
+        keys |= self.fleet.keys | replication
         if not self.fleet.on:
             keys = {}
         lines = ["[log]", 'level = "debug"', "[replication]", *(f"{k} = {json.dumps(v)}" for k, v in keys.items())]
