--- a/loftweir/replication/member.py
+++ b/loftweir/replication/member.py
@@ -102,6 +102,7 @@
         self.waiting: dict[int, Answered] = {}
         self.results: dict[int, AnyResult] = {}  # of writes applied in this step, by index
         self.told_index = 0
+        self.known_at = 0  # when it last knew a leader with a majority, itself or another; 0: never
         self.led = (0, 0)  # the term that it led last, and when it began to
         self.voted = False  # it has been one of the voters, in the life of this process
         self.hello = Hello(VERSION, options.cluster, self.me, name, Who.MEMBER)
@@ -132,6 +133,7 @@
             self.end(MemberBroken(repr(error), where(error)))
         self.steps = False
         self.results.clear()
+        self.known_at = max(self.known_at, self.core.quorum_heard_at)  # of one that led the core forgets it
         if self.machine.index != self.told_index and not self.over:
             self.told_index = self.machine.index
             self.applied()
@@ -337,8 +339,8 @@
 
     def age(self) -> int | None:
         """Since it last knew a leader with a majority, ns; None: never in the life of this process."""
-        heard = self.core.quorum_heard_at
-        return max(0, self.loop.now() - heard) if heard else None
+        known_at = max(self.known_at, self.core.quorum_heard_at)
+        return max(0, self.loop.now() - known_at) if known_at else None
 
     def lately(self, id: str) -> bool:
         """Whether a member was heard from in the last election timeout, or may have been before this one led."""
--- /dev/null
+++ b/tests/test_replication_wire.py
@@ -0,0 +1,447 @@
+"""The sockets' parts of the copies without processes: frames, lines, seats, callers and followers of toy voters."""
+
+import pickle
+import select
+import socket
+import struct
+import threading
+import time
+from contextlib import suppress
+from zlib import crc32
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from scene import address_of, listener
+from support import changes, endpoint, full
+
+from loftweir.config.model import Replication
+from loftweir.interface import Lifecycle
+from loftweir.net.loop import MS, SECOND, Loop, Wait
+from loftweir.operations.overlay import Overlay
+from loftweir.operations.record import Record
+from loftweir.operations.record import Word as Said
+from loftweir.replication import wire
+from loftweir.replication.api import Append, Entry, Kind, LeadNow, Member
+from loftweir.replication.caller import Caller, NoMajority, OutcomeUnknown
+from loftweir.replication.follower import Follower
+from loftweir.replication.line import Line
+from loftweir.replication.machine import Machine, Ok, Order, UnknownSession, Word, written
+from loftweir.replication.seats import REACH, founders, step_in
+from loftweir.replication.wire import Am, BadFrame, Follow, Hello, How, Join, Joined, News, Outcome, Reader, Told
+
+HELLO = Hello(wire.VERSION, "loftweir", "id-v", "n0", wire.Kind.MEMBER)
+FRAMES = st.lists(
+    st.one_of(
+        st.builds(Told, st.integers(0, 9), st.binary(max_size=300)).map(
+            lambda told: News(0, told.index, None, False, "n0", ("a",), (told,), False)
+        ),
+        st.builds(Follow, st.integers(0, 9), st.integers(0, 9)),
+        st.builds(LeadNow, sender=st.text(max_size=5), to=st.text(max_size=5), term=st.integers(0, 9)),
+    ),
+    max_size=6,
+).map(lambda rest: [HELLO, *rest])
+
+
+# ---- frames and lines ---------------------------------------------------------------------------
+
+
+@settings(derandomize=True)
+@given(FRAMES, st.lists(st.integers(1, 200), min_size=1))
+def test_frames_come_back_however_their_bytes_are_cut(frames, cuts):
+    data, reader, found, at = b"".join(map(wire.written, frames)), Reader(), [], 0
+    while at < len(data):
+        cut = cuts[at % len(cuts)]
+        reader.feed(data[at : at + cut])
+        at += cut
+        found += reader.all()
+    assert found == frames
+
+
+@settings(derandomize=True)
+@given(FRAMES, st.data())
+def test_a_changed_byte_never_gives_another_frame(frames, draw):
+    data = bytearray(b"".join(map(wire.written, frames)))
+    at = draw.draw(st.integers(0, len(data) - 1))
+    data[at] ^= draw.draw(st.integers(1, 255))
+    reader, found = Reader(), []
+    reader.feed(bytes(data))
+    with suppress(BadFrame):
+        for frame in reader.all():
+            found.append(frame)
+    assert found == frames[: len(found)] and len(found) < len(frames)
+
+
+def test_what_is_no_frame_of_this_version_is_found_out_before_it_takes_room():
+    def framed(body):
+        return struct.pack(">II", len(body), crc32(body)) + body
+
+    bodies = [pickle.dumps(HELLO), msgspec.msgpack.encode({"type": "hello", "more": 1}), b"", b"\x91" * 3000]
+    bad = [framed(body) for body in bodies] + [struct.pack(">II", wire.FIRST + 1, 0)]
+    bad.append(wire.written(HELLO) + struct.pack(">II", wire.LARGEST + 1, 0))
+    for data in bad:
+        reader = Reader()
+        reader.feed(data)
+        with pytest.raises(BadFrame):
+            list(reader.all())
+
+
+def test_a_line_whose_other_side_does_not_read_drops_the_oldest_entries_and_nothing_else():
+    near, far = socket.socketpair()
+    near.setblocking(False)
+    loop = Loop()
+    line = Line(loop, near, most=1024 * 1024)
+    for n in range(80):
+        entry = Entry(n + 1, 1, Kind.WRITE, bytes(64 * 1024))
+        line.put(
+            Append(sender="a", to="b", term=1, prev_index=n, prev_term=1, entries=(entry,), commit=0, round=n), True
+        )
+        if n == 40:
+            line.put(LeadNow(sender="a", to="b", term=1))
+        assert line.held <= line.most
+    reader, found = Reader(), []
+    reader.first = False
+    far.setblocking(False)
+    while line.held or select.select([far], [], [], 0)[0]:
+        reader.feed(far.recv(1024 * 1024))
+        found += reader.all()
+        line._flush()
+    rounds = [frame.round for frame in found if isinstance(frame, Append)]
+    assert rounds == sorted(rounds) and rounds[-1] == 79 and len(rounds) < 80
+    assert sum(isinstance(frame, LeadNow) for frame in found) == 1
+    for _ in range(40):  # what must not be dropped is too much: the line ends
+        line.put(Follow(0, 0))
+        line.write(bytes(64 * 1024))
+    assert line.over and line.held == 0
+    line.close(), far.close()
+
+
+# ---- seats --------------------------------------------------------------------------------------
+
+NAMES = ("n0", "n1", "n2", "n3", "n4")
+
+
+@settings(derandomize=True)
+@given(st.lists(st.tuples(st.sampled_from(NAMES), st.integers(0, 3), st.booleans(), st.integers(0, 200)), max_size=80))
+def test_who_wants_in_gets_there_by_steps_of_one_voter_and_never_in_the_place_of_one_that_lives(steps):
+    members = tuple(Member(f"{name}-0", name, "a:1") for name in NAMES[:3])
+    for name, life, lives, behind in steps:
+        join = Join(f"{name}-{life}", name, f"a:{life}")
+        step = step_in(join, members, NAMES, lambda id, lives=lives: lives, lambda id, behind=behind: behind)
+        if isinstance(step, Joined):
+            own = [m for m in members if m.id == join.id]
+            assert own or (lives and any(m.name == name for m in members))
+            assert step.votes == any(m.votes for m in own)
+            continue
+        voters, after = ({m.id for m in ms if m.votes} for ms in (members, step))
+        assert len(voters ^ after) <= 1 and len({m.name for m in step}) == len(step)
+        assert not voters - after or not lives
+        assert not after - voters or behind <= REACH
+        members = step
+    for name in NAMES:  # in the end all get in
+        join, count = Join(f"{name}-9", name, "a:9"), 0
+        while not isinstance(step := step_in(join, members, NAMES, lambda _: False, lambda _: 0), Joined):
+            members, count = step, count + 1
+        assert step.votes and count <= 3
+    assert isinstance(step_in(Join("x", "x", "a:1"), members, NAMES, lambda _: False, lambda _: 0), Joined)
+
+
+def test_a_cluster_is_begun_by_the_first_and_only_where_all_are_empty():
+    def am(empty=True, agrees=True):
+        return Am(empty, agrees, "a:2", "", "", ())
+
+    me, names = Member("i0", "n0", "a:1"), ("n0", "n1", "n2")
+    answers = {"n1": ("i1", am()), "n2": ("i2", am())}
+    assert [m.id for m in founders(me, "n0", names, answers)] == ["i0", "i1", "i2"]
+    for wrong in (
+        {"n1": answers["n1"]},
+        answers | {"n2": ("i2", am(empty=False))},
+        answers | {"n2": ("i2", am(agrees=False))},
+        answers | {"n2": ("i1", am())},
+    ):
+        assert not founders(me, "n0", names, wrong)
+    assert not founders(Member("i1", "n1", "a:1"), "n0", names, {"n0": ("i0", am()), "n2": ("i2", am())})
+
+
+# ---- the fleet's words over the list ------------------------------------------------------------
+
+
+def test_who_is_out_by_either_word_is_out_and_comes_back_as_of_the_later():
+    overlay = Overlay()
+    overlay.update(full(endpoint("s-1"), endpoint("s-2")), {"s-1": "a", "s-2": "b"})
+    update, where = overlay.lay({"s-1": Said(50, True), "s-9": Said(1, True)}, False)
+    assert [e.lifecycle for e in update.endpoints] == [Lifecycle.DRAINING] and where == {"s-1": "a"}
+    overlay.hold(Record().ban("s-1", True, 60))
+    update, _ = overlay.lay({"s-1": Said(70, False)}, False)
+    assert update.endpoints[0].lifecycle is Lifecycle.DRAINING
+    update, _ = overlay.hold(Record().ban("s-1", True, 60).ban("s-1", False, 65))
+    back = update.endpoints[0]
+    assert (back.lifecycle, back.started_at, back.called_back) == (Lifecycle.READY, 70, True)
+    assert overlay.knows("s-9") and overlay.lay({"s-1": Said(70, False)}, False) is None
+    listed, _ = overlay.update(changes(endpoint("s-9")), {"s-9": "c"})
+    assert listed.endpoints[0].lifecycle is Lifecycle.DRAINING
+    update, _ = overlay.lay({}, True)
+    assert {(e.address, e.lifecycle, e.called_back) for e in update.endpoints} == {
+        ("s-1", Lifecycle.READY, True), ("s-9", Lifecycle.READY, False),
+    }
+
+
+# ---- a voter that says what a test wants --------------------------------------------------------
+
+
+class Voter:
+    """Greets each that connects, and answers each frame by `answer(frame)`; None: not at all, ...: it hangs up."""
+
+    def __init__(self, answer, hello=HELLO):
+        self.answer, self.hello, self.seen, self.socks = answer, hello, [], []
+        self.listener = listener()
+        self.address = address_of(self.listener)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        with suppress(OSError):
+            while True:
+                sock, _ = self.listener.accept()
+                self.socks.append(sock)
+                threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        reader = Reader()
+        with suppress(OSError):
+            while data := sock.recv(65536):
+                reader.feed(data)
+                for frame in reader.all():
+                    said = self.hello if isinstance(frame, Hello) else self.answer(frame)
+                    if not isinstance(frame, Hello):
+                        self.seen.append(frame)
+                    if said is ...:
+                        sock.close()
+                        return
+                    if said is not None:
+                        sock.sendall(wire.written(said))
+
+    def close(self):
+        for sock in (self.listener, *self.socks):
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
+
+
+@pytest.fixture
+def voters():
+    made = []
+
+    def make(*answers, **more):
+        made.extend(Voter(answer, **more) for answer in answers)
+        return made
+
+    yield make
+    for voter in made:
+        voter.close()
+
+
+def run(loop, coroutine, seconds=10):
+    """Runs the loop until a coroutine is over: what it returned, or the error that it raised."""
+    found = []
+
+    def whole():
+        try:
+            found.append((yield from coroutine))
+        except Exception as error:
+            found.append(error)
+        loop.stopped = True
+
+    loop.spawn(whole())
+    loop.after(seconds * SECOND, lambda: setattr(loop, "stopped", True))
+    loop.stopped = False
+    loop.run()
+    return found[0]
+
+
+def until(loop, check):
+    def look():
+        while not check():
+            yield Wait(None, 0, loop.now() + 5 * MS)
+        return True
+
+    return run(loop, look())
+
+
+def caller(loop, voters):
+    seats = {f"n{n}": voter.address for n, voter in enumerate(voters)}
+    return Caller(loop, "f0", "id-f", Replication(election=50 * MS, beat=10 * MS), seats, lambda: 7)
+
+
+def order_of(frame):
+    return msgspec.msgpack.decode(frame.order, type=Order)
+
+
+class Machines:
+    """The copies behind voters of one test: one machine, and an index."""
+
+    def __init__(self):
+        self.machine = Machine()
+
+    def apply(self, frame):
+        result = self.machine.apply(self.machine.index + 1, frame.order)
+        return Outcome(frame.token, How.DONE, result.index, written(result))
+
+
+def test_a_write_whose_answer_is_lost_is_sent_again_under_its_number_and_applied_once(voters):
+    copies = Machines()
+
+    def first(frame):
+        copies.apply(frame)
+        return ...
+
+    made = voters(first, lambda frame: copies.apply(frame))
+    loop = Loop()
+    calls = caller(loop, made)
+    calls.writes.at, calls.writes.address = "n0", made[0].address
+    results = [run(loop, calls.write(Word(f"s{n}", True, 1), 2 * SECOND)) for n in range(2)]
+    assert [type(result) for result in results] == [Ok, Ok]
+    sent = [order_of(frame) for voter in made for frame in voter.seen]
+    assert [order.number for order in sent] == [1, 1, 2] and len({order.session for order in sent}) == 1
+    assert sent[0] == sent[1] and copies.machine.words["s0"].order == 1
+    calls.close()
+
+
+def test_a_leader_that_is_named_is_asked(voters):
+    copies = Machines()
+    made = voters(lambda frame: Outcome(frame.token, How.NOT_LEADER, leader="n1"), copies.apply)
+    loop = Loop()
+    calls = caller(loop, made)
+    calls.writes.at, calls.writes.address = "n0", made[0].address
+    assert isinstance(run(loop, calls.write(Word("s", True, 1), SECOND)), Ok)
+    assert [len(voter.seen) for voter in made] == [1, 1]
+    calls.close()
+
+
+@pytest.mark.parametrize(
+    ("answer", "error"),
+    [
+        (lambda frame: Outcome(frame.token, How.NOT_LEADER), NoMajority),
+        (lambda frame: Outcome(frame.token, How.BUSY), NoMajority),
+        (lambda frame: Outcome(frame.token, How.LOST), OutcomeUnknown),
+        (lambda frame: None, OutcomeUnknown),
+        (lambda frame: ..., OutcomeUnknown),
+        (lambda frame: Outcome(frame.token, How.DONE, 1, b"?"), OutcomeUnknown),
+    ],
+)
+def test_a_write_ends_in_time_with_what_is_known_of_it(voters, answer, error):
+    made = voters(answer, answer)
+    loop = Loop()
+    began = time.monotonic()
+    found = run(loop, caller(loop, made).write(Word("s", True, 1), 400 * MS))
+    assert type(found) is error and found.remedy and time.monotonic() - began < 2
+    assert len(made[0].seen + made[1].seen) > 1 or isinstance(found, OutcomeUnknown)
+
+
+def test_a_write_that_nobody_could_be_told_is_known_not_to_hold(voters):
+    made = voters(lambda frame: None, lambda frame: None, hello=wire.Turned(wire.Why.CLUSTER, "other"))
+    loop = Loop()
+    found = run(loop, caller(loop, made).write(Word("s", True, 1), 300 * MS))
+    assert type(found) is NoMajority and "another cluster other" in str(found)
+
+
+def test_a_session_that_was_let_go_is_begun_anew_only_where_nothing_may_have_been_applied(voters):
+    def let_go(frame):
+        order = order_of(frame)
+        return Outcome(frame.token, How.DONE, 9, written(Ok(9) if order.since == 8 else UnknownSession(8)))
+
+    made = voters(let_go, lambda frame: ...)
+    loop = Loop()
+    calls = caller(loop, made)
+    calls.writes.at, calls.writes.address = "n0", made[0].address
+    assert run(loop, calls.write(Word("s", True, 1), SECOND)) == Ok(9)
+    calls.session, calls.since = "", 0
+    calls.writes.at, calls.writes.address = "n1", made[1].address
+    calls.writes.close()
+    assert isinstance(run(loop, calls.write(Word("s", True, 1), SECOND)), OutcomeUnknown)
+    calls.close()
+
+
+def follower(loop, voters, applied):
+    seats = {f"n{n}": voter.address for n, voter in enumerate(voters)}
+    options = Replication(election=50 * MS, beat=10 * MS, follow_wait=100 * MS)
+    return Follower(loop, "f0", "id-f", options, seats, applied)
+
+
+def history(length, name="s"):
+    orders = [written(Order("w", n, Word(f"{name}{n}", True, n), 0)) for n in range(1, length + 1)]
+    return [Told(n, data) for n, data in enumerate(orders, 1)]
+
+
+def follows(entries, members=("a", "b"), age=0, leads=True):
+    """A voter with these entries."""
+
+    def answer(frame):
+        if isinstance(frame, wire.Fetch):
+            machine = Machine()
+            for told in entries:
+                machine.apply(told.index, told.data)
+            data = machine.dump()
+            piece = data[frame.at : frame.at + 50]
+            return wire.Whole(len(entries), frame.at, piece, len(data), age, "n0", members)
+        more = tuple(entries[frame.after :])
+        if not more and frame.after == len(entries):
+            time.sleep(frame.wait / SECOND)
+        return News(frame.after, len(entries), age, leads, "n0", members, more, False)
+
+    return answer
+
+
+def test_a_follower_goes_on_at_another_voter_without_gap_or_repeat(voters):
+    entries, seen = history(3), []
+    made = voters(follows(entries), follows(entries))
+    loop = Loop()
+    follow = follower(loop, made, lambda: seen.append(follow.machine.index))
+    assert until(loop, lambda: follow.machine.index == 3)
+    first = [voter for voter in made if voter.seen][0]
+    first.close()
+    entries += history(5)[3:]
+    assert until(loop, lambda: follow.machine.index == 5) and seen == [3, 5]
+    assert set(follow.machine.words) == {f"s{n}" for n in range(1, 6)}
+    follow.close()
+
+
+@pytest.mark.parametrize(
+    ("wrong", "why"),
+    [
+        (lambda news: msgspec.structs.replace(news, entries=news.entries[1:]), "entry 2 after 0"),
+        (lambda news: msgspec.structs.replace(news, entries=news.entries[:1] * 2), "entry 1 after 1"),
+        (lambda news: msgspec.structs.replace(news, entries=news.entries[:1]), "end at 1"),
+        (lambda news: msgspec.structs.replace(news, after=5), "from behind 5"),
+        (lambda news: Follow(0, 0), "not news"),
+        (lambda news: None, "silent"),
+    ],
+)
+def test_news_with_a_gap_or_a_repeat_or_none_are_not_taken_and_another_voter_is_asked(voters, wrong, why, capfd):
+    entries = history(3)
+    right = follows(entries)
+    made = voters(lambda frame: wrong(right(frame)), right)
+    loop = Loop()
+    follow = follower(loop, made, lambda: None)
+    follow.voters = [("n0", made[0].address), ("n1", made[1].address)]
+    assert until(loop, lambda: follow.machine.index == 3 and follow.member == "n1")
+    assert why in capfd.readouterr().err
+    follow.close()
+
+
+def test_a_voter_that_is_behind_takes_nothing_back_and_one_that_leads_another_history_does(voters):
+    entries, other = history(5), history(2, "t")
+    behind, ahead = follows(entries[:2], leads=False), follows(entries)
+    made = voters(behind, ahead)
+    loop = Loop()
+    least = []
+    follow = follower(loop, made, lambda: least.append(follow.machine.index))
+    follow.voters = [("n1", made[1].address), ("n0", made[0].address)]
+    assert until(loop, lambda: follow.machine.index == 5)
+    made[1].answer = lambda frame: ...
+    assert until(loop, lambda: len(made[0].seen) > 1) and min(least) == 5
+    made[0].answer = follows(other, members=("x", "y"))  # begun anew: all members are others
+    assert until(loop, lambda: set(follow.machine.words) == {"t1", "t2"})
+    made[0].answer = made[1].answer = follows(history(1, "u"), members=("x", "y"))  # what was promised is gone
+    assert until(loop, lambda: set(follow.machine.words) == {"u1"})
+    follow.close()
