--- /dev/null
+++ b/benchmarks/replication_disk.py
@@ -0,0 +1,123 @@
+"""What the stable storage of a voter costs, beside the disk's own sync.
+
+    python -m benchmarks.replication_disk [--folder FOLDER] [--rounds 2000]
+
+Prints, p50 and p99: a write of 100 bytes with its sync alone, appended and into a file made long beforehand; from `keep`
+to `Stable` for entries of 100 bytes, one after another and 64 in flight; then the time of a start with 10,000 entries,
+and the room taken after 100,000 entries with a snapshot each 4,096. `--folder`: on the disk to be measured.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import select
+import statistics
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from loftweir.replication.api import Entry, Keep, Kind, Snapshot, Stable
+from loftweir.replication.disk import Disk, open_disk
+
+DATA = b"x" * 100
+MS = 1_000_000
+
+
+def shown(what: str, times: list[int]) -> None:
+    cuts = statistics.quantiles(times, n=100)
+    print(f"{what:44} p50 {cuts[49] / MS:7.3f} ms   p99 {cuts[98] / MS:7.3f} ms")
+
+
+def sync_alone(path: Path, rounds: int, sync: Callable[[int], None], ahead: int = 0) -> list[int]:
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_CLOEXEC, 0o600)
+    os.write(descriptor, bytes(ahead))
+    os.fsync(descriptor)
+    os.lseek(descriptor, 0, os.SEEK_SET)
+    times = []
+    for _ in range(rounds):
+        began = time.perf_counter_ns()
+        os.write(descriptor, DATA)
+        sync(descriptor)
+        times.append(time.perf_counter_ns() - began)
+    os.close(descriptor)
+    return times
+
+
+def keep(disk: Disk, start: int, rounds: int, in_flight: int) -> tuple[list[int], float]:
+    """The time from `keep` to `Stable` of each entry, and entries a second; entries from index `start` on."""
+    asked: dict[int, int] = {}
+    times: list[int] = []
+    batch, began = start - 1, time.perf_counter()
+    while len(times) < rounds:
+        while len(asked) < in_flight and batch + 1 < start + rounds:
+            batch += 1
+            asked[batch] = time.perf_counter_ns()
+            disk.keep(Keep(batch, entries=(Entry(batch, 1, Kind.WRITE, DATA),)))
+        select.select([disk], [], [])
+        for report in disk.taken():
+            assert isinstance(report, Stable), report
+            now = time.perf_counter_ns()
+            done = [number for number in asked if number <= report.batch]
+            times += [now - asked.pop(number) for number in done]
+    return times, rounds / (time.perf_counter() - began)
+
+
+def wait(disk: Disk, batch: int) -> None:
+    while Stable(batch) not in disk.taken():
+        select.select([disk], [], [], 1)
+
+
+def used(folder: Path) -> int:
+    return sum(file.stat().st_size for file in folder.iterdir())
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--folder", type=Path, help="on the disk to be measured")
+    parser.add_argument("--rounds", type=int, default=2000)
+    words = parser.parse_args()
+    with tempfile.TemporaryDirectory(dir=words.folder) as scratch:
+        measure(Path(scratch), words.rounds)
+
+
+def measure(scratch: Path, rounds: int) -> None:
+    shown("write and fsync, appended", sync_alone(scratch / "a", rounds, os.fsync))
+    shown("write and fdatasync, appended", sync_alone(scratch / "b", rounds, os.fdatasync))
+    shown("write and fdatasync, made long beforehand", sync_alone(scratch / "c", rounds, os.fdatasync, 4 << 20))
+
+    disk, _, _ = open_disk(scratch / "m", "bench")
+    for start, in_flight in ((1, 1), (1 + rounds, 64)):
+        times, rate = keep(disk, start, rounds, in_flight)
+        shown(f"keep to stable, {in_flight} in flight ({rate:,.0f}/s)", times)
+    disk.close()
+
+    disk, _, _ = open_disk(scratch / "n", "bench")
+    disk.keep(Keep(1, entries=tuple(Entry(i, 1, Kind.WRITE, DATA) for i in range(1, 10_001))))
+    wait(disk, 1)
+    disk.close()
+    times = []
+    for _ in range(9):
+        began = time.perf_counter_ns()
+        disk, kept, _ = open_disk(scratch / "n", "bench")
+        times.append(time.perf_counter_ns() - began)
+        disk.close()
+        assert len(kept.entries) == 10_000
+    print(f"{'start with 10,000 entries':44} p50 {statistics.median(times) / MS:7.3f} ms")
+
+    disk, _, _ = open_disk(scratch / "o", "bench")
+    most = 0
+    for start in range(1, 100_001, 64):
+        ends = start + 64
+        snapshot = Snapshot(start - 1, 1, (), bytes(64 * 1024)) if start % 4096 == 1 and start > 1 else None
+        entries = tuple(Entry(i, 1, Kind.WRITE, DATA) for i in range(start, ends))
+        disk.keep(Keep(ends, entries=entries, snapshot=snapshot))
+        wait(disk, ends)
+        most = max(most, used(scratch / "o")) if snapshot else most
+    disk.close()
+    print(f"{'room after 100,000 entries':44} {used(scratch / 'o') / 1e6:.2f} MB, at most {most / 1e6:.2f} MB")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_replication_disk.py
@@ -0,0 +1,397 @@
+"""The stable storage of one voter: what was stable outlives any failure, and what can't be trusted is found out."""
+
+import errno
+import os
+import random
+import re
+import select
+import shutil
+import signal
+import subprocess
+import sys
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from scene import ROOT
+
+from loftweir.replication import journal
+from loftweir.replication.api import Broken, Entry, Hard, Keep, Kept, Kind, Member, Snapshot, Stable
+from loftweir.replication.disk import open_disk
+from loftweir.replication.folder import Folder, FolderInUse, StorageDamaged, StorageFailed
+from loftweir.replication.reading import read
+
+MEMBERS = (Member("0" * 32, "m1", "127.0.0.1:1"),)
+COPY, (FIRST, SECOND, THIRD, LAST) = "snapshot-0000000001", [f"segment-000000000{n}" for n in range(1, 5)]
+
+
+def entries(start, count, term=1, size=20):
+    return tuple(Entry(i, term, Kind.WRITE, bytes([i % 256]) * size) for i in range(start, start + count))
+
+
+def snapshot(index, data=b"machine"):
+    return Snapshot(index, 1, MEMBERS, data)
+
+
+def held_after(kept, keep):
+    """What a disk may hold on the way through a batch, and last what it holds when that is stable."""
+    replaced = msgspec.structs.replace
+    yield (kept := replaced(kept, hard=keep.hard or kept.hard))
+    yield (kept := replaced(kept, entries=tuple(e for e in kept.entries if keep.cut is None or e.index < keep.cut)))
+    if keep.snapshot:
+        behind = tuple(e for e in kept.entries if e.index > keep.snapshot.index and not keep.all_gone)
+        yield (kept := replaced(kept, snapshot=keep.snapshot, entries=behind))
+    for entry in keep.entries:
+        yield (kept := replaced(kept, entries=(*kept.entries, entry)))
+
+
+def states(keeps, stable):
+    """All that a disk may hold once batch `stable` is, the least first."""
+    found, kept = [Kept()], Kept()
+    for keep in keeps:
+        found += held_after(kept, keep)
+        kept = found[-1]
+        if keep.batch <= stable:
+            found = [kept]
+    return found
+
+
+def told(disk, batch, seconds=20):
+    """The reports, once the last of them is of this batch or the storage broke."""
+    reports = []
+    while not reports or (reports[-1] != Stable(batch) and not isinstance(reports[-1], Broken)):
+        assert select.select([disk], [], [], seconds)[0], "nothing was told"
+        reports += disk.taken()
+    return reports
+
+
+def kept_by(disk, *keeps):
+    """Each stable before the next is asked for."""
+    for keep in keeps:
+        disk.keep(keep)
+        assert told(disk, keep.batch)[-1] == Stable(keep.batch)
+    return disk
+
+
+def reopened(path, cluster="c", **more):
+    disk, kept, report = open_disk(path, cluster, **more)
+    disk.close()
+    return kept, report
+
+
+SCRIPT = (
+    Keep(1, hard=Hard(1, "a"), entries=entries(1, 9)),
+    Keep(2, entries=entries(10, 9)),
+    Keep(3, hard=Hard(2), cut=15, entries=entries(15, 8, term=2)),
+    Keep(4, snapshot=snapshot(3), entries=entries(23, 9, term=2)),
+)
+
+
+@pytest.fixture
+def folder(tmp_path):
+    """Four segments, none of which can go, and a snapshot."""
+    kept_by(open_disk(tmp_path / "m", "c", 300)[0], *SCRIPT).close()
+    return tmp_path / "m"
+
+
+def test_what_was_stable_is_there_at_the_next_start(folder):
+    kept, report = reopened(folder)
+    assert kept == Kept(Hard(2), snapshot(3), entries(4, 11) + entries(15, 17, term=2))
+    assert not report.begun and report.damage is None and report.torn == 0
+    assert sorted(os.listdir(folder))[-2:] == [LAST, COPY]
+
+
+# ---- damage -------------------------------------------------------------------------------------
+
+
+def other(folder, name, cluster="c"):
+    """The file of another member that was asked for the same."""
+    kept_by(open_disk(folder.parent / "other", cluster, 300)[0], *SCRIPT).close()
+    shutil.copy(folder.parent / "other" / name, folder / name)
+
+
+def swap(folder):
+    for one, two in ((SECOND, "x"), (THIRD, SECOND), ("x", THIRD)):
+        (folder / one).rename(folder / two)
+
+
+def cut(folder, bytes_left):
+    os.truncate(folder / LAST, bytes_left if bytes_left >= 0 else (folder / LAST).stat().st_size + bytes_left)
+
+
+def boundary(folder):
+    """The byte where the last segment's last record starts."""
+    return [at for at, _, _, _ in journal.scanned((folder / LAST).read_bytes())][-1]
+
+
+def edit(folder, name, old, new):
+    (folder / name).write_bytes((folder / name).read_bytes().replace(old, new, 1))
+
+
+SPOILS = {
+    "cut before the mark": (lambda f: cut(f, -1), LAST, "a record of"),
+    "cut between records": (lambda f: cut(f, boundary(f)), LAST, "were stable"),
+    "cut to nothing": (lambda f: cut(f, 0), LAST, "cut short in its first line"),
+    "foreign version": (lambda f: edit(f, LAST, b"log 1\n", b"log 2\n"), LAST, "version 2, this one reads 1"),
+    "foreign identity": (lambda f: edit(f, "identity", b" 1 ", b" 2 "), "identity", "version 2"),
+    "another cluster's": (lambda f: other(f, LAST, "d"), LAST, "another cluster, 'd'"),
+    "another member's": (lambda f: other(f, LAST), LAST, "another member"),
+    "another's mark": (lambda f: other(f, "mark"), "mark", "another member"),
+    "another's snapshot": (lambda f: other(f, COPY), COPY, "another member"),
+    "another's identity": (lambda f: other(f, "identity"), "mark", "another member"),
+    "swapped": (swap, SECOND, "segment 3 in the place of 2"),
+    "gap": (lambda f: (f / SECOND).unlink(), SECOND, "missing"),
+    "no first": (lambda f: (f / FIRST).unlink(), SECOND, "entries 4 to 9 are missing"),
+    "no last": (lambda f: (f / LAST).unlink(), LAST, "missing"),
+    "no snapshot": (lambda f: (f / COPY).unlink(), COPY, "missing"),
+    "no mark": (lambda f: (f / "mark").unlink(), "mark", "missing"),
+    "no identity": (lambda f: (f / "identity").unlink(), "identity", "missing"),
+}
+
+
+@pytest.mark.parametrize("spoil, name, why", SPOILS.values(), ids=SPOILS)
+def test_damage_is_named_and_the_disk_begun_anew_under_another_id(folder, spoil, name, why):
+    own = journal.identity_read((folder / "identity").read_bytes()).member
+    spoil(folder)
+    before = {f.name: f.read_bytes() for f in folder.iterdir()}
+    kept, report = reopened(folder)
+    assert report.damage.file == folder / name and re.search(why, report.damage.what), report.damage
+    assert kept == Kept() and report.begun and report.member != report.before
+    assert report.before == own or spoil is SPOILS["another's identity"][0]
+    assert {f.name: f.read_bytes() for f in report.aside.iterdir()} == before
+    assert reopened(folder)[1] == (report.member, False, 0, None, "", None)
+
+
+def test_no_changed_byte_is_taken_for_what_was_written(folder):
+    held, seeded = Folder(folder), random.Random(7)
+    for file in sorted(folder.iterdir()):
+        whole = file.read_bytes()
+        for at in range(seeded.randrange(3), len(whole), 3):
+            file.write_bytes(whole[:at] + bytes([whole[at] ^ 1 << seeded.randrange(8)]) + whole[at + 1 :])
+            with pytest.raises(StorageDamaged) as caught:
+                read(held, "c")
+            assert caught.value.file == file and 0 <= caught.value.at <= len(whole)
+        file.write_bytes(whole)
+    assert read(held, "c").kept.hard == Hard(2)
+    held.close()
+
+
+def test_of_what_was_set_aside_the_last_three_are_kept_and_another_cluster_is_no_heir(folder):
+    reports = [reopened(folder, f"c{n}")[1] for n in range(5)]
+    assert [r.aside.name for r in reports] == [f"damaged-{n}" for n in range(1, 6)]
+    assert sorted(f.name for f in folder.glob("damaged-*")) == ["damaged-3", "damaged-4", "damaged-5"]
+
+
+# ---- crashes and failures -----------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("left", [1, 7, 8, 9, 30])
+def test_a_torn_record_behind_the_mark_is_cut_off_and_whole_ones_are_taken(folder, left):
+    """As after a loss of power, which may leave an older mark, and the end of a write that was never synced."""
+    mark = (folder / "mark").read_bytes()
+    disk, kept, _ = open_disk(folder, "c")
+    kept_by(disk, Keep(1, entries=entries(32, 1, term=2)), Keep(2, entries=entries(33, 1, term=2))).close()
+    cut(folder, boundary(folder) + left)
+    (folder / "mark").write_bytes(mark)
+    again, report = reopened(folder)
+    assert again.entries == kept.entries + entries(32, 1, term=2)
+    assert report.torn == left and report.damage is None
+    assert reopened(folder) == (again, report._replace(torn=0))
+
+
+class Failing:
+    """The calls that change files; the one of a number, and all after it, fail; a write gets half of it done first."""
+
+    NAMES = ("open", "write", "pwrite", "fsync", "fdatasync", "rename", "unlink", "mkdir")
+
+    def __init__(self, patch, number, code=errno.ENOSPC):
+        self.left, self.code, self.calls = number, code, []
+        for name in self.NAMES:
+            patch.setattr(os, name, self._wrapped(name, getattr(os, name)))
+
+    def _wrapped(self, name, real):
+        def call(*words, **more):
+            if name == "open" and not words[1] & os.O_CREAT:
+                return real(*words, **more)
+            self.left -= 1
+            self.calls.append(name)
+            if self.left > 0:
+                return real(*words, **more)
+            if name == "write" and self.left == 0:
+                return real(words[0], words[1][: len(words[1]) // 2])
+            raise OSError(self.code, os.strerror(self.code))
+
+        return call
+
+
+MORE = (*SCRIPT, Keep(5, snapshot=snapshot(30)), Keep(6, entries=entries(32, 2, 2)), Keep(7, cut=33, hard=Hard(3, "b")))
+
+
+@pytest.mark.parametrize("first", range(1, 81, 10))
+def test_after_a_failure_of_any_call_one_broken_is_told_and_what_was_stable_is_there(tmp_path, monkeypatch, first):
+    for number in range(first, first + 10):
+        path, reports, failure = tmp_path / str(number), [], None
+        with monkeypatch.context() as patch:
+            failing = Failing(patch, number, random.Random(number).choice([errno.ENOSPC, errno.EIO, errno.EDQUOT]))
+            try:
+                disk, _, _ = open_disk(path, "c", 300)
+                for keep in MORE:
+                    if not disk.failure:
+                        disk.keep(keep)
+                        reports += told(disk, keep.batch)
+                calls = len(failing.calls)
+                if disk.failure:
+                    disk.keep(MORE[0])
+                reports += disk.close()
+                failure = disk.failure
+                assert [r for r in reports if isinstance(r, Broken)] == [Broken(str(failure))] * bool(failure)
+                assert calls == len(failing.calls) and reports[-1] == (Broken(str(failure)) if failure else Stable(7))
+            except StorageFailed as failed:
+                failure = failed
+        assert (failure is not None) == (failing.left <= 0) and (number > 60 or failure) and (number < 80 or not failure)
+        assert not failure or (os.strerror(failing.code) in failure.what and str(path) in failure.where)
+        stable = max((r.batch for r in reports if isinstance(r, Stable)), default=0)
+        kept, report = reopened(path)
+        assert report.damage is None and kept in states(MORE, stable), (number, stable)
+
+
+def test_a_write_whose_sync_failed_is_written_anew_into_another_file(folder, monkeypatch):
+    """The pages of the first are in memory and look written: a later sync of that file would prove nothing."""
+    disk, _, _ = open_disk(folder, "c")
+    monkeypatch.setattr(os, "fdatasync", lambda descriptor: (_ for _ in ()).throw(OSError(errno.EIO, "failed")))
+    disk.keep(Keep(1, entries=entries(32, 1, term=2)))
+    assert [type(report) for report in told(disk, 1)] == [Broken] and disk.failure.where == str(folder / LAST)
+    disk.close()
+    inode = (folder / LAST).stat().st_ino
+    kept, report = reopened(folder)
+    assert kept.entries[-1].index == 32 and report.damage is None
+    assert (folder / LAST).stat().st_ino != inode
+
+
+def test_a_set_aside_that_fails_midway_leaves_nothing_that_is_taken_for_a_whole(folder, monkeypatch):
+    cut(folder, -1)
+    old = journal.identity_read((folder / "identity").read_bytes()).member
+    for number in range(1, 20):
+        with monkeypatch.context() as patch:
+            Failing(patch, number)
+            try:
+                open_disk(folder, "c")[0].close()
+                break
+            except StorageFailed:
+                pass
+    kept, report = reopened(folder)
+    assert number > 9 and kept == Kept() and report.member != old
+
+
+WRONG = [{"entries": entries(33, 1)}, {"entries": entries(31, 1)}, {"cut": 3}, {"snapshot": snapshot(2)}]
+
+
+@pytest.mark.parametrize("wrong", [*WRONG, {"hard": Hard(1, "a")}])
+def test_what_cant_follow_is_not_written(folder, wrong):
+    kept, _ = reopened(folder)
+    disk, _, _ = open_disk(folder, "c")
+    disk.keep(Keep(1, **wrong))
+    assert "can't follow" in told(disk, 1)[-1].why
+    disk.close()
+    assert reopened(folder)[0] == kept
+
+
+def test_a_folder_has_one_process(folder):
+    disk, _, _ = open_disk(folder, "c")
+    with pytest.raises(FolderInUse):
+        open_disk(folder, "c")
+    disk.close()
+    reopened(folder)
+
+
+CHILD = """
+import resource, select, sys
+from pathlib import Path
+from loftweir.replication.api import Entry, Keep, Kind, Snapshot
+from loftweir.replication.disk import open_disk
+disk, kept, report = open_disk(Path(sys.argv[1]), "c", 4000)
+resource.setrlimit(resource.RLIMIT_FSIZE, (int(sys.argv[2]), -1))
+at = (kept.entries[-1].index if kept.entries else kept.snapshot.index if kept.snapshot else 0) + 1
+batch = 0
+while True:
+    for _ in range(3):
+        batch += 1
+        taken = Snapshot(at - 10, 1, (), b"machine") if batch % 7 == 0 and at > 30 else None
+        entries = tuple(Entry(i, 1, Kind.WRITE, b"x" * 40) for i in range(at, at + 5))
+        disk.keep(Keep(batch, entries=entries, snapshot=taken))
+        at += 5
+    while not (told := disk.taken()):
+        select.select([disk], [], [])
+    behind = batch - getattr(told[-1], "batch", 0)
+    print(told[-1].why if disk.failure else at - 1 - 5 * behind, flush=True)
+    if disk.failure:
+        break
+"""
+
+
+def child(folder, limit=-1):
+    environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+    words = [sys.executable, "-c", CHILD, str(folder), str(limit)]
+    return subprocess.Popen(words, env=environment, stdout=subprocess.PIPE, text=True)
+
+
+def test_a_killed_process_leaves_every_batch_that_it_called_stable(tmp_path):
+    for lines in (1, 20, 61, 130):
+        with child(tmp_path / "m") as process:
+            for _ in range(lines):
+                process.stdout.readline()
+            process.send_signal(signal.SIGKILL)
+            said = process.stdout.read().split()
+        kept, report = reopened(tmp_path / "m")
+        assert report.damage is None and kept.entries[-1].index >= int(said[-1] if said else 1)
+        assert [e.index for e in kept.entries] == list(range(kept.entries[0].index, kept.entries[-1].index + 1))
+
+
+def test_a_full_disk_breaks_it_once_and_room_lets_it_go_on(tmp_path):
+    with child(tmp_path / "m", limit=3001) as process:
+        *stable, why = process.stdout.read().splitlines()
+    assert os.strerror(errno.EFBIG) in why and "segment-" in why
+    kept, report = reopened(tmp_path / "m")
+    assert report.damage is None and kept.entries[-1].index >= int(stable[-1])
+
+
+# ---- the model ----------------------------------------------------------------------------------
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(st.lists(st.tuples(st.sampled_from("eeeechsgor"), st.integers(0, 12)), max_size=40))
+def test_any_batches_come_back_as_a_plain_model_holds_them(tmp_path_factory, steps):
+    path, kept = tmp_path_factory.mktemp("model") / "m", Kept()
+    disk, _, _ = open_disk(path, "c", 200)
+    for batch, (what, number) in enumerate(steps, 1):
+        first = kept.snapshot.index + 1 if kept.snapshot else 1
+        end = first + len(kept.entries)
+        at = max(first, end - number) if what == "c" else end
+        keep = {
+            "e": Keep(batch, entries=entries(end, number, kept.hard.term, size=number)),
+            "c": Keep(batch, cut=at, entries=entries(at, number, kept.hard.term)),
+            "h": Keep(batch, hard=Hard(kept.hard.term + 1, "x" * number)),
+            "s": Keep(batch, snapshot=snapshot(first - 1 + number, bytes(number))),
+            "g": Keep(batch, snapshot=snapshot(first - 1 + number), all_gone=True, entries=entries(first + number, 2)),
+            "o": Keep(batch, hard=Hard(kept.hard.term + 2), cut=at, entries=entries(at, number)),
+            "r": Keep(batch),
+        }[what]
+        disk.keep(keep)
+        *_, kept = held_after(kept, keep)
+        if what == "r":
+            disk.close()
+            disk, found, report = open_disk(path, "c", 200)
+            assert (found, report.damage, report.torn) == (kept, None, 0)
+    disk.close()
+    assert reopened(path)[0] == kept
+
+
+def test_disk_use_is_bounded_by_what_is_behind_the_snapshot(tmp_path):
+    disk, _, _ = open_disk(tmp_path / "m", "c", 2000)
+    for at in range(1, 2001, 50):
+        kept_by(disk, Keep(at, entries=entries(at, 50), snapshot=snapshot(at - 1) if at > 1 else None))
+    disk.close()
+    sizes = {f.name: f.stat().st_size for f in (tmp_path / "m").iterdir()}
+    assert sum(sizes.values()) < 50 * 70 + 2 * (2000 + 50 * 70) + 1000, sizes
+    assert len([name for name in sizes if name.startswith("snapshot")]) == 1
