--- a/loftweir/replication/machine.py
+++ b/loftweir/replication/machine.py
@@ -368,6 +368,7 @@
         self.sessions: dict[str, Session] = {}
         self.thinned = 0  # the index at which a word went to make room
         self.horizon = 0  # the highest index at which a session that was let go began
+        self.moved = ""  # the duty whose lease the last entry granted, renewed or ended; not kept: for the keeper
 
     # ---- entries ----
 
@@ -375,7 +376,7 @@
         """An entry of another kind is committed. Raises ValueError where the log does not go forward."""
         if index <= self.index:
             raise ValueError(f"entry {index} after {self.index}")
-        self.index = index
+        self.index, self.moved = index, ""
 
     def apply(self, index: int, data: bytes) -> AnyResult:
         """A committed write. Raises ValueError only where the log does not go forward, whatever the data."""
@@ -428,6 +429,7 @@
         if len(self.leases) >= LEASES:
             return Full(self.index, "leases", LEASES)
         self.leases[act.duty] = Lease(act.holder, self.index, act.ttl, self.index)
+        self.moved = act.duty
         return Ok(self.index, self.index)
 
     def _refused(self, duty: str, token: int, holder: str | None = None) -> AnyResult | None:
@@ -442,12 +444,14 @@
         refused = self._refused(act.duty, act.token, act.holder)
         if refused is None:
             self.leases[act.duty] = self.leases[act.duty]._replace(renewed=self.index)
+            self.moved = act.duty
         return refused or Ok(self.index, act.token)
 
     def _release(self, act: Release) -> AnyResult:
         refused = self._refused(act.duty, act.token, act.holder)
         if refused is None:
             del self.leases[act.duty]
+            self.moved = act.duty
         return refused or Ok(self.index, act.token)
 
     def _expire(self, act: Expire) -> AnyResult:
@@ -458,6 +462,7 @@
         if lease.renewed > act.renewed:
             return Held(self.index, lease.holder, lease.token)
         del self.leases[act.duty]
+        self.moved = act.duty
         return Ok(self.index, act.token)
 
     def _fenced(self, act: Fenced) -> AnyResult:
