--- a/loftweir/replication/folder.py
+++ b/loftweir/replication/folder.py
@@ -33,6 +33,7 @@
 IDENTITY, MARK, NEW = "identity", "mark", ".new"
 SEGMENT, COPY, ASIDE = "segment-", "snapshot-", "damaged-"
 ASIDE_KEPT = 3
+BEGINNING = {IDENTITY + NEW, MARK, MARK + NEW, f"{SEGMENT}{1:010d}", f"{SEGMENT}{1:010d}{NEW}"}
 
 
 class StorageFailed(Trouble):
@@ -175,23 +176,19 @@
 
     def begins(self) -> bool:
         """Whether there is nothing to read: no file of a voter, or only those of a beginning that a crash ended."""
-        names = self.own()
-        if names and not (IDENTITY + NEW in names and IDENTITY not in names):
-            return False
-        for name in sorted(names, key=lambda name: name.startswith(IDENTITY)):
-            self.remove(name)
-        return True
+        names = set(self.own())
+        return not names or (IDENTITY + NEW in names and names <= BEGINNING)
 
     def set_aside(self) -> Path:
-        """All files into a folder beside them; the identity first, so that a crash in between leaves nothing that
-        could be taken for a whole one."""
+        """All files into a folder beside them. Where a crash ends that midway, the rest is set aside at the next start,
+        for each of the files is missed when it is gone."""
         ends = (name.removeprefix(ASIDE) for name in os.listdir(self.path) if name.startswith(ASIDE))
         old = sorted(int(end) for end in ends if end.isdecimal())
         aside = self.path / f"{ASIDE}{old[-1] + 1 if old else 1}"
         os.mkdir(aside, 0o700)
-        names = [n for n in os.listdir(self.path) if not (self.path / n).is_dir()]
-        for name in sorted(names, key=lambda name: name != IDENTITY):
-            os.rename(self.path / name, aside / name)
+        for name in os.listdir(self.path):
+            if not (self.path / name).is_dir():
+                os.rename(self.path / name, aside / name)
         self._sync_path(aside)
         self.sync()
         for number in old[: -(ASIDE_KEPT - 1)]:
