--- a/tests/test_replication_member.py
+++ b/tests/test_replication_member.py
@@ -13,9 +13,10 @@
 from loftweir.operations.calls import Call, No
 from loftweir.operations.calls import Word as Say
 from loftweir.replication import wire
-from loftweir.replication.api import AskVote, Member, Role, Vote
+from loftweir.replication.api import AskVote, Member, Role, Tick, Vote
 from loftweir.replication.line import dial
 from loftweir.replication.machine import Order, Word, written
+from loftweir.replication.member import MemberBroken
 from loftweir.replication.part import Part
 from loftweir.replication.wire import Am, Ask, Hello, Kind, Submit, Turned, Who, Why, WordOf
 
@@ -130,6 +131,14 @@
     assert not place.ask(place.line(place.hello("x", "n2", Kind.CALLER)), Who(tuple(voter.seats))).empty
 
 
+def test_a_fault_of_the_program_ends_the_part_and_the_sidecar_follows_on(place, monkeypatch):
+    voter, ended = place.vote(), []
+    voter.ended = ended.append
+    monkeypatch.setattr(voter.core, "step", lambda now, event: 1 // 0)
+    voter.feed(Tick())
+    assert until(place.loop, lambda: ended) and isinstance(ended[0], MemberBroken) and "ZeroDivision" in str(ended[0])
+
+
 def test_too_many_callers_are_turned_away_but_not_a_member(place):
     voter = place.vote()
     lines = [place.line(place.hello(f"id-f{n}", f"f{n}", Kind.CALLER)) for n in range(4)]
