--- a/loftweir/replication/machine.py
+++ b/loftweir/replication/machine.py
@@ -115,7 +115,8 @@
     `since` is an index that the caller knew of before it began the session (of any answer; 0 where nothing was known).
     Where it is stated, a first order can't be applied a second time after its session was let go: a session let go
     raises `horizon` to the index at which it began, which is above the `since` of its orders, and below that none
-    begins. Who is refused by this begins another session with the refusal's index.
+    begins. Who is refused by this begins another session with the refusal's index. So does who gave up on order 1
+    before it was answered: number 2 of a session that is not known is refused.
     """
 
     session: str
@@ -496,8 +497,8 @@
 
     def words_since(self, index: int) -> tuple[bool, dict[str, Said]]:
         """What was said behind an index. With True they are all words, in place of what was known before: one that the
-        reader may know of has gone."""
-        whole = index < self.thinned or index > self.index
+        reader may know of has gone. Nothing, for a reader who is ahead of this machine."""
+        whole = index < self.thinned
         words: dict[str, Said] = {}
         for name, said in reversed(self.words.items()):
             if said.order <= index and not whole:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -330,6 +330,14 @@
     assert (stop, release.act) == (Stop(7), Release("d", holder.name, 7)), "it stops before it lets go"
 
 
+def test_without_any_answer_it_asks_on_and_keeps_no_more_than_it_must():
+    holder = Holder("d", "me", SECOND, Random(1))
+    sent = holder.step(0, Want())
+    for _ in range(400):
+        sent += holder.step(holder.next_at, Tick())
+    assert len(sent) > 2 * holding.ASKS >= 2 * len(holder._asks)
+
+
 def test_the_table_leads_from_every_state_to_rest_and_each_name_is_of_one_life():
     assert {state for state, _ in TABLE} == set(State) == set(TABLE.values()) == set(TRAITS)
     assert all((state, TRAITS[state].late) in TABLE for state in State if TRAITS[state].late)
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -81,7 +81,7 @@
             if random.random() < 0.3:
                 whole, words = first.words_since(seen)
                 view, seen = (words if whole else view | words), index
-                assert view == first.words
+                assert view == first.words and first.words_since(index + 1) == (False, {})
             assert len(first.words) <= 3 and len(first.sessions) <= 4 and len(first.facts) <= 3
             kinds.add(type(result))
             digest.update(dump)
