--- a/loftweir/emulator/copies.py
+++ b/loftweir/emulator/copies.py
@@ -76,6 +76,8 @@
     each: int = 60 * MS  # between two troubles, on the average
     writes: int = 8 * MS  # between two writes, on the average; as many reads
     quiet: bool = False  # only one follower has troubles: no leader may fall
+    doomed: float = 0.0  # part of leaders that crash within the first few ms
+    timing: Timing = TIMING
 
     @classmethod
     def of(cls, seed: int) -> Plan:
@@ -83,12 +85,16 @@
         random = Random(f"plan {seed}")
         kind = seed % 8
         if kind == 0:
-            return cls(random.choice((3, 3, 5)), 700 * MS, troubles=QUIET, each=40 * MS, writes=30 * MS, quiet=True)
+            writes = random.choice((30, 1000)) * MS
+            return cls(random.choice((3, 3, 5)), 700 * MS, troubles=QUIET, each=40 * MS, writes=writes, quiet=True)
         seats = random.choice((1, 2, 3, 3, 3, 3, 4, 5, 5))
         if kind == 1:  # a good network, power that fails often
             return cls(seats, 900 * MS, sync=12 * MS, slow_sync=0.1, troubles=("crash", "power"), each=25 * MS)
         if kind == 2:  # members come and go
             return cls(seats + 1, 1200 * MS, 0.02, troubles=CHANGES + ("crash", "cut"), each=40 * MS, sync=3 * MS)
+        if kind == 3:  # no leader lasts, and each append has one entry
+            timing = msgspec.structs.replace(TIMING, beat=4 * MS, election=12 * MS, append_bytes=1)
+            return cls(random.choice((3, 3, 5)), 1000 * MS, writes=4 * MS, doomed=0.9, late=0.1, timing=timing)
         loss, duplicate, late = (random.choice((0, 0.01, 0.1, 0.25)) for _ in range(3))
         troubles = tuple(t for t in ALL if random.random() < 0.6) or ALL
         each = random.choice((20, 40, 80)) * MS
@@ -99,7 +105,7 @@
 
 CHANGES = ("wipe", "broken", "retire", "demote", "two")
 QUIET = ("cut", "deaf", "partition", "stall", "crash", "retire")
-ALL = ("crash", "power", "cut", "deaf", "partition", "stall", "hand", "compact", "old") + CHANGES
+ALL = ("crash", "power", "cut", "deaf", "partition", "stall", "clock", "hand", "compact", "old") + CHANGES
 
 
 class Disk:
@@ -179,7 +185,8 @@
     def __init__(self, name: str, random: Random) -> None:
         self.name = name
         self.disks = 0  # that it had
-        self.offset, self.rate = random.randrange(1000 * MS), random.randrange(970, 1031)
+        self._rate = self.rate = random.randrange(970, 1031)  # thousandths of the world's
+        self._since, self._then = 0, random.randrange(1000 * MS)  # a moment of the world and of this clock
         self.core: Core | None = None
         self.stalled_until = 0
         self.renew(Kept())
@@ -202,7 +209,16 @@
         return Member(self.id, self.name, self.name, votes)
 
     def clock(self, at: int) -> int:
-        return self.offset + at * self.rate // 1000
+        return self._then + (at - self._since) * self.rate // 1000
+
+    def when(self, now: int) -> int:
+        """The world's time at which this clock shows that."""
+        return self._since - (self._then - now) * 1000 // self.rate
+
+    def goes(self, at: int, part: int = 1000) -> None:
+        """From now on so much as fast as it should, in thousandths."""
+        self._since, self._then = at, self.clock(at)
+        self.rate = self._rate * part // 1000
 
 
 class Oracle:
@@ -321,6 +337,7 @@
         self.cuts.clear()
         for seat in self.seats.values():
             seat.stalled_until = min(seat.stalled_until, self.at)
+            self._clock(seat)
             self.start(seat)
         promised, until = self.promises, self.at + END
         if not self.play(until, lambda: self.promises > promised and self.well()):
@@ -353,7 +370,8 @@
     def start(self, seat: Seat) -> None:
         if seat.core is None:
             seat.stepped_at = seat.clock(self.at)
-            seat.core = self.make(seat.id, seat.disk.kept(), TIMING, Random(self.random.random()), seat.stepped_at)
+            own = Random(self.random.random())
+            seat.core = self.make(seat.id, seat.disk.kept(), self.plan.timing, own, seat.stepped_at)
             self.step(seat, Tick())
 
     def event(self, seat: Seat, core: Core | None, event: Event) -> None:
@@ -372,7 +390,7 @@
         core, now = seat.core, seat.clock(self.at)
         assert core is not None
         led = core.term if core.role is Role.LEADER and core.voters != {core.me} else 0
-        stalled = now - seat.stepped_at >= TIMING.election
+        stalled = now - seat.stepped_at >= self.plan.timing.election
         seat.stepped_at = now
         actions = core.step(now, event)
         self.steps += 1
@@ -384,8 +402,7 @@
             self._act(seat, core, action)
         if core.next_at < seat.tick_at and seat.core is core:
             seat.tick_at = core.next_at
-            at = -((seat.offset - core.next_at) * 1000 // seat.rate)
-            self.later(max(0, at - self.at), self.event, seat, core, Tick())
+            self.later(max(0, seat.when(core.next_at) - self.at), self.event, seat, core, Tick())
 
     def _says_nothing(self, core: Core, term: int, actions: list[Action]) -> None:
         """A leader that was stalled so long is none before anything else."""
@@ -423,6 +440,9 @@
     def _stands(self, seat: Seat, core: Core, action: Stands) -> None:
         if action.role is Role.LEADER:
             self.oracle.leads(core)
+            if self.troubled and self.random.random() < self.plan.doomed:
+                self.faults["doomed"] += 1
+                self.later(self.random.randrange(4 * MS), self._doom, seat, core)
         if self.plan.quiet and self.troubled and self.quiet_term and action.term > self.quiet_term:
             raise Breach(f"a leader that was well was deposed: {seat.name} in term {action.term}")
 
@@ -454,7 +474,7 @@
         disk.syncing = disk.asked[-1].batch
         takes = self.random.randrange(self.plan.sync)
         if self.troubled and self.random.random() < self.plan.slow_sync:
-            takes = self.random.randrange(TIMING.election)
+            takes = self.random.randrange(self.plan.timing.election)
             self.faults["slow sync"] += 1
         self.later(takes, self._synced, seat, seat.core, disk.syncing)
 
@@ -516,7 +536,7 @@
             takes = 100_000 + self.random.randrange(MS)
             if self.troubled and self.random.random() < self.plan.late:
                 self.faults["late"] += 1
-                takes = self.random.randrange(TIMING.election)
+                takes = self.random.randrange(self.plan.timing.election)
             self.later(takes, self._arrive, source, target, m)
         if len(self.old) < 200 and not self.plan.quiet:
             self.old.append(m)
@@ -549,7 +569,7 @@
             (self.write if self.random.random() < 0.5 else self.read)(seat)
         if up and self.random.random() < 0.1:
             self.read(self.random.choice(up))
-        self.later(self.random.randrange(2 * self.plan.writes), self._calls)
+        self.later(self.random.randrange(2 * self.plan.writes if self.troubled else 10 * MS), self._calls)
 
     def _administer(self) -> None:
         """One step towards the members that are wanted, at whoever says that it leads: who lost a disk is removed
@@ -562,7 +582,7 @@
         core = seat.core
         if core is None or not core.settled:
             return
-        if not self.quiet_term and self.plan.quiet and core.commit > 3:
+        if not self.quiet_term and self.plan.quiet:
             self.quiet_term = core.term
         members = self._next_members(core)
         if members is not None:
@@ -597,7 +617,7 @@
                 return
             seats = seats[-1:]
         seat = self.random.choice(seats)
-        lasts = self.random.randrange(3 * TIMING.election)
+        lasts = self.random.randrange(3 * self.plan.timing.election)
         if getattr(self, f"_{kind}_trouble")(seat, lasts) is not False:
             self.faults[kind] += 1
 
@@ -605,6 +625,10 @@
         seat.disk.cut_off(self.random)
         seat.stop()
 
+    def _doom(self, seat: Seat, core: Core) -> None:
+        if seat.core is core:
+            self._crash_trouble(seat, self.random.randrange(3 * self.plan.timing.election))
+
     def _crash_trouble(self, seat: Seat, lasts: int) -> None:
         self.crash(seat)
         self.later(lasts, self.start, seat)
@@ -624,7 +648,9 @@
 
     def _cut_trouble(self, seat: Seat, lasts: int) -> None:
         """One way, between two."""
-        self._cut([(seat.name, self.random.choice(list(self.seats)))], lasts)
+        pair = [seat.name, self.random.choice(list(self.seats))]
+        self.random.shuffle(pair)
+        self._cut([(pair[0], pair[1])], lasts)
 
     def _deaf_trouble(self, seat: Seat, lasts: int) -> None:
         self._cut([(other, seat.name) for other in self.seats], lasts)
@@ -640,6 +666,15 @@
         """No step for a while; what comes waits."""
         seat.stalled_until = max(seat.stalled_until, self.at + lasts)
 
+    def _clock_trouble(self, seat: Seat, lasts: int) -> None:
+        """Its clock goes far too slow or too fast."""
+        self._clock(seat, self.random.choice((250, 3000)))
+        self.later(lasts, self._clock, seat)
+
+    def _clock(self, seat: Seat, part: int = 1000) -> None:
+        seat.goes(self.at, part)
+        self.event(seat, seat.core, Tick())
+
     def _hand_trouble(self, seat: Seat, lasts: int) -> None:
         for each in self.seats.values():
             if each.core is not None and each.core.role is Role.LEADER:
--- a/loftweir/replication/core.py
+++ b/loftweir/replication/core.py
@@ -281,6 +281,7 @@
         own = max(self.commit, self._own_from)  # what is before it may be committed, unknown to this leader
         assert sum(i > own for i, _ in self._configs) <= 1, "two changes of members under way"
         assert self._now < self._quorum_until
+        assert self.me in self._ids or self._configs[-1][0] > self.commit, "a leader that was removed"
         assert self._configs[-1][0] <= own or self.commit >= self._own_from, "a change came too early"
         assert all(self.commit < i <= self.last_index for i, _ in self._owed)
         assert {p.id for p in self._peers.values() if not p.leaving} == self._ids - {self.me}
