--- a/tests/test_replication_disk.py
+++ b/tests/test_replication_disk.py
@@ -7,6 +7,8 @@
 import shutil
 import subprocess
 import sys
+from contextlib import suppress
+from functools import partial
 from pathlib import Path
 
 import msgspec
@@ -20,8 +22,9 @@
 from loftweir.replication.disk import open_disk
 from loftweir.replication.folder import Folder, FolderInUse, StorageDamaged, StorageFailed
 from loftweir.replication.reading import read
-from loftweir.state.sealed import opened
+from loftweir.state.sealed import opened, sealed
 
+OPEN, WRITE, KIND = os.open, os.write, journal.COPY
 MEMBERS = (Member("0" * 32, "m1", "127.0.0.1:1"),)
 COPY, (FIRST, SECOND, THIRD, LAST) = "snapshot-0000000001", [f"segment-000000000{n}" for n in range(1, 5)]
 
@@ -34,22 +37,19 @@
     return Snapshot(index, 1, MEMBERS, data)
 
 
-def held_after(kept, keep):
-    """What a disk may hold on the way through a batch, and last what it holds when that is stable."""
-    hard, left = keep.hard or kept.hard, tuple(e for e in kept.entries if keep.cut is None or e.index < keep.cut)
-    found = [Kept(hard, kept.snapshot, kept.entries), Kept(hard, kept.snapshot, left)]
-    if keep.snapshot:
-        left = tuple(e for e in left if e.index > keep.snapshot.index and not keep.all_gone)
-    more = range(len(keep.entries) + 1)
-    return found + [Kept(hard, keep.snapshot or kept.snapshot, left + keep.entries[:n]) for n in more]
-
-
-def states(keeps, stable):
-    """All that a disk may hold once batch `stable` is."""
-    found = [Kept()]
+def states(keeps, stable, kept=Kept()):  # noqa: B008
+    """All that a disk may hold once batch `stable` is, by a plain model; the last: once all are."""
+    found = [kept]
     for keep in keeps:
-        found = [*(found if keep.batch > stable else ()), *held_after(found[-1], keep)]
-        found = found[-1:] if keep.batch <= stable else found
+        hard, left, copy = keep.hard or kept.hard, kept.entries, keep.snapshot or kept.snapshot
+        found.append(Kept(hard, kept.snapshot, left))
+        left = tuple(e for e in left if keep.cut is None or e.index < keep.cut)
+        found.append(Kept(hard, kept.snapshot, left))
+        if keep.snapshot:
+            left = tuple(e for e in left if e.index > copy.index and not keep.all_gone)
+        found += [Kept(hard, copy, left + keep.entries[:n]) for n in range(len(keep.entries) + 1)]
+        kept = found[-1]
+        found = [kept] if keep.batch <= stable else found
     return found
 
 
@@ -86,12 +86,16 @@
 
 @pytest.fixture
 def folder(tmp_path):
-    """Four segments, none of which can go, and a snapshot."""
+    """Four segments, all needed, and a snapshot."""
     kept_by(open_disk(tmp_path / "m", "c", 300)[0], *SCRIPT).close()
     return tmp_path / "m"
 
 
-def test_what_was_stable_is_there_at_the_next_start(folder):
+def test_what_was_stable_is_there_at_the_next_start_and_nobody_else_opens_it(folder):
+    disk, _, _ = open_disk(folder, "c")
+    with pytest.raises(FolderInUse):
+        open_disk(folder, "c")
+    disk.close()
     kept, report = reopened(folder)
     assert kept == Kept(Hard(2), snapshot(3), entries(4, 11) + entries(15, 17, term=2))
     assert not report.begun and report.damage is None and report.torn == 0
@@ -99,8 +103,8 @@
 
 
 def ends(data):
-    """The byte behind each record, with its crc."""
-    return [(end, crc) for _, _, crc, end in journal.scanned(data)]
+    """The byte behind each record."""
+    return [end for _, _, _, end in journal.scanned(data)]
 
 
 def forged(data, size=20):
@@ -109,21 +113,16 @@
     return data[:at] + journal.framed(msgspec.structs.replace(last, data=b"z" * size), seed)[0]
 
 
-def forged_copy(data):
-    copy = msgspec.msgpack.decode(opened(journal.COPY, 1, data), type=journal.Copy)
-    return journal.copy_written(msgspec.structs.replace(copy, snapshot=snapshot(3, b"other")))[0]
-
-
 SPOILS = {  # the file, what it is then (a text: copied from there; None: gone), the file where it is found, why
     "cut before the mark": (LAST, lambda d: d[:-1], LAST, "a record of"),
-    "cut between records": (LAST, lambda d: d[: ends(d)[-2][0]], LAST, "were stable"),
+    "cut between records": (LAST, lambda d: d[: ends(d)[-2]], LAST, "were stable"),
     "cut to nothing": (LAST, lambda d: b"", LAST, "cut short in its first line"),
     "cut identity": ("identity", lambda d: d[:-1], "identity", "cut short"),
     "another record": (LAST, forged, LAST, "another record than the mark names"),
     "a longer record": (LAST, lambda d: forged(d, 21), "mark", "no record ends"),
     "another record before": (SECOND, forged, THIRD, "does not follow"),
-    "a record left out": (SECOND, lambda d: d[: ends(d)[0][0]] + d[ends(d)[1][0] :], SECOND, "checksum is another"),
-    "another snapshot": (COPY, forged_copy, COPY, "not the snapshot that the log names"),
+    "a record left out": (SECOND, lambda d: d[: ends(d)[0]] + d[ends(d)[1] :], SECOND, "checksum is another"),
+    "another snapshot": (COPY, lambda d: sealed(KIND, 1, opened(KIND, 1, d)[:-1] + b"!"), COPY, "not the snapshot"),
     "foreign version": (LAST, lambda d: d.replace(b"log 1\n", b"log 2\n"), LAST, "version 2, this one reads 1"),
     "foreign identity": ("identity", lambda d: d.replace(b" 1 ", b" 2 "), "identity", "version 2"),
     "another cluster's": (LAST, f"../d/{LAST}", LAST, "another cluster, 'd'"),
@@ -183,7 +182,7 @@
     mark = (folder / "mark").read_bytes()
     disk, kept, _ = open_disk(folder, "c")
     kept_by(disk, Keep(1, entries=entries(32, 2, term=2))).close()
-    os.truncate(folder / LAST, ends((folder / LAST).read_bytes())[-2][0] + left)
+    os.truncate(folder / LAST, ends((folder / LAST).read_bytes())[-2] + left)
     (folder / "mark").write_bytes(mark)
     again, report = reopened(folder)
     assert again.entries == kept.entries + entries(32, 1, term=2) and report.torn == left and not report.damage
@@ -205,20 +204,15 @@
     def __init__(self, patch, number, code=errno.ENOSPC):
         self.left, self.code = number, code
         for name in ("open", "write", "pwrite", "fsync", "fdatasync", "rename", "unlink", "mkdir"):
-            patch.setattr(os, name, self._wrapped(name, getattr(os, name)))
-
-    def _wrapped(self, name, real):
-        def call(*words, **more):
-            if name == "open" and not words[1] & os.O_CREAT:
-                return real(*words, **more)
-            self.left -= 1
-            if self.left > 0:
-                return real(*words, **more)
-            if name == "write" and self.left == 0:
-                return real(words[0], words[1][: len(words[1]) // 2])
-            raise OSError(self.code, os.strerror(self.code))
+            patch.setattr(os, name, partial(self.call, getattr(os, name)))
 
-        return call
+    def call(self, real, first, *words, **more):
+        self.left -= real is not OPEN or bool(words[0] & os.O_CREAT)
+        if self.left == 0 and real is WRITE:
+            return real(first, words[0][: len(words[0]) // 2])
+        if self.left <= 0:
+            raise OSError(self.code, os.strerror(self.code))
+        return real(first, *words, **more)
 
 
 MORE = (*SCRIPT, Keep(5, snapshot=snapshot(30)), Keep(6, entries=entries(32, 2, 2)), Keep(7, cut=33, hard=Hard(3, "b")))
@@ -263,17 +257,21 @@
 
     monkeypatch.setattr(os, "fsync", sync)
     monkeypatch.setattr(os, "fdatasync", sync)
+    monkeypatch.setattr(os, "write", lambda descriptor, data: WRITE(descriptor, data[:100]))
     disk, _, _ = open_disk(tmp_path / "m", "c", 200)
     for keep in MORE:
         kept_by(disk, keep)
         (left := tmp_path / f"left-{keep.batch}").mkdir()
         for name, inode in dict(listing[str(tmp_path / "m")]).items():
             (left / name).write_bytes(contents.get(inode, b""))
+        spoilt = shutil.copytree(left, tmp_path / f"spoilt-{keep.batch}")
         kept, report = reopened(left)
         assert report.damage is None and kept == states(MORE, keep.batch)[0], keep.batch
+        if keep.batch == 3:
+            os.truncate(spoilt / SECOND, (spoilt / SECOND).stat().st_size - 1)  # behind the old mark, not at the end
+            assert reopened(spoilt)[1].damage.file == spoilt / SECOND
     disk.close()
-    os.truncate(tmp_path / "left-3" / SECOND, 199)  # behind the old mark, but not at the end
-    assert reopened(tmp_path / "left-3")[1].damage.file.name == SECOND
+    assert "m" in listing[str(tmp_path)]
 
 
 def test_a_write_whose_sync_failed_is_written_anew_into_another_file(folder, monkeypatch):
@@ -284,9 +282,7 @@
     assert [type(report) for report in told(disk, 1)] == [Broken] and disk.failure.where == str(folder / LAST)
     disk.close()
     inode = (folder / LAST).stat().st_ino
-    kept, report = reopened(folder)
-    assert kept.entries[-1].index == 32 and report.damage is None
-    assert (folder / LAST).stat().st_ino != inode
+    assert reopened(folder)[0].entries[-1].index == 32 and (folder / LAST).stat().st_ino != inode
 
 
 def test_a_set_aside_that_fails_midway_leaves_nothing_that_is_taken_for_a_whole(folder, monkeypatch):
@@ -295,11 +291,9 @@
     for number in range(1, 20):
         with monkeypatch.context() as patch:
             Failing(patch, number)
-            try:
+            with suppress(StorageFailed):
                 open_disk(folder, "c")[0].close()
                 break
-            except StorageFailed:
-                pass
     kept, report = reopened(folder)
     assert number > 9 and kept == Kept() and report.member != old
 
@@ -315,14 +309,6 @@
         assert reopened(folder)[0] == kept
 
 
-def test_a_folder_has_one_process(folder):
-    disk, _, _ = open_disk(folder, "c")
-    with pytest.raises(FolderInUse):
-        open_disk(folder, "c")
-    disk.close()
-    reopened(folder)
-
-
 CHILD = """
 import select, sys
 from pathlib import Path
@@ -362,7 +348,7 @@
         end = first + len(kept.entries)
         at = max(first, end - number) if what == "c" else end
         keep = {
-            "e": Keep(batch, entries=entries(end, number, kept.hard.term, size=number)),
+            "e": Keep(batch, cut=end + number, entries=entries(end, number, kept.hard.term, size=number)),
             "c": Keep(batch, hard=Hard(kept.hard.term + 2), cut=at, entries=entries(at, number)),
             "h": Keep(batch, hard=Hard(kept.hard.term + 1, "x" * number)),
             "s": Keep(batch, snapshot=snapshot(first - 1 + number, bytes(number))),
@@ -370,7 +356,7 @@
             "r": Keep(batch),
         }[what]
         disk.keep(keep)
-        kept = held_after(kept, keep)[-1]
+        kept = states([keep], batch, kept)[0]
         if what == "r":
             disk.close()
             disk, found, report = open_disk(path, "c", 200)
