--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -10,13 +10,18 @@
 
 from loftweir.config.model import Replication
 from loftweir.net.loop import Loop
-from loftweir.replication import wire
+from loftweir.replication import remembered, wire
 from loftweir.replication.caller import Caller
 from loftweir.replication.machine import Acquire, Ok
 from loftweir.replication.wire import LeaseOf
 
 
 class FleetTest(FleetScene):
+    def remembered(self, name):
+        """The words that the sidecar's next process would begin with."""
+        found = remembered.load(self.folder / name / "tmp", "loftweir")
+        return found.words if found else {}
+
     def test_a_word_at_a_follower_holds_at_every_sidecar_within_a_second(self):
         sidecars = self.fleet()
         self.keys = self.keys | {"follow_wait": "30s"}  # news that only came when the wait is over would come late
@@ -41,6 +46,7 @@
         self.wait(lambda: sidecars["f0"].invoke() == 200 and len(self.providers[0].seen) > before, 10)
         self.assertRegex(sidecars["f1"].call("FLEET-REMOVE n9"), "^ERR NotTaken")
         # A process that starts while nobody can be asked holds by what the one before it knew.
+        self.wait(lambda: {n for n, (_, out) in self.remembered("n2").items() if out} == {"s9"})
         for sidecar in sidecars.values():
             sidecar.kill()
         alone = sidecars["n2"].start()
