Make a burst of SIGHUPs one reload, and keep reloads 100 ms apart

Need: each SIGHUP was worked off in turn, 14 ms each, without giving way: a script that sends many held every request for as long. The numbers of signals came by a socket with room for some 280 of them, so that in a burst a SIGTERM could be lost; and one that came while Python itself was ending made the exit code -1.

Change: the handler notes a signal and blocks it; the socket only wakes the loop. What is pending is one reload, of the files as they are then; SIGHUP is heard again 100 ms after the reload's end, and what came meanwhile (kept by the kernel as one) is one more. So signals without end no longer interrupt the program at each of them either. The first one after a quiet time is worked off at once; SIGTERM and SIGINT wait for none. From `stop.done` on all three are ignored. tests/test_reload.py: the lines of one reload are read once it is over; before, a busy machine could cut them in two.

--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -35,9 +35,14 @@
 )
 from loftweir.telemetry.log import say
 
+OBEYED = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 TICK = SECOND  # how often the log is asked for what it owes
 LEAVES_FOR = SECOND  # from a drain on, until connections that rest are closed
 SWEEP_EVERY = 50 * MS
+# From a reload's end to the next one's beginning. A reload holds the loop for some 14 ms, longer where the file lists
+# many providers: signals without end so take an eighth of the processor. Far below the 4 s after which news of a new
+# discovery counts.
+RELOADS_APART = 100 * MS
 HALF_FOR = 2 * SECOND  # from SIGTERM on, that half a request is waited for
 LONGEST_COUNTED = 3 * SECOND  # of a deadline, before SIGKILL
 ENDS_BEFORE = 600 * MS  # the end, that the last answer is due: SIGKILL may come 0.3 s before the end
@@ -108,8 +113,16 @@
         woken.setblocking(False)
         wakes.setblocking(False)
         signal.set_wakeup_fd(wakes.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            signal.signal(number, lambda *_: None)
+        came: set[int] = set()
+
+        def note(number: int, _: object) -> None:
+            # Blocked, it is kept by the kernel as one, however often it comes: a script that sends it without end
+            # would leave this process no time between two of them.
+            signal.pthread_sigmask(signal.SIG_BLOCK, {number})
+            came.add(number)
+
+        for number in OBEYED:
+            signal.signal(number, note)
         if platform.operator:
             self.desk.begin(os.environ.get("TMPDIR"))
         self.desk.listed(known, addresses)
@@ -125,7 +138,7 @@
             # News bind soon after this process says that it is ready, and there is one of it: no crowd to spread.
             self.discovery.watch(True)
         self.discovery.push(platform.settings.discovery_pushes)
-        self.loop.spawn(self._obey(woken, wakes, reload))
+        self.loop.spawn(self._obey(woken, wakes, came, reload))
         self.loop.spawn(self._keep_log())
 
     def _remembered(
@@ -162,16 +175,31 @@
         except OSError as error:
             say(STATE_FAILED, file=str(self.disk.path), why=error.strerror or str(error))
 
-    def _obey(self, woken: socket.socket, wakes: socket.socket, reload: Callable[[], None]) -> Coroutine[None]:
-        """Reads the numbers of the signals that came. One that sets off nothing is no reason to stop."""
+    def _obey(
+        self, woken: socket.socket, wakes: socket.socket, came: set[int], reload: Callable[[], None]
+    ) -> Coroutine[None]:
+        """Works off the signals in `came`; what is read from `woken` says only that there may be some.
+
+        SIGHUPs that come before a reload begins are that one reload, of the files as they are then; those that come
+        from then on, until `RELOADS_APART` after its end, are one more. SIGTERM and SIGINT never wait for it. They
+        stay blocked: nothing leads back from the end.
+        """
+        hears_from: int | None = None  # when SIGHUP is heard again; None while it is
         while True:
-            yield Wait(woken, READABLE, None)
-            for number in woken.recv(4096):
-                if number == signal.SIGHUP:
-                    reload()
-                elif number in (signal.SIGTERM, signal.SIGINT) and self.life.step(Step.END):
+            if (yield Wait(woken, READABLE, hears_from)):
+                woken.recv(4096)
+            for number in came - {signal.SIGHUP}:
+                came.discard(number)
+                if self.life.step(Step.END):
                     say(STOP_BEGUN, signal=signal.Signals(number).name, open=len(self.host.invocations))
                     self.loop.spawn(self._stop(wakes))
+            if hears_from is not None and self.loop.now() >= hears_from:
+                hears_from = None
+                signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that waits is noted in this call
+            if hears_from is None and signal.SIGHUP in came:
+                came.discard(signal.SIGHUP)
+                reload()
+                hears_from = self.loop.now() + RELOADS_APART
 
     def _keep_log(self) -> Coroutine[None]:
         """Gives the log its turns: lines that wait for their reader, and numbers of those left out."""
@@ -228,6 +256,8 @@
         while front.consumers and self.loop.now() < last:
             front.send_away(half=self.loop.now() > now + HALF_FOR)
             yield Wait(None, 0, self.loop.now() + 5 * MS)
+        for number in OBEYED:  # Python's own end takes its handlers away: one that comes then would be the exit code
+            signal.signal(number, signal.SIG_IGN)
         say(STOP_DONE, left=len(front.consumers))
         wakes.close()
         self.loop.stopped = True
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -1,7 +1,12 @@
 """New settings at SIGHUP: taken whole or turned down whole, and what is under way keeps its class."""
 
 import json
+import os
+import signal
+import subprocess
+import sys
 import threading
+import time
 import unittest
 
 from scene import KEYED, MS, ONCE, READ, SECOND, SETTINGS, Scene, eventually, held, ok, profile, reply
@@ -54,11 +59,39 @@
     assert set(balancer.servers["a1"].records) == {"read"} and balancer.servers["a1"].suspicion > 0
 
 
-class ReloadTest(Scene):
+# A reload that has read its files holds on while there is a file `hold`.
+SLOW = """
+import time
+from pathlib import Path
+from loftweir import daemon
+read = daemon.read
+def held(*words):
+    found = read(*words)
+    Path("read").touch()
+    while Path("hold").exists():
+        time.sleep(0.01)
+    return found
+daemon.read = held
+"""
+APART = "from loftweir import sidecar\nsidecar.RELOADS_APART = 60 * 10**9"
+# Python's own end takes a while: no handler of the program's is left in it.
+LATE = """
+import time
+class Late:
+    def __del__(self, sleep=time.sleep):
+        sleep(0.5)
+late = Late()
+"""
+WITHOUT_END = "import os, sys, time\nend = time.time() + 20\nwhile time.time() < end: os.kill(int(sys.argv[1]), 1)"
+
+
+class Reloading(Scene):
     def settings(self, *profiles, **allowed):
         changed = SETTINGS | {"profiles": list(profiles)} if profiles else SETTINGS
         return json.dumps(self.config | {"settings": changed | {"allowed": SETTINGS["allowed"] | allowed}})
 
+
+class ReloadTest(Reloading):
     def test_classes_appear_and_vanish_and_fewer_attempts_are_made(self):
         self.start(lambda head, body: reply(503, b"", "Srv-Declined: 1"), ok)
         self.assertEqual(self.invoke("grant-read")[0], 400)
@@ -114,6 +147,7 @@
                 before = len(self.logged("reload.fault"))
                 self.reload(bad)
                 self.assertTrue(eventually(lambda n=before: len(self.logged("reload.fault")) > n, 3), (number, bad))
+                self.health()  # answered once the reload is over: all of its lines are in the log
                 faults = [fault["path"] for fault in self.logged("reload.fault")[before:]]
                 if path and "NaN" not in bad:
                     self.assertIn(path, faults)
@@ -125,5 +159,89 @@
         self.assertEqual(self.invoke("grant-read")[0], 200)
 
 
+class BurstTest(Reloading):
+    def traffic(self):
+        """Requests without a pause; ends them and gives the seconds and status of each."""
+        found, stop = [], threading.Event()
+
+        def ask():
+            client = self.client()
+            while not stop.is_set():
+                began = time.monotonic()
+                status = self.invoke(client=client)[0]
+                found.append((time.monotonic() - began, status))
+
+        def end():
+            stop.set()
+            for thread in threads:
+                thread.join(20)
+            return found
+
+        threads = [threading.Thread(target=ask) for _ in range(2)]
+        for thread in threads:
+            thread.start()
+        self.addCleanup(end)
+        return end
+
+    def unharmed(self, found):
+        self.assertLess(max(found)[0], 1, "seconds; the deadline is 2")
+        served = sum(status == 200 for _, status in found)
+        self.assertGreater(served, len(found) / 2, "a busy machine may make it shed a few")
+
+    def test_a_burst_is_few_reloads_that_hold_no_request_and_the_last_file_is_in_force(self):
+        self.start(ok)
+        end, began = self.traffic(), time.monotonic()
+        for number in range(1000):
+            if number % 50 == 49:
+                self.path.write_text(self.settings(profile(READ, "repeatable"), profile(f"class-{number}", "once")))
+            self.program.send_signal(signal.SIGHUP)
+            time.sleep(0.002)
+        self.assertTrue(eventually(lambda: self.invoke("class-999")[0] == 200), self.log())
+        self.unharmed(end())
+        self.assertLess(len(self.logged("reload.done")), 2 + (time.monotonic() - began) / 0.1)
+
+    def test_signals_without_end_leave_time_for_requests_and_for_the_end(self):
+        self.start(ok)
+        end = self.traffic()
+        sender = subprocess.Popen([sys.executable, "-c", WITHOUT_END, str(self.program.pid)])
+        self.addCleanup(sender.wait)
+        self.addCleanup(sender.kill)
+        self.assertTrue(eventually(lambda: len(self.logged("reload.done")) > 9), self.log())
+        self.unharmed(end())
+        self.terminate()
+        at_its_end = (os.P_PID, self.program.pid, os.WEXITED | os.WNOWAIT | os.WNOHANG)  # its number stays its own
+        self.assertTrue(eventually(lambda: os.waitid(*at_its_end)), self.log())
+        sender.kill()
+        self.assertEqual((self.program.wait(10), len(self.logged("stop.done"))), (0, 1))
+
+    def test_the_first_is_taken_at_once_and_sigterm_waits_for_no_reload(self):
+        self.start(ok, fault=APART)
+        for _ in range(9):
+            self.reload(self.settings())
+            self.assertTrue(eventually(lambda: self.logged("reload.done")), self.log())
+        self.terminate()
+        self.assertEqual(self.program.wait(10), 0)
+        self.assertEqual(len(self.logged("reload.done")), 1)
+
+    def test_one_that_comes_at_the_very_end_changes_nothing(self):
+        self.start(ok, fault=LATE)
+        self.terminate()
+        self.assertTrue(eventually(lambda: self.logged("stop.done")), self.log())
+        eventually(lambda: self.program.poll() is not None or self.program.send_signal(signal.SIGHUP))
+        self.assertEqual(self.program.wait(10), 0)
+
+    def test_one_that_comes_while_a_reload_runs_is_one_more(self):
+        self.start(ok, fault=SLOW)
+        hold, read = (self.path.with_name(name) for name in ("hold", "read"))
+        read.unlink()
+        hold.touch()
+        self.reload(self.settings(profile(READ, "repeatable"), profile("early", "once")))
+        self.assertTrue(eventually(read.exists))
+        self.reload(self.settings(profile(READ, "repeatable"), profile("late", "once")))
+        hold.unlink()
+        self.assertTrue(eventually(lambda: self.invoke("late")[0] == 200), self.log())
+        self.assertEqual(len(self.logged("reload.done")), 2)
+
+
 if __name__ == "__main__":
     unittest.main()
