--- a/loftweir/replication/disk.py
+++ b/loftweir/replication/disk.py
@@ -18,6 +18,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import threading
 from collections import deque
 from collections.abc import Iterator
@@ -117,6 +118,8 @@
     # ---- the thread ----
 
     def _run(self) -> None:
+        # Signals are the loop's: it blocks those that come in a burst, which this thread would go on taking.
+        signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())
         writer = self._writer
         try:
             while not self._ends:
