--- /dev/null
+++ b/loftweir/replication/part.py
@@ -0,0 +1,275 @@
+"""This sidecar's part in the copies: it votes where its name is listed, and follows else, or while it can't vote.
+
+The one module that `sidecar` imports of the copies, and only where the operator's file names members.
+"""
+
+from __future__ import annotations
+
+import os
+import secrets
+from collections.abc import Callable, Mapping
+from pathlib import Path
+
+from loftweir.config.model import Replication
+from loftweir.config.units import seats
+from loftweir.errors import Trouble
+from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Wait
+from loftweir.operations.calls import Call, No, Word
+from loftweir.operations.record import Word as Said
+from loftweir.replication import reception, remembered
+from loftweir.replication.api import Role
+from loftweir.replication.caller import Caller
+from loftweir.replication.disk import open_disk
+from loftweir.replication.folder import FolderInUse, StorageFailed
+from loftweir.replication.follower import Follower
+from loftweir.replication.joining import Joining
+from loftweir.replication.machine import Machine, Ok
+from loftweir.replication.machine import Word as Say
+from loftweir.replication.member import Voter
+from loftweir.replication.reception import Reception
+from loftweir.replication.remembered import Remembered
+from loftweir.replication.wire import WordOf
+from loftweir.state.sealed import Damaged
+from loftweir.telemetry.catalogue import (
+    REPLICATION_DAMAGED,
+    REPLICATION_ENDED,
+    REPLICATION_FORGOT,
+    REPLICATION_OPENED,
+    REPLICATION_WAITS,
+    REPLICATION_WORDS,
+)
+from loftweir.telemetry.log import say
+
+TRY_EVERY = 300 * MS  # for the folder and the address, that the process before this one may hold yet
+SAVE_WITHIN = 100 * MS  # from a change of what holds, until it is written where the next process finds it
+FOLLOWERS_OWN = 6  # descriptors: a line for news, two for calls, and what is between one and the next
+
+
+def descriptors(name: str, options: Replication) -> int:
+    """How many of the sidecar's descriptors the copies may take."""
+    return FOLLOWERS_OWN + (options.callers + reception.DESCRIPTORS if name in seats(options.members) else 0)
+
+
+class Part:
+    """Invariants: it votes or follows, one of the two; `told` has heard `words`, which are those of the machine at
+    `index` and what was promised here since; a machine behind that is told only where its members are all others: the
+    copies were begun anew."""
+
+    def __init__(
+        self, loop: Loop, name: str, options: Replication, told: Callable[[Mapping[str, Said], bool], None]
+    ) -> None:
+        self.loop = loop
+        self.name = name
+        self.options = options
+        self.told = told
+        self.seats = seats(options.members)
+        self.id = secrets.token_hex(8)  # of this process, where it does not vote
+        self.folder = Path(os.environ["TMPDIR"]) if os.environ.get("TMPDIR") else None
+        self.index = 0  # of what holds here
+        self.known_at: int | None = None  # where only what was remembered does: when it was the latest
+        self.members: frozenset[str] = frozenset()  # ids of the voters that it is of
+        self.words: dict[str, Said] = {}
+        self.saves = False  # a file is to be written
+        self.voter: Voter | None = None
+        self.reception: Reception | None = None
+        self.follower: Follower | None = None
+        self.joining: Joining | None = None
+        self.leaves = False
+        self.caller = Caller(loop, name, self.id, options, self.seats, lambda: self.index)
+
+    # ---- begin and end --------------------------------------------------------------------------
+
+    def recall(self) -> None:
+        """What the process before this one knew holds from the start on."""
+        if self.folder is None:
+            return
+        try:
+            found = remembered.load(self.folder, self.options.cluster)
+        except (OSError, Damaged) as error:
+            say(REPLICATION_FORGOT, folder=str(self.folder), why=error)
+            return
+        if found is not None:
+            self.index, self.known_at, self.members = found.index, found.known_at, frozenset(found.members)
+            self.words = {name: Said(*word) for name, word in found.words.items()}
+            self.told(self.words, True)
+
+    def start(self) -> None:
+        if self.name not in self.seats:
+            self._follow()
+        elif not self._vote():
+            self.loop.spawn(self._try_to_vote())
+
+    def _follow(self) -> None:
+        if self.follower is None:
+            self.follower = Follower(self.loop, self.name, self.id, self.options, self.seats, self._followed)
+
+    def _try_to_vote(self) -> Coroutine[None]:
+        while not self.leaves:
+            yield Wait(None, 0, self.loop.now() + TRY_EVERY)
+            if self.leaves or self._vote():
+                return
+
+    def _vote(self) -> bool:
+        """Takes the part of a member; False: not now, and it follows meanwhile."""
+        options = self.options
+        try:
+            disk, kept, report = open_disk(Path(options.folder), options.cluster)
+        except FolderInUse as error:
+            say(REPLICATION_WAITS, why=error)
+            self._follow()
+            return False
+        except StorageFailed as error:
+            self._ended(error)
+            return True
+        index = kept.entries[-1].index if kept.entries else kept.snapshot.index if kept.snapshot else 0
+        folder = options.folder
+        say(REPLICATION_OPENED, id=report.member, begun=report.begun, torn=report.torn, index=index, folder=folder)
+        if report.damage is not None:
+            say(REPLICATION_DAMAGED, why=report.damage, before=report.before, id=report.member, aside=report.aside)
+        voter = Voter(self.loop, self.name, options, self.seats, (disk, kept), self._applied, self._ended)
+        listener = Reception(self.loop, voter, options.callers)
+        try:
+            listener.listen(self.seats[self.name])
+        except OSError as error:
+            say(REPLICATION_WAITS, why=f"{self.seats[self.name]}: {error.strerror or error}")
+            voter.close()
+            self._follow()
+            return False
+        self._end_following()
+        self.voter, self.reception = voter, listener
+        voter.start()
+        self.joining = Joining(self.loop, voter, lambda: self.voter is voter)
+        return True
+
+    def _end_following(self) -> None:
+        if self.follower is not None:
+            self.follower.close()
+            self.follower = None
+
+    def _ended(self, why: Trouble) -> None:
+        """The member's part is over, the sidecar's is not."""
+        say(REPLICATION_ENDED, why=why, remedy=why.remedy)
+        self._end_voting()
+        if not self.leaves:
+            self._follow()
+
+    def _end_voting(self) -> None:
+        if self.voter is not None and self.reception is not None and self.joining is not None:
+            self.reception.close()
+            self.voter.close()
+            self.joining.task.cancel()
+        self.voter = self.reception = self.joining = None
+
+    def leave(self) -> None:
+        """The process is about to end. One that leads hands over first; then the folder and the address are free for
+        the next process, and this one follows for as long as it is there."""
+        self.leaves = True
+        if self.voter is not None:
+            self.loop.spawn(self._hand_over(self.voter))
+
+    def _hand_over(self, voter: Voter) -> Coroutine[None]:
+        until = self.loop.now() + self.options.election + 200 * MS
+        voter.hand_over()
+        while voter.core.role is Role.LEADER and not voter.over and self.loop.now() < until:
+            yield Wait(None, 0, self.loop.now() + 5 * MS)
+        if self.voter is voter:
+            self._end_voting()
+            self._follow()
+
+    def close(self) -> None:
+        """The end: what was asked to be kept is."""
+        self.leaves = True
+        if self.saves:
+            self._save()
+        self._end_voting()
+        self._end_following()
+        self.caller.close()
+
+    # ---- what holds -----------------------------------------------------------------------------
+
+    def _applied(self) -> None:
+        if self.voter is not None and self.reception is not None:
+            self.reception.applied()
+            self._tell(self.voter.machine, frozenset(m.id for m in self.voter.core.members))
+
+    def _followed(self) -> None:
+        if self.follower is not None:
+            self._tell(self.follower.machine, self.follower.members)
+
+    def _tell(self, machine: Machine, members: frozenset[str]) -> None:
+        anew = bool(self.members and members) and not self.members & members
+        if anew:
+            self.index = 0
+        self.members = members or self.members
+        if machine.index < self.index:
+            return  # a voter that has yet to hear how much of its log holds, or one that joins
+        whole, words = machine.words_since(self.index)
+        self.index, self.known_at = machine.index, None
+        if not words and not whole and not anew:
+            return
+        said = {name: Said(word.at, word.out) for name, word in words.items()}
+        self.words = said if whole or anew else {**self.words, **said}
+        say(REPLICATION_WORDS, out=self.out(), index=self.index)
+        self.told(said, whole or anew)
+        if self.folder is not None and not self.saves:
+            self.saves = True
+            self.loop.after(SAVE_WITHIN, self._save)
+
+    def _save(self) -> None:
+        self.saves = False
+        if self.folder is None:
+            return
+        words = {name: (word.at, word.on) for name, word in self.words.items()}
+        now = self.loop.now() - (self.age() or 0)
+        try:
+            remembered.save(
+                self.folder, Remembered(self.options.cluster, self.index, now, sorted(self.members), words)
+            )
+        except OSError as error:
+            say(REPLICATION_FORGOT, folder=str(self.folder), why=error)
+
+    def out(self) -> list[str]:
+        return sorted(name for name, word in self.words.items() if word.on)
+
+    def age(self) -> int | None:
+        """Since what holds here was last known to be all that was promised, ns; None: not known."""
+        if self.known_at is not None:
+            return max(0, self.loop.now() - self.known_at)
+        holder = self.voter or self.follower
+        return holder.age() if holder is not None else None
+
+    # ---- operators' calls -----------------------------------------------------------------------
+
+    def do(self, call: Call) -> Coroutine[str]:
+        """What is said after OK, which is a promise: a majority has it on stable storage. `No` with a typed error's
+        text, within `replication.write_within`."""
+        if call.word is Word.FLEET:
+            return self.line()
+        until = self.loop.now() + self.options.write_within
+        try:
+            if call.word is Word.FLEET_REMOVE:
+                yield from self.caller.remove(call.id, self.options.write_within)
+                return "removed"
+            if call.word is Word.FLEET_ENABLE:
+                held = yield from self.caller.read(WordOf(call.id), self.options.write_within)
+                if held.sure and not (held.value and held.value[0]):
+                    return f"enabled, at index {held.index}"  # as nobody took it out, it is not to begin cold
+            act = Say(call.id, call.word is Word.FLEET_DISABLE, self.loop.now())
+            result = yield from self.caller.write(act, max(SECOND // 1000, until - self.loop.now()))
+        except Trouble as error:
+            raise No(f"{type(error).__name__}: {error}; {error.remedy}") from None
+        if not isinstance(result, Ok):
+            raise No(result.text)
+        if result.index > self.index:  # it holds here by the time of the answer; the machine's state follows
+            self.words = {**self.words, call.id: Said(act.at, act.out)}
+            self.told(self.words, False)
+        return f"{'disabled' if act.out else 'enabled'}, at index {result.index}"
+
+    def line(self) -> str:
+        """How it stands, in one line."""
+        role, term, leader = "follows", "-", self.follower.leader if self.follower is not None else ""
+        if self.voter is not None:
+            role, term, leader = self.voter.core.role.value, str(self.voter.core.term), self.voter.leader()[0]
+        age = self.age()
+        aged, out = "-" if age is None else str(age // MS), ",".join(self.out())
+        return f"role={role} leader={leader or '-'} term={term} index={self.index} age_ms={aged} out={out or '-'}"
