--- a/loftweir/partners/merge.py
+++ b/loftweir/partners/merge.py
@@ -148,25 +148,21 @@
     return found
 
 
-def ends(one: Candidate, policy: Policy) -> int:
-    """When this route ends at the latest, as things stand; Unix time, ns."""
+def ends(one: Candidate, policy: Policy) -> tuple[int, Reason]:
+    """When this route ends as things stand, Unix time in ns, and why."""
     until = min(one.held.confirmed_at + one.route.valid_for, one.route.terms.until)
-    if one.held.standing is Standing.STALE:
-        until = min(until, one.held.since + policy.gone_after)
-    return until
+    stale = one.held.since + policy.gone_after if one.held.standing is Standing.STALE else FOREVER
+    return (stale, Reason.STALE) if stale < until else (until, Reason.EXPIRED)
 
 
 def refused(one: Candidate, policy: Policy, now: int) -> Left | None:
-    """Why nothing is done with this route here, whatever the others are; None: it may be used or passed on."""
-    route, held, terms = one.route, one.held, one.route.terms
-    if held.standing is Standing.GONE:
+    """Why nothing is done with this route here, whatever the others are; None: it may be used or passed on. What does
+    not go with time comes first, and of the ends the earliest: so a reason stays until something is told."""
+    route, terms = one.route, one.route.terms
+    if one.held.standing is Standing.GONE:
         return Left(Reason.AWAY)
-    if held.standing is Standing.STALE and now >= held.since + policy.gone_after:
-        return Left(Reason.STALE)
     if terms.unknown:
         return Left(Reason.UNKNOWN, ", ".join(sorted(terms.unknown)))
-    if expired(one, now):
-        return Left(Reason.EXPIRED)
     if policy.site in route.path:  # RFC 4271, section 9.1.2
         return Left(Reason.LOOP)
     by = leaked(terms, route.path, policy.site) or _past_role(one, policy)
@@ -174,11 +170,8 @@
         return Left(Reason.LEAKED, by)
     if len(route.path) > policy.limits.path:
         return Left(Reason.LIMIT, "path")
-    return None
-
-
-def expired(one: Candidate, now: int) -> bool:
-    return now >= one.route.terms.until or now >= one.held.confirmed_at + one.route.valid_for
+    until, why = ends(one, policy)
+    return Left(why) if now >= until else None
 
 
 def _past_role(one: Candidate, policy: Policy) -> str:
@@ -198,7 +191,7 @@
         why = refused(one, policy, now)
         if why is None:
             fit.append(one)
-            until = min(until, ends(one, policy))
+            until = min(until, ends(one, policy)[0])
         else:
             left[one.partner] = why
     if len(fit) > 1:
@@ -212,12 +205,14 @@
         else:
             left[one.partner] = Left(Reason.WORSE, best.partner, _decided(best, one, policy))
     own = policy.offers.get(service)
+    shown: dict[str, Route] = {}
     if own is not None:
+        _show(own, 0, own.terms, own.marked, own.providers, policy, now, shown)
         if now < own.terms.until:
             until = min(until, own.terms.until)
-        shown = {to: own for to in policy.roles if own.terms.may_show(to, now)}
     else:
-        shown = _shown(fit, policy, now) if fit else {}
+        for one in fit:
+            until = min(until, _pass(one, policy, now, shown))
     return Decision(Used(best.partner, best.route) if best else None, left, shown, until)
 
 
@@ -225,31 +220,40 @@
     return next((rule.name for rule in policy.rules if rule.key(best, policy) != rule.key(other, policy)), "")
 
 
-def _shown(fit: Iterable[Candidate], policy: Policy, now: int) -> dict[str, Route]:
-    """To each neighbour the best of those that it may be shown, passed on by this site."""
-    shown: dict[str, Route] = {}
-    for one in fit:
-        route = one.route
-        passed = len(route.path)
-        if one.held.standing is not Standing.FRESH or passed > route.terms.passes or passed >= policy.limits.path:
+def _pass(one: Candidate, policy: Policy, now: int, shown: dict[str, Route]) -> int:
+    """Passes a route on to each neighbour that has no better one yet; until when that holds, at the longest."""
+    route, passed = one.route, len(one.route.path)
+    if one.held.standing is not Standing.FRESH or passed > route.terms.passes or passed >= policy.limits.path:
+        return FOREVER
+    marked = route.marked or (one.partner if policy.roles.get(one.partner) in ABOVE else "")
+    terms = route.terms.passed(policy.site, policy.words.get(route.service), route.path)
+    _show(route, passed, terms, marked, policy.border or route.providers, policy, now, shown)
+    return terms.until if now < terms.until else FOREVER
+
+
+def _show(
+    route: Route,
+    passed: int,
+    terms: Terms,
+    marked: str,
+    providers: tuple[Provider, ...],
+    policy: Policy,
+    now: int,
+    shown: dict[str, Route],
+) -> None:
+    """Adds the route for each neighbour that may be shown it and has none yet. RFC 9234, section 5, on the way out:
+    what is marked goes to nobody above or beside, and what goes beside or below is marked."""
+    forms: dict[str, Route] = {}
+    for to, role in policy.roles.items():
+        if to in shown or (marked and role in ABOVE) or (passed and to in route.path):
             continue
-        marked = route.marked or (one.partner if policy.roles.get(one.partner) in ABOVE else "")
-        terms = route.terms.passed(policy.site, policy.words.get(route.service), route.path)
-        forms: dict[str, Route] = {}
-        for to, role in policy.roles.items():
-            if to in shown or to in route.path or not terms.may_show(to, now, passed):
-                continue
-            if marked and role in ABOVE:  # RFC 9234, section 5, on the way out
-                continue
-            mark = marked or (policy.site if role in BESIDE_OR_BELOW else "")
-            if mark not in forms:
-                path = (policy.site, *route.path)
-                providers = policy.border or route.providers
-                forms[mark] = msgspec.structs.replace(
-                    route, path=path, providers=providers, terms=terms, marked=mark
-                )
-            shown[to] = forms[mark]
-    return shown
+        if not terms.may_show(to, now, passed):
+            continue
+        mark = marked or (policy.site if role in BESIDE_OR_BELOW else "")
+        if mark not in forms:
+            path = (policy.site, *route.path) if passed else route.path
+            forms[mark] = msgspec.structs.replace(route, path=path, providers=providers, terms=terms, marked=mark)
+        shown[to] = forms[mark]
 
 
 def merge(helds: Mapping[str, Held], policy: Policy, now: int) -> Merged:
@@ -284,7 +288,8 @@
 class Merger:
     """`merged` is what `merge` would give for `helds` at the time of the last call. Times never go back."""
 
-    def __init__(self, policy: Policy) -> None:
+    def __init__(self, policy: Policy, now: int = 0, helds: Mapping[str, Held] | None = None) -> None:
+        """Another policy is another Merger, made with the `helds` of the one before."""
         self.policy = policy
         self.helds: dict[str, Held] = {}
         self.merged = Merged({}, {}, {to: {} for to in policy.roles})
@@ -293,7 +298,11 @@
         self.lapsed: dict[str, set[str]] = {}  # by partner, services whose route was not confirmed in time
         self.due: list[tuple[int, str]] = []
         self.due_at: dict[str, int] = {}  # by service, the entry of `due` that counts
-        self._again(self.by_service, 0, Changed(set(), set()))
+        for partner, held in (helds or {}).items():
+            self.helds[partner] = held
+            for service, route in (held.table.routes if held.table is not None else {}).items():
+                self.by_service.setdefault(service, {})[partner] = route
+        self._again(self.by_service, now, Changed(set(), set()))
 
     @property
     def next_at(self) -> int:
@@ -307,7 +316,8 @@
         self.helds[partner] = held
         old, new = (one.table.routes if one.table is not None else {} for one in (before, held))
         services: set[str]
-        if held.standing is not before.standing or held.since != before.since or held.confirmed_at < before.confirmed_at:
+        stands = (held.standing, held.since) != (before.standing, before.since)
+        if stands or held.confirmed_at < before.confirmed_at:
             services = {*old, *new}
         elif old is new:
             services = set()
@@ -331,14 +341,6 @@
         self.lapsed.pop(partner, None)
         return changed
 
-    def adopt(self, policy: Policy, now: int) -> None:
-        """Another policy: everything is decided anew."""
-        helds = self.helds
-        self.__init__(policy)  # type: ignore[misc]
-        for partner, held in helds.items():
-            self.hold(partner, held, now)
-        self._again(self.by_service, now, Changed(set(), set()))
-
     def advance(self, now: int) -> Changed:
         """Time has gone on: what has come to its end goes."""
         changed = Changed(set(), set())
