--- /dev/null
+++ b/benchmarks/partners_merge.py
@@ -0,0 +1,104 @@
+"""What the merge of the partners' tables costs: the whole, one change after it, memory.
+
+    python -m benchmarks.partners_merge [--partners 100] [--routes 1000] [--rounds 3]
+
+`shared`: each service is offered by five partners, and one route in ten may be passed on. `apart`: every route is of
+another service, none is passed on. `passed`: as shared, and all may be passed on to all.
+"""
+
+from __future__ import annotations
+
+import argparse
+import statistics
+import time
+import tracemalloc
+
+import msgspec
+
+from loftweir.partners.merge import Held, Merger, Policy, Role, Standing, merge
+from loftweir.partners.table import LIMITS, Offer, Provider, Route, Table, read, taken
+from loftweir.partners.terms import OPEN, Terms
+
+SECOND = 1_000_000_000
+NOW = 1_700_000_000 * SECOND
+
+
+def tables(partners: int, routes: int, way: str) -> dict[str, Offer]:
+    """Each partner's table, as it offers it."""
+    offers = {}
+    for number in range(partners):
+        site = f"site-{number}"
+        found: dict[str, Route] = {}
+        for place in range(routes):
+            service = number * routes + place if way == "apart" else (number * routes + place) // 5 * 5 % (routes * 20)
+            name = f"service-{service + (number % 5 if way == 'apart' else place % 5)}@mesh"
+            border = tuple(Provider(f"b{n}.{site}", f"10.0.{number}.{n}:8443", "a", "plain") for n in range(3))
+            passes = 3 if way == "passed" or (way == "shared" and place % 10 == 0) else 0
+            terms = Terms(OPEN.use, OPEN.show, passes, OPEN.until)
+            found[name] = Route(name, (site,), border, ("read", "write"), 0.1, None, 60 * SECOND, terms)
+        offers[site] = Offer(site, 1)
+        offers[site].put(found)
+    return offers
+
+
+def timed(action: object) -> float:
+    begun = time.perf_counter()
+    action()  # type: ignore[operator]
+    return (time.perf_counter() - begun) * 1000
+
+
+def measure(partners: int, routes: int, rounds: int, way: str) -> None:
+    offers = tables(partners, routes, way)
+    tracemalloc.start()
+    helds: dict[str, Held] = {}
+    begun = time.perf_counter()
+    for site, offer in offers.items():
+        helds[site] = Held(taken(None, read(offer.answer(None), site)), Standing.FRESH, NOW, NOW)
+    read_ms = (time.perf_counter() - begun) * 1000
+    held_mb = tracemalloc.get_traced_memory()[0] / 1e6
+    policy = Policy("here", dict.fromkeys(offers, Role.NONE))
+    merger = Merger(policy, NOW, helds)
+    merged_mb = tracemalloc.get_traced_memory()[0] / 1e6 - held_mb
+    tracemalloc.stop()
+    whole = [timed(lambda: merge(helds, policy, NOW)) for _ in range(rounds)]
+    reads = [timed(lambda site=site: read(offers[site].answer(None), site)) for site in list(offers)[:20]]
+    one, confirm, silent = [], [], []
+    now = NOW
+    for number in range(200):
+        now += 1000
+        site = f"site-{number % partners}"
+        held = merger.helds[site]
+        table = held.table
+        assert table is not None
+        name = next(iter(table.routes))
+        route = msgspec.structs.replace(table.routes[name], share=0.2 + number / 1000)
+        other = Table(site, table.epoch, table.index + 1, {**table.routes, name: route}, table.sums, table.sum)
+        after = Held(other, Standing.FRESH, NOW, now)
+        one.append(timed(lambda site=site, after=after, now=now: merger.hold(site, after, now)))
+        after = msgspec.structs.replace(after, confirmed_at=now + 1)
+        confirm.append(timed(lambda site=site, after=after, now=now: merger.hold(site, after, now + 1)))
+    for number in range(min(20, partners)):
+        site = f"site-{number}"
+        held = msgspec.structs.replace(merger.helds[site], standing=Standing.STALE, since=now)
+        silent.append(timed(lambda site=site, held=held: merger.hold(site, held, now)))
+    assert merger.merged == merge(merger.helds, policy, now)
+    services, shown = len(merger.merged.used), sum(map(len, merger.merged.shown.values()))
+    print(f"{way}: {partners} x {routes} routes, {services} services used, {shown} routes shown")
+    print(f"  whole merge {statistics.median(whole):.0f} ms; a table read {statistics.median(reads):.1f} ms")
+    for what, times in (("one route changed", one), ("confirmed", confirm), ("a partner stale", silent)):
+        print(f"  {what}: median {statistics.median(times):.3f} ms, worst {max(times):.3f} ms")
+    print(f"  memory: tables {held_mb:.0f} MB, merged {merged_mb:.0f} MB; read in all {read_ms:.0f} ms while traced")
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--partners", type=int, default=100)
+    parser.add_argument("--routes", type=int, default=min(1000, LIMITS.routes))
+    parser.add_argument("--rounds", type=int, default=3)
+    words = parser.parse_args()
+    for way in ("shared", "apart", "passed"):
+        measure(words.partners, words.routes, words.rounds, way)
+
+
+if __name__ == "__main__":
+    main()
--- a/loftweir/partners/merge.py
+++ b/loftweir/partners/merge.py
@@ -6,8 +6,8 @@
 
 Invariants:
  1. No route is used here unless its terms name this site (`may_use`), and none is shown to a neighbour unless its terms
-    name that neighbour (`may_show`); both are also asked of what *comes in*, so that a partner that does not keep to the
-    terms is found out by the first site that does (`Reason.LEAKED`).
+    name that neighbour (`may_show`); the latter is also asked of what comes in, for each step of its path, so that a
+    partner that does not keep to the terms is found out by the first site that does (`Reason.LEAKED`).
  2. Only what a partner confirmed within its hold time is shown on: what is stale is used here at most, and as the last
     choice (RFC 4724, section 4.2, keeps stale routes for a time; RFC 9494, section 4.3, makes them the last choice).
  3. A Merger holds at every time what `merge` gives for the same policy, helds and time.
@@ -41,6 +41,7 @@
     standing: Standing = Standing.GONE
     since: int = 0  # Unix time, ns, of the standing
     confirmed_at: int = 0  # Unix time, ns, of its last good answer
+    back_at: int = 0  # Unix time, ns, of when it last came back from being away; 0: never
 
 
 class Role(Enum):
--- a/loftweir/partners/session.py
+++ b/loftweir/partners/session.py
@@ -1,7 +1,7 @@
 """The session with one partner, as tables of states: asking it, holding what it told, letting go. No I/O, no clock.
 
     DOWN --start--> ASKING --answered--> HOLDING --hold over--> STALE --gone over--> GONE
-    STALE and GONE --answered--> HOLDING          ASKING --hold over--> GONE          DOWN --resume--> STALE
+    STALE and GONE --answered--> HOLDING          ASKING --hold over--> GONE          DOWN --resume--> HOLDING
     each of these --suppress--> DAMPED --reuse--> ASKING             each --stop--> DOWN
 
 A call waits at the partner as a watch of the platform's list does, and its silence is found out by the same clock
@@ -73,7 +73,7 @@
 # What is not named here changes nothing.
 TABLE: dict[tuple[State, Step], State] = {
     (State.DOWN, Step.START): State.ASKING,
-    (State.DOWN, Step.RESUME): State.STALE,
+    (State.DOWN, Step.RESUME): State.HOLDING,
     (State.ASKING, Step.ANSWERED): State.HOLDING,
     (State.STALE, Step.ANSWERED): State.HOLDING,
     (State.GONE, Step.ANSWERED): State.HOLDING,
@@ -121,7 +121,7 @@
             if getattr(self, name) <= 0
         ]
         if self.hold < least:
-            faults.append(SettingFault("partners.hold", str(self.hold), f"{least} or more, for calls after a silent one"))
+            faults.append(SettingFault("partners.hold", str(self.hold), f"{least} or more: calls after a silent one"))
         if not 0 < self.ramp_from <= 1:
             faults.append(SettingFault("partners.ramp_from", str(self.ramp_from), "above 0 and at most 1"))
         if not 0 < self.reuse < self.suppress <= self.ceiling:
@@ -133,11 +133,18 @@
 TIMING = Timing()
 
 
+def ramp(held: Held, now: int, timing: Timing = TIMING) -> float:
+    """The part of each of its routes' share or rate that may be sent to a partner now. Grows from when it came back."""
+    if now >= held.back_at + timing.ramp_within:
+        return 1.0
+    return timing.ramp_from + (1 - timing.ramp_from) * max(0, now - held.back_at) / timing.ramp_within
+
+
 # ---- actions, in order --------------------------------------------------------------------------
 
 
 class Ask(NamedTuple):
-    """Call the partner, giving up whatever call is under way. To be answered by `answer` or `failed` with its number."""
+    """Call the partner, giving up whatever call is under way. `answer` or `failed` with its number are to follow."""
 
     number: int
     to: str  # the mark of this question, which the answer has to bear
@@ -182,12 +189,13 @@
         self.since = 0  # of the state
         self.table: Table | None = None
         self.confirmed_at = 0
-        self.ramp_at: int | None = None  # when it came back
+        self.back_at = 0  # when it last came back from being away
         self.number = 0
         self.asked: Ask | None = None  # under way
         self.until = 0  # of what is under way; else when the next is due
         self.fresh_calls = 0  # left after a silent one
         self.failures = 0  # in a row
+        self.whole = False  # is asked for next, whatever is held
         self.penalty, self.penalty_at = 0.0, 0
 
     # ---- what holds -----------------------------------------------------------------------------
@@ -197,14 +205,7 @@
         return TRAITS[self.state].standing
 
     def held(self) -> Held:
-        return Held(self.table, self.standing, self.since, self.confirmed_at)
-
-    def ramp(self, now: int) -> float:
-        """The part of each of its routes' share or rate that may be sent now. Grows only, while it holds."""
-        if self.ramp_at is None or now >= self.ramp_at + self.timing.ramp_within:
-            return 1.0
-        part = max(0, now - self.ramp_at) / self.timing.ramp_within
-        return self.timing.ramp_from + (1 - self.timing.ramp_from) * part
+        return Held(self.table, self.standing, self.since, self.confirmed_at, self.back_at)
 
     def penalty_now(self, now: int) -> float:
         return float(self.penalty * 0.5 ** ((now - self.penalty_at) / self.timing.half))
@@ -232,7 +233,7 @@
         if held is not None and held.table is not None and held.standing is not Standing.GONE:
             self.table, self.confirmed_at = held.table, held.confirmed_at
             self._go(Step.RESUME, now, actions)
-            self.since = min(now, held.since if held.standing is Standing.STALE else held.confirmed_at)
+            self.since, self.back_at = min(now, held.since), held.back_at
         self._go(Step.START, now, actions)
         return [*actions, *self._ask(now, 0), *self.tick(now)]
 
@@ -250,18 +251,18 @@
             return actions
         if self.state in (State.HOLDING, State.ASKING) and now >= self._hold_over():
             held = self.state is State.HOLDING
-            self._go(Step.HOLD_OVER, now, actions)
+            self._go(Step.HOLD_OVER, self._hold_over(), actions)
             if held:
                 self._flap(now, actions)
         if self.state is State.STALE and now >= self.since + timing.gone:
-            self._go(Step.GONE_OVER, now, actions)
+            self._go(Step.GONE_OVER, self.since + timing.gone, actions)
         if self.state is State.DAMPED and self.penalty_now(now) < timing.reuse:
             self._go(Step.REUSE, now, actions)
             return actions + self._ask(now, 0)
         if now < self.until:
             return actions
         if self.asked is None:
-            return actions + self._ask(now, timing.wait if self.failures == 0 and self.state is State.HOLDING else 0)
+            return actions + self._ask(now, timing.wait if self.failures == 0 else 0)
         silent = self.asked
         actions.append(Failed(f"silent for {(now - self.until + silent.within) // MS} ms"))
         if silent.wait or self.fresh_calls:
@@ -286,11 +287,10 @@
         try:
             table = self._taken(data, asked)
         except BadTable as error:
+            # Changes that do not add up follow another table than the one held: the whole one is asked for.
+            self.whole = asked.after is not None and error.faults[0].place == "sum"
             self._later(now)
-            actions.append(Refused(error))
-            if not isinstance(error, OldTable):
-                self._flap(now, actions)
-            return actions + self.tick(now)
+            return [Refused(error), *self.tick(now)]
         before = self.table
         self.table, self.confirmed_at = table, now
         self.asked, self.failures, self.fresh_calls = None, 0, 0
@@ -312,7 +312,8 @@
     def _ask(self, now: int, wait: int) -> list[Action]:
         self.number += 1
         within = wait + self.timing.silent_after if wait else self.timing.anew
-        after = self.table.mark if self.table is not None else None
+        after = self.table.mark if self.table is not None and not self.whole else None
+        self.whole = False
         self.asked = Ask(self.number, f"{self.life}.{self.number}", after, wait, within)
         self.until = now + within
         return [self.asked]
@@ -331,13 +332,14 @@
             return False
         self.since = now
         if self.state is State.HOLDING and TRAITS[before].away:
-            self.ramp_at = now
+            self.back_at = now
         if self.state is State.GONE:
             self.table = None  # and its mark: an epoch set back by the partner's loss of its disk is taken from here on
         actions.append(Became(before, table))
         return True
 
     def _flap(self, now: int, actions: list[Action]) -> None:
+        """It fell silent for the hold time, or began anew. A bad table is none: the last good one stays its time."""
         self.penalty = min(self.timing.ceiling, self.penalty_now(now) + FLAP)
         self.penalty_at = now
         if self.penalty >= self.timing.suppress:
--- a/loftweir/partners/table.py
+++ b/loftweir/partners/table.py
@@ -157,7 +157,7 @@
     withdrawn: list[Service] = []
 
 
-class Told(NamedTuple):
+class Told(msgspec.Struct, frozen=True):
     """An answer that is well formed."""
 
     site: str
