Partners on sockets: one sidecar asks each partner, the copies tell all

Need: what a partner offers has to reach every sidecar of a site, be used and shown by its terms, and outlive whoever asked it. Change: a duty on the loop under a lease, the socket part of a session, tables in the copies as chunks and a head, the table shown to each neighbour from the copies, a listener for it, a partner's providers in place of the own, ROUTES.

--- a/loftweir/config/model.py
+++ b/loftweir/config/model.py
@@ -14,8 +14,8 @@
 
 import msgspec
 
-from loftweir.config.units import Unit, plain, seats, written
-from loftweir.listclock import longest_silence
+from loftweir.config.units import Unit, label, own_address, plain, seats, service, written
+from loftweir.listclock import ANEW, LEAST, longest_silence
 
 MS, SECOND, MINUTE, HOUR = 1_000_000, 1_000_000_000, 60_000_000_000, 3_600_000_000_000
 KIB, MIB, GIB = 1024, 1024**2, 1024**3
@@ -274,6 +274,85 @@
     ] = 32
 
 
+class Partners(Section, frozen=True, kw_only=True):
+    """Other sites' routes and this site's own, by the terms of whose they are; off without a site."""
+
+    site: Annotated[
+        str,
+        text(
+            "name of this site, as its neighbours know it; `replication.members` is needed; empty: off",
+            label,
+            live=False,
+        ),
+    ] = ""
+    file: Annotated[
+        str,
+        text(
+            "the neighbours and this site's own routes with their terms, in TOML or JSON; the same at every sidecar of "
+            "the site. A reload reads it again",
+            live=False,
+        ),
+    ] = ""
+    listen: Annotated[
+        str,
+        text(
+            "where neighbours ask this sidecar for this site's routes; set it at those that vote; empty: nowhere",
+            own_address,
+            live=False,
+        ),
+    ] = ""
+    service: Annotated[
+        str,
+        text(
+            "the service whose providers this sidecar's discovery lists, as orders@shop: a partner's take their place "
+            "while none of them is ready; empty: never",
+            service,
+            live=False,
+        ),
+    ] = ""
+    wait: Annotated[
+        int, time("that a call may be held by a partner with no news", 100 * MS, MINUTE, live=False)
+    ] = 5 * SECOND
+    silent_after: Annotated[
+        int, time("past its wait, until a call with no answer is given up and made anew", 50 * MS, MINUTE, live=False)
+    ] = SECOND
+    hold: Annotated[
+        int,
+        time(
+            "with no good answer of a partner, until what it told is stale: used as the last choice, shown to nobody",
+            SECOND,
+            HOUR,
+            live=False,
+        ),
+    ] = 15 * SECOND
+    gone: Annotated[
+        int, time("of being stale, until nothing of a partner is used", 100 * MS, HOUR, live=False)
+    ] = 30 * SECOND
+    lease: Annotated[
+        int,
+        time(
+            "of the lease under which one sidecar asks a partner: so long after its end the next one begins",
+            SECOND,
+            MINUTE,
+            live=False,
+        ),
+    ] = 5 * SECOND
+    table_size: Annotated[
+        int, size("of one partner's answer; over it it is refused", 4 * KIB, 8 * MIB, live=False)
+    ] = MIB
+    routes: Annotated[int, count("of one partner's table; over it it is refused", 1, 2000, live=False)] = 500
+    callers: Annotated[
+        int,
+        count(
+            "connections of neighbours taken at `listen` at a time, out of the platform's `sockets`; of more, the one "
+            "silent for longest goes",
+            2,
+            1024,
+            live=False,
+        ),
+    ] = 16
+
+
 class Options(Section, frozen=True, kw_only=True):
     """The operator's file as a whole."""
 
@@ -283,6 +362,7 @@
     log: Log = Log()
     state: State = State()
     replication: Replication = Replication()
+    partners: Partners = Partners()
 
 
 class Key(NamedTuple):
@@ -327,6 +407,8 @@
         yield "log.access_sample", "above 0%, since log.access asks for a sample"
     if options.replication.election < 3 * options.replication.beat:
         yield "replication.election", "at least three times replication.beat: one sign of life may be lost"
+    if options.partners.site:
+        yield from _partners_contradict(options)
     waits = {"silent_after": discovery.wait, "answer_within": 0, "agent_silent_after": discovery.agent_wait}
     for name, wait in waits.items():
         most = longest_silence(wait)
@@ -335,3 +417,21 @@
                 f"at most {written(Unit.DURATION, most)}: what a call misses that falls silent counts as told soon "
                 "after its wait, and there must be time to ask anew"
             )
+
+
+THROUGH_COPIES = 500 * MS  # of `partners.hold`, kept for what is confirmed to reach all sidecars
+
+
+def _partners_contradict(options: Options) -> Iterator[tuple[str, str]]:
+    partners = options.partners
+    if not options.replication.members:
+        yield "partners.site", "empty, or replication.members named: what partners tell is kept in the copies"
+    if not partners.file:
+        yield "partners.file", "a file, since partners.site names a site"
+    least = partners.wait + partners.silent_after + ANEW * LEAST + THROUGH_COPIES
+    if partners.hold < least:
+        yield "partners.hold", (
+            f"at least {written(Unit.DURATION, least)}: partners.wait, silent_after, and time to ask anew"
+        )
+    if partners.hold < 2 * partners.lease:
+        yield "partners.hold", "at least twice partners.lease: the next sidecar has to have asked by then"
--- a/loftweir/config/units.py
+++ b/loftweir/config/units.py
@@ -66,6 +66,31 @@
     return host.strip("[]"), int(port)
 
 
+LABEL = "[A-Za-z0-9](?:[A-Za-z0-9-]{0,61}[A-Za-z0-9])?"  # RFC 1123, section 2.1; compared without case
+NAME = rf"{LABEL}(?:\.{LABEL})*"
+
+
+def label(text: str) -> str:
+    """A site's name, in small letters; empty stays so. A ValueError where it is none."""
+    if text and not re.fullmatch(LABEL, text):
+        raise ValueError("a label of RFC 1123: letters, digits and hyphens, as bergen")
+    return text.lower()
+
+
+def service(text: str) -> str:
+    """A service's name, in small letters; empty stays so. A ValueError where it is none."""
+    if text and not re.fullmatch(f"{NAME}@{NAME}", text):
+        raise ValueError("a service's name as orders@shop")
+    return text.lower()
+
+
+def own_address(text: str) -> str:
+    """Where to listen; empty stays so. A ValueError where it is no host:port."""
+    if text:
+        host_and_port(text)
+    return text
+
+
 SEAT = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}", re.ASCII)
 FEWEST, MOST = 3, 5  # seats: fewer keep nothing when one is lost, more make every write slower
 
--- a/loftweir/daemon.py
+++ b/loftweir/daemon.py
@@ -6,7 +6,7 @@
 import os
 import resource
 from collections.abc import Mapping
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from loftweir import __version__
 from loftweir.config import operator, platform
@@ -19,14 +19,18 @@
 from loftweir.telemetry import log
 from loftweir.telemetry.catalogue import RELOAD_DONE, RELOAD_FAULT, START_FAILED, START_FAULT, START_LISTENING, Event
 
+if TYPE_CHECKING:
+    from loftweir.partners.file import Sites
+
 UNUSABLE = 2  # the exit code where the configuration or the start failed
 
 
 class Configuration(NamedTuple):
-    """Both files, read and checked."""
+    """Both files, read and checked, and the one for the partners where the operator's names it."""
 
     platform: platform.Platform
     operator: operator.Loaded
+    sites: Sites | None = None
 
 
 class Origin(NamedTuple):
@@ -54,7 +58,7 @@
     """All of the configuration; a `Faulty` carries the faults of both files together. `required`: keys that the
     platform's file must have, though it could be read without some."""
     faults: list[Fault] = []
-    loaded, of_platform = None, None
+    loaded, of_platform, sites = None, None, None
     try:
         loaded = operator.load(at.operator_file, at.environment, at.flags)
     except Faulty as error:
@@ -64,9 +68,19 @@
         of_platform = platform.load(at.platform_file, at.environment, options, required)
     except Faulty as error:
         faults += error.faults
-    if loaded is None or of_platform is None:
+    if loaded is not None and loaded.options.partners.site:
+        # Here: an instance whose operator names no site has no use for it.
+        from loftweir.partners import file, table
+
+        partners = loaded.options.partners
+        try:
+            limits = table.Limits(bytes=partners.table_size, routes=partners.routes)
+            sites = file.load(partners.file, partners.site.lower(), limits)
+        except Faulty as error:
+            faults += error.faults
+    if loaded is None or of_platform is None or faults:
         raise Faulty(faults)
-    return Configuration(of_platform, loaded)
+    return Configuration(of_platform, loaded, sites)
 
 
 def say_faults(event: Event, error: Faulty) -> None:
@@ -100,14 +114,14 @@
         """Raises Faulty for the configuration, OSError for what can't be had at the start."""
         self.origin = at
         self.configuration = read(at)
-        of_platform, loaded = self.configuration
+        of_platform, loaded, sites = self.configuration
         use_log(loaded.options)
         # The platform counts descriptors: running into a limit of its own, the sidecar can make room.
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         if of_platform.sockets < soft or soft == resource.RLIM_INFINITY:
             resource.setrlimit(resource.RLIMIT_NOFILE, (of_platform.sockets, hard))
         self.loop = Loop()
-        self.sidecar = Sidecar(self.loop, of_platform, loaded.options)
+        self.sidecar = Sidecar(self.loop, of_platform, loaded.options, sites)
         self.sidecar.start(self.reload)
         log.say(
             START_LISTENING,
@@ -135,7 +149,7 @@
         self.configuration = new
         use_log(new.operator.options)
         settings = changed_settings(self.sidecar.host.settings, new.platform.settings)
-        self.sidecar.use(new.operator.options, new.platform.discovery, new.platform.settings)
+        self.sidecar.use(new.operator.options, new.platform.discovery, new.platform.settings, new.sites)
         log.say(
             RELOAD_DONE,
             discovery=new.platform.discovery,
--- a/loftweir/operations/calls.py
+++ b/loftweir/operations/calls.py
@@ -21,9 +21,10 @@
     FLEET_DISABLE = "FLEET-DISABLE"
     FLEET_ENABLE = "FLEET-ENABLE"
     FLEET_REMOVE = "FLEET-REMOVE"
+    ROUTES = "ROUTES"
 
 
-# The arguments that each word takes.
+# The arguments that each word takes; one in brackets may be left out.
 ARGUMENTS: Mapping[Word, tuple[str, ...]] = {
     Word.READY: (),
     Word.DISABLE: ("ID",),
@@ -34,12 +35,13 @@
     Word.FLEET_DISABLE: ("ID",),
     Word.FLEET_ENABLE: ("ID",),
     Word.FLEET_REMOVE: ("NAME",),
+    Word.ROUTES: ("[SERVICE]",),
 }
 
 
 class Call(NamedTuple):
     word: Word
-    id: str = ""  # or a member's name
+    id: str = ""  # or a member's or service's name
 
 
 class No(Trouble):
@@ -67,7 +69,7 @@
     except ValueError:
         raise No(f"no such call, known are {', '.join(w.value for w in Word)}") from None
     wanted = ARGUMENTS[word]
-    if len(arguments) != len(wanted):
+    if not sum(not name.startswith("[") for name in wanted) <= len(arguments) <= len(wanted):
         raise No(f"usage: {' '.join((word.value, *wanted))}")
     return Call(word, *arguments)
 
--- a/loftweir/operations/desk.py
+++ b/loftweir/operations/desk.py
@@ -31,6 +31,12 @@
     def do(self, call: Call) -> Coroutine[str]: ...
 
 
+class Partners(Protocol):
+    """This sidecar's part among the partners, where the operator's file names a site."""
+
+    def do(self, call: Call) -> str: ...
+
+
 class Desk:
     """Invariant: what `overlay.record` says holds: the balancer was told, and `life` stands where the drain says."""
 
@@ -41,6 +47,7 @@
         self.takes_clients = takes_clients
         self.overlay = Overlay()
         self.fleet: Fleet | None = None
+        self.partners: Partners | None = None
         self.store: Store | None = None
         self.follows = False  # another process served when this one began
         self.begun = False  # the record was read, or could not be
@@ -159,6 +166,10 @@
         now, record = self.loop.now(), self.overlay.record
         if call.word in (Word.FLEET, Word.FLEET_DISABLE, Word.FLEET_ENABLE, Word.FLEET_REMOVE):
             return (yield from self._fleet(call))
+        if call.word is Word.ROUTES:
+            if self.partners is None:
+                raise No("partners are off: the operator's file names no partners.site")
+            return self.partners.do(call)
         if call.word is Word.READY:
             if self.life.ends:
                 raise No("this process comes to its end")
--- a/loftweir/partners/session.py
+++ b/loftweir/partners/session.py
@@ -226,15 +226,20 @@
 
     # ---- what happens ---------------------------------------------------------------------------
 
-    def start(self, now: int, held: Held | None = None) -> list[Action]:
+    def start(
+        self, now: int, held: Held | None = None, penalty: tuple[float, int] = (0.0, 0), damped: bool = False
+    ) -> list[Action]:
         """`held`: what the copies hold, where another sidecar had the lease. It is as old as it says: what it last
-        confirmed counts on, not from now."""
+        confirmed counts on, not from now. `penalty`, with the time that it is of, and whether it damped the partner."""
         actions: list[Action] = []
         if held is not None and held.table is not None and held.standing is not Standing.GONE:
             self.table, self.confirmed_at = held.table, held.confirmed_at
             self._go(Step.RESUME, now, actions)
             self.since, self.back_at = min(now, held.since), held.back_at
         self._go(Step.START, now, actions)
+        self.penalty, self.penalty_at = penalty
+        if damped and self.penalty_now(now) >= self.timing.reuse:
+            self._go(Step.SUPPRESS, now, actions)
         return [*actions, *self._ask(now, 0), *self.tick(now)]
 
     def stop(self, now: int) -> list[Action]:
--- a/loftweir/partners/table.py
+++ b/loftweir/partners/table.py
@@ -22,13 +22,11 @@
 import msgspec
 from msgspec import Meta
 
-from loftweir.config.units import host_and_port
+from loftweir.config.units import LABEL, NAME, host_and_port
 from loftweir.errors import Trouble
 from loftweir.partners.terms import Terms, plain, read_terms
 
 SHOWN = 20  # faults that an error repeats
-LABEL = "[A-Za-z0-9](?:[A-Za-z0-9-]{0,61}[A-Za-z0-9])?"  # RFC 1123, section 2.1; compared without case
-NAME = rf"{LABEL}(?:\.{LABEL})*"
 LONGEST = 253  # characters of a name, RFC 1035, section 2.3.4
 MASK = (1 << 64) - 1
 
@@ -227,6 +225,14 @@
     return Fault(".".join(filter(None, (place, at))), found[1])
 
 
+def one_route(row: Any, site: str, limits: Limits = LIMITS) -> Route:
+    """A route in its JSON form, decoded already. `BadTable` has its first fault, with the place in the route."""
+    try:
+        return _route(msgspec.convert(row, _Route, str_keys=True), site, limits)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise BadTable(site, [_fault("", error)]) from None
+
+
 def _route(found: _Route, partner: str, limits: Limits) -> Route:
     """The kept form; a ValueError says what is wrong and where, in msgspec's way."""
     path = tuple(map(str.lower, found.path))
@@ -341,18 +347,21 @@
         self.changed: dict[str, int] = {}  # those that were withdrawn too
         self.floor = 0
 
-    def put(self, routes: Mapping[str, Route]) -> bool:
+    def put(self, routes: Mapping[str, Route], index: int | None = None) -> bool:
         """What is offered from now on; whether that changed anything. What is over the limit is left out: whoever reads
-        it would refuse all of it."""
+        it would refuse all of it. `index`: of this table, above the one before, where something else counts them."""
         routes = capped(routes, self.limits)
         names = [name for name, route in routes.items() if self.routes.get(name) is not route]
         names += [name for name in self.routes if name not in routes]
         new = {name: written(routes[name]) if name in routes else b"" for name in names}
         new = {name: raw for name, raw in new.items() if self.raw.get(name, b"") != raw}
         self.routes = dict(routes)
+        if index is not None:
+            self.index = index
         if not new:
             return False
-        self.index += 1
+        if index is None:
+            self.index += 1
         for name, raw in new.items():
             before = self.raw.pop(name, b"")
             self.sum = (self.sum - (summed(before) if before else 0) + (summed(raw) if raw else 0)) & MASK
--- a/loftweir/replication/part.py
+++ b/loftweir/replication/part.py
@@ -69,6 +69,8 @@
         self.known_at: int | None = None  # where only what was remembered does: when it was the latest
         self.members: frozenset[str] = frozenset()  # ids of the voters that it is of
         self.words: dict[str, Said] = {}
+        self.machine: Machine | None = None  # the state that holds here; None: none was heard of yet
+        self.heard: list[Callable[[Machine], None]] = []  # who else is told of each change of it
         self.saves = False  # a file is to be written
         self.voter: Voter | None = None
         self.reception: Reception | None = None
@@ -204,7 +206,9 @@
         if machine.index < self.index:
             return  # a voter that has yet to hear how much of its log holds, or one that joins
         whole, words = machine.words_since(self.index)
-        self.index, self.known_at = machine.index, None
+        self.index, self.known_at, self.machine = machine.index, None, machine
+        for heard in self.heard:
+            heard(machine)
         if not words and not whole and not anew:
             return
         said = {name: Said(word.at, word.out) for name, word in words.items()}
--- a/loftweir/replication/reception.py
+++ b/loftweir/replication/reception.py
@@ -56,13 +56,13 @@
 BACKLOG = 512  # a voter that comes back is called by many at once
 UNGREETED = 64  # connections that have not said who they are; more wait to be accepted
 SLOW_AFTER = 250 * MS  # of too many, the oldest goes after this
-BESIDE = 4  # lines of each listed member that asks or joins, beside those for others
+BESIDE = 6  # lines of each listed member that asks or joins, beside those for others
 UNUSED_FOR = 30 * SECOND  # of a line that asks nothing
 LONGEST_WAIT = 60 * SECOND
 NEWS_APART = 20 * MS  # from one round of news to the next: what is applied meanwhile goes together
 RETRY_ACCEPT = 20 * MS
 PIECE = 256 * 1024  # of the machine as a whole, to a follower
-DESCRIPTORS = 40  # beside those of others: listener, links both ways, UNGREETED in part, disk, epoll's wakes
+DESCRIPTORS = 48  # beside those of others: listener, links both ways, UNGREETED in part, disk, epoll's wakes
 
 
 class Reception:
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -37,6 +37,8 @@
 from loftweir.telemetry.log import say
 
 if TYPE_CHECKING:
+    from loftweir.partners.file import Sites
+    from loftweir.partners.part import Partners
     from loftweir.replication.part import Part
 
 TICK = SECOND  # how often the log is asked for what it owes
@@ -50,7 +52,8 @@
 class Sidecar:
     """Owns the parts and the order in which they begin and end."""
 
-    def __init__(self, loop: Loop, platform: Platform, options: Options) -> None:
+    def __init__(self, loop: Loop, platform: Platform, options: Options, sites: Sites | None = None) -> None:
+        """`sites`: of the file that the operator's file names for the partners, if it does."""
         self.loop = loop
         self.options = options
         self.platform = platform
@@ -70,6 +73,15 @@
 
             self.fleet = self.desk.fleet = part.Part(loop, platform.name, options.replication, self.desk.fleet_said)
             others += part.descriptors(platform.name, options.replication)
+        self.partners: Partners | None = None
+        if sites is not None and self.fleet is not None:
+            from loftweir.partners import part as partners
+
+            self.partners = partners.Partners(
+                loop, platform.name, options, sites, self.fleet, self._tell, self._settings
+            )
+            self.desk.partners = self.partners
+            others += partners.descriptors(options.partners, sites)
         most_calls = max(platform.sockets - shared - others, 1)
         self.back = Back(loop, platform.settings, options, most_calls, int(memory * limits.answers_of_memory))
         self.host = Host(loop, platform.settings, platform.seed, self.back, self.discovery)
@@ -82,8 +94,18 @@
         self.written_at = 0  # when the last snapshot was written, by the loop's clock
         self.writes = False  # a write of the snapshot is due
 
-    def listed(self, update: MembershipUpdate, addresses: dict[str, str]) -> None:
+    def _settings(self) -> Settings:
+        return self.host.settings
+
+    def _tell(self, update: MembershipUpdate, addresses: dict[str, str]) -> None:
+        """The balancer, of the partners' providers as of any."""
         self.host.listed(update, addresses)
+
+    def listed(self, update: MembershipUpdate, addresses: dict[str, str]) -> None:
+        if self.partners is None:
+            self.host.listed(update, addresses)
+        else:
+            self.host.listed(*self.partners.through(update, addresses))
         if self.holding is not None and update.kind is not UpdateKind.FAILED:
             self.holding.told(update, addresses)
             if not self.writes:
@@ -98,14 +120,17 @@
             changes=len(update.endpoints),
         )
 
-    def use(self, options: Options, discovery: str, settings: Settings) -> None:
+    def use(self, options: Options, discovery: str, settings: Settings, sites: Sites | None = None) -> None:
         """Other options and settings, whole, from now on; what was spent at the start waits for the next one."""
+        same_site = options.partners.site == self.options.partners.site
         self.options = self.discovery.options = options
         self.front.use(options)
         self.back.use(options, settings)
         if settings != self.host.settings:
             self.host.use(settings)
         self.discovery.drain_grace = settings.safety.drain_grace
+        if self.partners is not None and sites is not None and same_site:
+            self.partners.use(sites)  # looks at the settings too
         self.discovery.move(discovery)
         self.discovery.push(settings.discovery_pushes)
 
@@ -140,6 +165,8 @@
             # News bind soon after this process says that it is ready, and there is one of it: no crowd to spread.
             self.discovery.watch(True)
         self.discovery.push(platform.settings.discovery_pushes)
+        if self.partners is not None:
+            self.partners.start()
         if self.fleet is not None:
             self.fleet.start()
         self.loop.spawn(self._obey(woken, wakes, reload))
@@ -233,6 +260,8 @@
         front, limits = self.front, self.options.limits
         if self.writes:
             self._write()  # a change still waiting for `state.write_apart` is not lost with this process
+        if self.partners is not None:
+            self.partners.leave()
         if self.fleet is not None:
             self.fleet.leave()
         now = self.loop.now()
@@ -248,6 +277,8 @@
             front.send_away(half=self.loop.now() > now + HALF_FOR)
             yield Wait(None, 0, self.loop.now() + 5 * MS)
         say(STOP_DONE, left=len(front.consumers))
+        if self.partners is not None:
+            self.partners.close()
         if self.fleet is not None:
             self.fleet.close()
         wakes.close()
--- a/loftweir/telemetry/catalogue.py
+++ b/loftweir/telemetry/catalogue.py
@@ -253,6 +253,120 @@
     "make room in `$TMPDIR`",
     ("why",),
 )
+PARTNERS_ASKED = Event(
+    "partners.asked_here",
+    INFO,
+    ("partner", "token"),
+    "this sidecar has the lease of a partner and asks it from now on, for all of the site",
+    told_apart_by=None,
+)
+PARTNERS_LET_GO = Event(
+    "partners.let_go",
+    INFO,
+    ("partner",),
+    "this sidecar asks a partner no more: it stops, or its lease ran out or went to another",
+    "many in a row: this process or the copies stall; see `replication.role`",
+    None,
+)
+PARTNERS_STATE = Event(
+    "partners.session",
+    INFO,
+    ("partner", "state", "before"),
+    "the session with a partner, at the sidecar that asks it: asking, holding (it answers), stale (silent past its "
+    "hold time), gone, damped (fell silent too often: not used until it has held for a while)",
+    "stale, gone, damped: look at the partner, and at the way there",
+    ("partner", "state"),
+)
+PARTNERS_FAILED = Event(
+    "partners.call_failed",
+    WARNING,
+    ("partner", "address", "why"),
+    "a call to a partner brought no table; the next address is asked. `not up`, `silent`, `broken`: the way, or its "
+    "machine; `answered 403`: it does not know this site; `answered 503`: not now, and why",
+    "nothing if rare; else ask the partner's operators",
+    ("partner", "why"),
+)
+PARTNERS_REFUSED = Event(
+    "partners.table_refused",
+    WARNING,
+    ("partner", "address", "why"),
+    "a partner's table is not taken, and the last good one stays until its hold time is over; `why` names each place",
+    "tell the partner's operators the places",
+    ("partner", "why"),
+)
+PARTNERS_HELD = Event(
+    "partners.table",
+    INFO,
+    ("partner", "standing", "epoch", "index", "routes", "used"),
+    "what this sidecar knows of a partner is another: its table, or whether it is `fresh`, `stale` (used as the last "
+    "choice, shown to nobody) or `gone`; so many of its `routes` are `used`",
+    "stale, gone: look at `partners.call_failed` at the sidecar that asks it (`ROUTES` there names it under `asks`)",
+    ("partner", "standing"),
+)
+PARTNERS_LEAKED = Event(
+    "partners.leaked",
+    WARNING,
+    ("partner", "service", "by"),
+    "a route is not used: its own terms say that it must not have come this way, and `by` is who passed it on",
+    "tell the operators of `by`, and whose route it is",
+    ("partner", "by"),
+)
+PARTNERS_NOT_KEPT = Event(
+    "partners.not_kept",
+    WARNING,
+    ("duty", "why"),
+    "what a partner told, or what is offered, could not be written to the copies; it is tried again",
+    "no majority: as for `replication.role`; no room: lower `partners.table_size` or `routes`",
+    ("duty",),
+)
+PARTNERS_NOT_READ = Event(
+    "partners.not_readable",
+    ERROR,
+    ("partner", "why"),
+    "what the copies have of a partner is not of this version's form: nothing of it is used",
+    "run one version in the site",
+    ("partner",),
+)
+PARTNERS_OFFERS = Event(
+    "partners.offers_here",
+    INFO,
+    ("token",),
+    "this sidecar writes what the site shows to its neighbours, for all of the site",
+    told_apart_by=None,
+)
+PARTNERS_OFFERED = Event(
+    "partners.offered",
+    INFO,
+    ("neighbour", "routes"),
+    "what is shown to a neighbour is another, at the sidecar that writes it",
+    told_apart_by=("neighbour",),
+)
+PARTNERS_LISTENS = Event(
+    "partners.listens",
+    INFO,
+    ("address", "why"),
+    "neighbours may ask here from now on; with `why`: not yet, as when the process before this one has the address",
+    "with `why`, and it goes on: free the address, or name another",
+    ("address", "why"),
+)
+PARTNERS_TURNED = Event(
+    "partners.turned_away",
+    WARNING,
+    ("site", "why"),
+    "who asked for this site's routes is told no: no neighbour of that name, or not now",
+    "no neighbour: see `partners.file`; cut off: as for `replication.lost`; not what it may show: give all sidecars of "
+    "the site one file",
+    ("site", "why"),
+)
+PARTNERS_STANDBY = Event(
+    "partners.standby",
+    INFO,
+    ("service", "state", "providers"),
+    "a partner's providers for this sidecar's own service: `ready` to take the place of its own, `used` as none of these"
+    " is ready, or `no` and why",
+    "used: look at this site's own providers",
+    ("service", "state"),
+)
 DISCOVERY_LIST_IS = Event(
     "discovery.list",
     DEBUG,
--- a/tests/fleet_scene.py
+++ b/tests/fleet_scene.py
@@ -29,6 +29,7 @@
         self.listen, self.desk = fleet.free(), fleet.free()
         self.program = None
         self.fault = ""  # code that runs before the program
+        self.more = ""  # text of the operator's file
 
     def start(self, **replication):
         """`replication`: further keys of that section, as the file has them."""
@@ -37,7 +38,7 @@
         if not self.fleet.on:
             keys = {}
         lines = ["[log]", 'level = "debug"', "[replication]", *(f"{k} = {json.dumps(v)}" for k, v in keys.items())]
-        (self.folder / "loftweir.toml").write_text("\n".join(lines) + "\n", encoding="utf-8")
+        (self.folder / "loftweir.toml").write_text("\n".join([*lines, self.more, ""]), encoding="utf-8")
         (self.folder / "sitecustomize.py").write_text(self.fault, encoding="utf-8")
         catalog = self.fleet.catalog
         config = {
