--- a/loftweir/telemetry/catalogue.py
+++ b/loftweir/telemetry/catalogue.py
@@ -362,8 +362,8 @@
     "partners.standby",
     INFO,
     ("service", "state", "providers"),
-    "a partner's providers for this sidecar's own service: `ready` to take the place of its own, `used` as none of these"
-    " is ready, or `no` and why",
+    "a partner's providers for this sidecar's own service: `ready` to take the place of its own, `used` as none of "
+    "these is ready, or `no` and why",
     "used: look at this site's own providers",
     ("service", "state"),
 )
--- a/tests/partner_scene.py
+++ b/tests/partner_scene.py
@@ -1,17 +1,23 @@
 """Sites for tests: fleets of real sidecars with neighbours, and toy partners that offer what a test says."""
 
+import http.client
 import json
+import socket
 import threading
 import time
-from urllib.parse import parse_qsl
+from urllib.parse import parse_qsl, urlencode
 
+import msgspec
 from fleet_scene import FleetScene
-from scene import READ, Party, reply
+from scene import Party, reply
 
 from loftweir.partners.table import Offer, one_route
+from loftweir.replication import wire
+from loftweir.replication.machine import Fenced, Machine, Ok, Order
 
 QUICK = {"wait": "500ms", "silent_after": "300ms", "hold": "3s", "gone": "1500ms", "lease": "1500ms"}
 OPEN = {"use": "all", "show": "all", "passes": 3, "until": "forever"}
+Order_ = msgspec.msgpack.Decoder(Order)
 CLASSES = ["status-read", "apply-submit", "place-confirm"]
 
 
@@ -23,14 +29,14 @@
 
 
 class Toy(Party):
-    """A partner's one sidecar: a table that tests change, and calls that wait for news. `change` has the last word on
-    the bytes of each answer; `silent`: none is given."""
+    """A partner's one sidecar: a table that tests change, and calls that wait for news. `change` makes the bytes of
+    each answer of its body; `silent`: none is given."""
 
     def __init__(self, site, *rows):
         self.site, self.offer = site, Offer(site, int(time.time()))
         self.asks = []  # (when, life of the asker, mark)
         self.news = threading.Condition()
-        self.silent, self.change = False, lambda data: data
+        self.silent = False
         self.put(*rows)
         super().__init__(self._routes)
 
@@ -59,7 +65,14 @@
             if self.silent:
                 self.news.wait_for(lambda: not self.silent, 30)
                 return None
-            return self.change(reply(200, self.offer.answer(after, query["to"])))
+            return self.change(self.offer.answer(after, query["to"]))
+
+    def change(self, body):
+        return reply(200, body)
+
+    def is_held(self):
+        """Whether who asked last has the table as it is."""
+        return self.asks[-1][2] == (self.offer.epoch, self.offer.index)
 
     def lives(self, since=0.0):
         """Who has asked."""
@@ -126,10 +139,54 @@
         """The sidecars that ask a partner, by their own word."""
         return [s.name for s in self.running() if partner in self.routes(s).get("asks", "").split(",")]
 
-    def facts(self, duty):
-        """What the machine has accepted of a duty's fenced acts: (token, key), as any sidecar tells it."""
-        raise NotImplementedError
-
-
-def serves(sidecar, kind=READ):
-    return sidecar.invoke() == 200
+    def acts(self):
+        """All that the log has, each act with what the machine made of it."""
+        host, port = self.seats[self.leader().name].split(":")
+        machine, found, reader = Machine(), [], wire.Reader()
+        with socket.create_connection((host, int(port)), timeout=5) as sock:
+            sock.sendall(wire.written(wire.Hello(wire.VERSION, "loftweir", "id", "judge", wire.Kind.FOLLOWER)))
+            while True:
+                sock.sendall(wire.written(wire.Follow(machine.index, 0)))
+                while not isinstance(news := reader.next(), wire.News):
+                    if news is None:
+                        reader.feed(sock.recv(65536))
+                if not news.entries:
+                    return found
+                for told in news.entries:
+                    if told.data:
+                        found.append((Order_.decode(told.data).act, machine.apply(told.index, told.data)))
+                    else:
+                        machine.passed(told.index)
+
+    def kept(self, duty):
+        """The keys that a duty has."""
+        held = {key: bool(value) for _, key, value, refused in self.fenced(duty) if not refused}
+        return {key for key, there in held.items() if there}
+
+    def fenced(self, duty):
+        """The duty's writes in the order of the log: token, key, value, and whether each was refused."""
+        found = [(act, result) for act, result in self.acts() if isinstance(act, Fenced) and act.duty == duty]
+        return [(act.token, act.key, act.value, not isinstance(result, Ok)) for act, result in found]
+
+
+def ask(address, site, after=None, wait_ms=0, timeout=5):
+    """One call for a site's routes: the status, and the answer or its words."""
+    query = {"site": site, "to": "m", "wait_ms": wait_ms} | ({"after": after} if after else {})
+    client = http.client.HTTPConnection(address, timeout=timeout)
+    try:
+        client.request("GET", f"/routes?{urlencode(query)}")
+        response = client.getresponse()
+        data = response.read()
+        return response.status, json.loads(data) if response.status == 200 else data.decode()
+    except OSError as error:
+        return 0, str(error)
+    finally:
+        client.close()
+
+
+def mark(answer):
+    return f"{answer['epoch']}.{answer['index']}"
+
+
+def services(answer):
+    return {r["service"] for r in answer["routes"]}
