--- a/tests/partner_scene.py
+++ b/tests/partner_scene.py
@@ -2,9 +2,11 @@
 
 import http.client
 import json
+import random
 import socket
 import threading
 import time
+from contextlib import suppress
 from urllib.parse import parse_qsl, urlencode
 
 import msgspec
@@ -91,6 +93,13 @@
         site.listens = {n: site.free() for n in site.voters}
         return site
 
+    def free(self):
+        """Below the ports that the kernel gives to connections: one of those may go to any before it is listened on."""
+        while True:
+            address = f"127.0.0.1:{random.randrange(10_000, 32_000)}"
+            with suppress(OSError), socket.create_server(("127.0.0.1", int(address.rpartition(":")[2]))):
+                return address
+
     def knows(self, name, *addresses, **more):
         self.neighbours[name] = {"name": name, "addresses": list(addresses), **more}
 
