--- a/loftweir/config/model.py
+++ b/loftweir/config/model.py
@@ -290,7 +290,6 @@
         text(
             "the neighbours and this site's own routes with their terms, in TOML or JSON; the same at every sidecar of "
             "the site. A reload reads it again",
-            live=False,
         ),
     ] = ""
     listen: Annotated[
--- a/loftweir/partners/link.py
+++ b/loftweir/partners/link.py
@@ -105,9 +105,9 @@
 
     def end(self) -> None:
         say(PARTNERS_LET_GO, partner=self.neighbour.name)
-        self._stop()
+        self.close()
 
-    def _stop(self) -> None:
+    def close(self) -> None:
         for task in (self.task, self.call):
             if task is not None:
                 task.cancel()
@@ -214,6 +214,8 @@
             self._do(self.session.failed(self.loop.now(), self.session.asked.number, repr(error)))
 
     def _ask(self, session: Session, ask: Ask) -> Coroutine[None]:
+        if self.duty is None or self.duty.may_act() is None:
+            return  # its end comes
         try:
             data = yield from self._fetch(ask)
         except NotAnswered as error:
--- a/loftweir/partners/offer.py
+++ b/loftweir/partners/offer.py
@@ -46,7 +46,7 @@
         self.to = fields.get("to", "")
         self.after: tuple[int, int] | None = None
         self.wait = 0
-        self.wrong = "" if path == PATH else f"only {PATH} is here"
+        self.wrong = "" if path == PATH else f"only GET {PATH} is here"
         self.status = 404
         if self.wrong:
             return
@@ -141,7 +141,8 @@
                 whole = isinstance((yield from wire.next_event(until)), h11.EndOfMessage)
                 data = wire.rest()
                 self.callers[sock] = self.callers.pop(sock)  # it is not silent
-                answer = yield from self._answer(sock, request.target.decode("ascii", "replace"), bool(data))
+                target = request.target.decode("ascii", "replace") if request.method == b"GET" else ""
+                answer = yield from self._answer(sock, target, bool(data))
                 if answer is None:
                     return
                 status, body, kind = answer
--- a/loftweir/partners/part.py
+++ b/loftweir/partners/part.py
@@ -88,7 +88,8 @@
         self.why_not = "no route"  # why a route that is used is not good enough for this sidecar
         self.listener: Listener | None = None
         self.shown = Shown(loop, options, fleet, lambda: self.merger, self._changed)
-        self.task: Task | None = None
+        self.task: Task | None = None  # which follows the time
+        self.wakes_at = 0
         self.leaves = False
         if options.partners.listen:
             self.listener = Listener(loop, self.shown, options.partners.callers)
@@ -194,7 +195,7 @@
         for duty in self._all_duties():
             duty.close()
         for link in self.links.values():
-            link.end()
+            link.close()
         self.shown.end()
         if self.task is not None:
             self.task.cancel()
@@ -213,16 +214,18 @@
             except NotReadable as error:
                 say(PARTNERS_NOT_READ, partner=name, why=error)
             self._hold(name, now)
-        self.shown.heard(machine, self.shelves)
+        if self.listener is not None:
+            self.shown.heard(machine, self.shelves)
         for duty in self._all_duties():
             duty.saw(machine)
-        if self.task is not None:
-            self.task.wake()
 
     def _hold(self, name: str, now: int) -> None:
         before, shelf = self.merger.helds.get(name), self.shelves[name]
         held = shelf.held(now, self.options.hold, self.options.gone)
         changed = self.merger.hold(name, held, now)
+        # A confirmation alone puts off what is due: the task finds out when that was to be.
+        if self.task is not None and min(self._changes_at(shelf, now), self.merger.next_at) < self.wakes_at:
+            self.task.wake()
         if before is None or before.standing is not held.standing or before.table is not held.table:
             table, left = held.table, self.merger.merged.left
             used = sum(one.partner == name for one in self.merger.merged.used.values())
@@ -251,10 +254,13 @@
                 if standing is not (held.standing if held is not None else Standing.GONE):
                     self._hold(name, now)
             self._after(self.merger.advance(now))
-            times = [shelf.changes_at(now, self.options.hold, self.options.gone) for shelf in self.shelves.values()]
-            at = min([self.merger.next_at, *times])
+            at = min([self.merger.next_at, *(self._changes_at(shelf, now) for shelf in self.shelves.values())])
+            self.wakes_at = at
             yield Wait(None, 0, None if at >= FOREVER else max(at, now + MS))
 
+    def _changes_at(self, shelf: Shelf, now: int) -> int:
+        return shelf.changes_at(now, self.options.hold, self.options.gone)
+
     def _changed(self, to: str) -> None:
         if self.listener is not None:
             self.listener.changed(to)
--- a/loftweir/partners/standby.py
+++ b/loftweir/partners/standby.py
@@ -68,13 +68,14 @@
     is ready, but for those that drain. What is not wanted any more drains first, and goes by `over`."""
 
     def __init__(self) -> None:
-        self.own: dict[str, bool] = {}  # this site's providers, and whether each is ready
+        self.known = False  # a list of this site's was told
+        self.own: dict[str, bool] = {}  # its providers, and whether each is ready
         self.offered: dict[str, Gate] = {}  # of the route that is used
         self.laid: dict[str, Gate] = {}
 
     @property
     def needed(self) -> bool:
-        return not any(self.own.values())
+        return self.known and not any(self.own.values())
 
     def update(self, update: MembershipUpdate, addresses: Mapping[str, str]) -> Told:
         """What is told of this site's own, with what follows from it for the partner's."""
@@ -83,7 +84,10 @@
         whole = update.kind is not UpdateKind.CHANGES
         if whole:
             self.own = {}
+        # A start with no list remembered knows nothing yet: what its site has it is soon told.
+        self.known = self.known or update.kind is not UpdateKind.REMEMBERED or bool(update.endpoints)
         for endpoint in update.endpoints:
+            self.laid.pop(endpoint.address, None)  # the name is the own one's now, or free again: told anew
             if endpoint.lifecycle is Lifecycle.GONE:
                 self.own.pop(endpoint.address, None)
             else:
--- /dev/null
+++ b/tests/test_partner_parts.py
@@ -0,0 +1,297 @@
+"""The parts of the partners that need no sockets: tables in the copies, providers in place of the own, the file."""
+
+import json
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from partner_scene import CLASSES, OPEN, row
+from support import SECOND
+from support import settings as platform_settings
+
+from loftweir.config import model, operator
+from loftweir.config.faults import Faulty
+from loftweir.interface import Effect, Endpoint, Lifecycle, MembershipUpdate, RequestClass, Scope, UpdateKind
+from loftweir.lease.duty import Duty, NotActing
+from loftweir.net.loop import Loop
+from loftweir.partners import copies, file
+from loftweir.partners.copies import Cutter, Head, NotReadable, Shelf, written
+from loftweir.partners.keeping import Keeping, NotKept, Target
+from loftweir.partners.link import Link, NotAnswered
+from loftweir.partners.merge import Standing, Used
+from loftweir.partners.session import Ask, Session, State, Timing
+from loftweir.partners.standby import Standby, gates, unfit
+from loftweir.partners.table import BadTable, Limits, OldTable, Table, fits, one_route, read
+from loftweir.replication.machine import Fact, Full, Ok
+
+DUTY = "partner:bergen"
+LIMITS = Limits(routes=3)
+
+
+def route(n, version=0):
+    return one_route({"path": ["bergen"], **row(f"s{n}@shop", terms={"passes": version})}, "bergen")
+
+
+class Kept:
+    """Stands in for the duty: the facts, and a death before the write with a number."""
+
+    duty = DUTY
+
+    def __init__(self, check=lambda: None):
+        self.facts, self.order, self.left, self.check = {}, 0, 1 << 30, check
+
+    def put(self, key, value, within):
+        if not self.left:
+            raise NotActing("killed")
+        self.left -= 1
+        self.order += 1
+        if value:
+            self.facts[DUTY, key] = Fact(value, 1, self.order)
+        else:
+            self.facts.pop((DUTY, key), None)
+        self.check()
+        return Ok(self.order)
+        yield
+
+
+def aim(cutter, routes, index):
+    chunks = cutter.cut(routes, {name: n for n, name in enumerate(routes)})
+    head = Head(chunks=tuple(chunks), routes=len(routes), table=("bergen", 1, index), confirmed_at=index)
+    return Target(written(head), chunks)
+
+
+@settings(derandomize=True, max_examples=60)
+@given(st.lists(st.tuples(st.dictionaries(st.integers(0, 150), st.integers(0, 2), max_size=120), st.integers(0, 9))))
+def test_a_table_is_there_whole_or_not_at_all_whoever_was_killed_in_it(steps):
+    kept, shelf, allowed = Kept(), Shelf(DUTY), [{}]
+
+    def check():
+        shelf.read(kept.facts, SECOND)
+        assert shelf.routes in allowed
+        fresh = Shelf(DUTY)  # one that sees only this
+        fresh.read(kept.facts, SECOND)
+        assert (fresh.routes, fresh.sums) == (shelf.routes, shelf.sums)
+
+    kept.check = check
+    for index, (wanted, left) in enumerate(steps):
+        routes = {f"s{n}@shop": route(n, version) for n, version in wanted.items()}
+        keeping = Keeping(None, kept)
+        head = kept.facts.get((DUTY, "head"))
+        keeping.head, keeping.there = head.value if head else None, {key for _, key in kept.facts}
+        keeping.maybe = set(keeping.there)
+        before, allowed[:], kept.left = dict(shelf.routes), [shelf.routes, routes], left or 1 << 30
+        try:
+            list(keeping._write(aim(Cutter(), routes, index)))
+        except NotActing:
+            assert shelf.routes in (before, routes)
+        else:
+            assert shelf.routes == routes
+            assert {key for _, key in kept.facts} == {"head", *shelf.head.chunks}, "nothing is left behind"
+
+
+def test_a_change_touches_one_chunk_and_what_stays_is_the_same_object():
+    cutter, shelf, kept = Cutter(), Shelf(DUTY), Kept()
+    routes = {f"s{n}@shop": route(n) for n in range(500)}
+    before = aim(cutter, routes, 1)
+    keeping = Keeping(None, kept)
+    list(keeping._write(before))
+    shelf.read(kept.facts, 0)
+    old = dict(shelf.routes)
+    after = aim(cutter, routes | {"s7@shop": route(7, 1)}, 2)
+    assert len(before.chunks) > 8 and len(after.chunks.keys() - before.chunks.keys()) == 1
+    list(keeping._write(after))
+    assert shelf.read(kept.facts, 0) and not shelf.read(kept.facts, 0)
+    assert sum(shelf.routes[name] is not old[name] for name in old) < 100
+    # What is not whole, or of another version, is not used in part.
+    for head in (Head(chunks=("c:none",), routes=1), Head(version=9), Head(routes=4)):
+        kept.facts[DUTY, "head"] = Fact(written(head), 1, 99)
+        with pytest.raises(NotReadable):
+            shelf.read(kept.facts, 0)
+        assert (shelf.routes, shelf.table, shelf.held(0, 1, 1).standing) == ({}, None, Standing.GONE)
+
+
+def test_time_runs_on_without_news_and_no_clock_ahead_makes_it_fresher():
+    shelf, kept, hold, gone = Shelf(DUTY), Kept(), 15, 30
+    list(Keeping(None, kept)._write(aim(Cutter(), {}, 100)))
+    assert shelf.read(kept.facts, 100)
+    stands = [shelf.held(now, hold, gone).standing for now in (114, 115, 144, 145)]
+    assert stands == [Standing.FRESH, Standing.STALE, Standing.STALE, Standing.GONE]
+    assert [shelf.changes_at(now, hold, gone) for now in (100, 115)] == [115, 145]
+    kept.facts[DUTY, "note"] = Fact(copies.note(5000), 1, 9)
+    assert shelf.read(kept.facts, 120) and shelf.confirmed_at == 120
+    # Damped, it stays so at whoever takes the lease over, for as long as the penalty lasts.
+    kept.facts[DUTY, "head"] = Fact(written(Head(damped=True, table=("bergen", 1, 1))), 1, 10)
+    assert shelf.read(kept.facts, 121) and shelf.held(121, hold, gone).standing is Standing.GONE
+    session = Session("bergen", "x", lambda: 0.0)
+    session.start(0, shelf.held(0, hold, gone), (5000.0, 0), True)
+    assert session.state is State.DAMPED
+    session.tick(300 * SECOND)
+    assert session.state is State.ASKING
+
+
+def test_each_error_is_caused():
+    loop = Loop()
+    duty = Duty(loop, "n0", DUTY, SECOND, (None, type("C", (), {"writes": type("W", (), {"busy": False})})), None, None)
+    with pytest.raises(NotActing, match="its lease is over"):
+        next(duty.put("head", b"x", SECOND))
+    kept = Kept()
+    kept.put = lambda *_: (yield from ()) or Full(1, "fenced values", 10)
+    with pytest.raises(NotKept, match="no room"):
+        list(Keeping(None, kept)._write(aim(Cutter(), {}, 1)))
+    link = Link(loop, "oslo", file.Neighbour("bergen", ("nowhere",)), model.Partners(), None, None)
+    with pytest.raises(NotAnswered, match="not up"):
+        next(link._fetch(Ask(1, "x.1", None, 0, SECOND)))
+    answer = {"site": "bergen", "epoch": 1, "index": 1, "snapshot": True, "sum": "0" * 16}
+    with pytest.raises(BadTable, match="site: oslo"):
+        read(json.dumps(answer).encode(), "oslo")
+    with pytest.raises(OldTable, match="later than 1.2"):
+        fits(Table("bergen", 1, 2), read(json.dumps(answer).encode(), "bergen"))
+
+
+# ---- in place of the own --------------------------------------------------------------------------
+
+
+def used(**more):
+    made = {"path": ["bergen"], **row("orders@shop", ("127.0.0.1:1", "127.0.0.1:2")), **more}
+    return Used("bergen", one_route(made, "bergen"))
+
+
+def own(name, lifecycle=Lifecycle.READY):
+    return Endpoint(name, "a", "m", 0, lifecycle)
+
+
+OWN = st.lists(st.tuples(st.sampled_from(["s0", "s1", "g0@bergen"]), st.sampled_from(Lifecycle)), max_size=3)
+STEPS = st.one_of(
+    st.tuples(st.just("list"), st.sampled_from(UpdateKind), OWN),
+    st.tuples(st.just("use"), st.booleans(), st.just(())),
+    st.tuples(st.just("over"), st.booleans(), st.just(())),
+)
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.lists(STEPS, max_size=12))
+def test_a_partners_providers_are_ready_only_while_none_of_the_own_is(steps):
+    standby, told, mine, listed = Standby(), {}, {}, False
+    for what, kind, entries in steps:
+        if what == "list":
+            endpoints = tuple({name: own(name, lifecycle) for name, lifecycle in entries}.values())
+            update, addresses = standby.update(
+                MembershipUpdate(kind, endpoints), {e.address: "127.0.0.1:9" for e in endpoints}
+            )
+            if kind is not UpdateKind.FAILED:
+                mine = mine if kind is UpdateKind.CHANGES else {}
+                mine |= {e.address: e for e in endpoints}
+                listed = listed or kind is not UpdateKind.REMEMBERED or bool(endpoints)
+        else:
+            found = standby.use(gates(used(), 5) if kind else {}) if what == "use" else standby.over()
+            update, addresses = found or (MembershipUpdate(UpdateKind.FAILED), {})
+        if update.kind is not UpdateKind.FAILED:  # as the balancer keeps it
+            told = told if update.kind is UpdateKind.CHANGES else {}
+            told |= {e.address: e for e in update.endpoints}
+            assert all(e.address in addresses for e in update.endpoints if e.lifecycle is not Lifecycle.GONE)
+        there = {name: e for name, e in told.items() if e.lifecycle is not Lifecycle.GONE}
+        partners = {name: e for name, e in there.items() if e.zone == "partner:bergen"}
+        ready = [e for e in mine.values() if e.lifecycle is Lifecycle.READY]
+        assert {n: e for n, e in there.items() if n not in partners} == {
+            n: e for n, e in mine.items() if e.lifecycle is not Lifecycle.GONE
+        }
+        assert {e.lifecycle for e in partners.values()} <= ({Lifecycle.DRAINING} if ready else set(Lifecycle))
+        assert not partners or listed
+        assert not {e.cell for e in partners.values()} & {0} and not {e.zone for e in partners.values()} & {"a"}
+        wanted = {n for n in standby.offered if n not in standby.own} if listed and not ready else set()
+        assert {n for n, e in partners.items() if e.lifecycle is Lifecycle.READY} == wanted
+
+
+def test_a_route_is_used_only_where_its_terms_allow_all_that_may_be_sent():
+    plain = {name: RequestClass(name, Effect.REPEATABLE, SECOND, SECOND) for name in CLASSES}
+    own_settings = replace(platform_settings(), classes=plain)
+    keyed = RequestClass("place-confirm", Effect.BY_KEY, SECOND, SECOND, Scope.ALL, SECOND)
+    with_keyed = replace(own_settings, classes={**plain, "place-confirm": keyed})
+    in_zone = replace(own_settings, classes={**plain, "place-confirm": replace(keyed, scope=Scope.ZONE)})
+    assert unfit(used(), own_settings, False) == unfit(used(), in_zone, False) == unfit(used(), with_keyed, True) == ""
+    assert "repeats of place-confirm" in unfit(used(), with_keyed, False)
+    assert "not for apply-submit" in unfit(used(classes=["status-read", "place-confirm"]), own_settings, False)
+    assert "its share is 0.5" in unfit(used(share=0.5), own_settings, False)
+    assert "its rate is 9 " in unfit(used(rate=9), own_settings, False)
+
+
+# ---- the file -------------------------------------------------------------------------------------
+
+GOOD = {
+    "neighbours": [{"name": "Bergen", "addresses": ["127.0.0.1:1"], "role": "peer"}],
+    "routes": [{k: v for k, v in row("orders@shop").items() if k != "valid_for"}],
+}
+
+
+def load(tmp_path, data, name="partners.json"):
+    path = tmp_path / name
+    path.write_text(data if isinstance(data, str) else json.dumps(data), encoding="utf-8")
+    return file.load(str(path), "oslo", LIMITS)
+
+
+def test_the_file_is_read_in_both_forms(tmp_path):
+    sites = load(tmp_path, GOOD)
+    assert sites.neighbours["bergen"].role.value == "peer" and sites.routes["orders@shop"].path == ("oslo",)
+    text = """
+    [[neighbours]]
+    name = "bergen"
+    [[routes]]
+    service = "orders@shop"
+    classes = ["status-read"]
+    share = "50%"
+    valid_for = "2min"
+    providers = [{name = "g", address = "127.0.0.1:1", zone = "a", type = "m"}]
+    terms = {use = "all", show = {only = ["bergen"]}, passes = 0, until = 2030-01-01T00:00:00Z}
+    """
+    (found,) = load(tmp_path, text, "partners.toml").routes.values()
+    assert (found.share, found.valid_for, found.terms.until) == (0.5, 120 * SECOND, 1893456000 * SECOND)
+
+
+NEIGHBOUR, ROUTE = GOOD["neighbours"][0], GOOD["routes"][0]
+
+
+@pytest.mark.parametrize(
+    ("data", "place"),
+    [
+        ("{", ""),
+        ("[]", ""),
+        ({"neighbors": []}, "neighbors"),
+        ({"neighbours": {}}, "neighbours"),
+        ({"neighbours": [{"addresses": []}]}, "neighbours.0.name"),
+        ({"neighbours": [NEIGHBOUR | {"name": "a b"}]}, "neighbours.0.name"),
+        ({"neighbours": [NEIGHBOUR | {"name": "oslo"}]}, "neighbours.0.name"),
+        ({"neighbours": [NEIGHBOUR, NEIGHBOUR]}, "neighbours.1.name"),
+        ({"neighbours": [NEIGHBOUR | {"addresses": ["nowhere"]}]}, "neighbours.0.addresses"),
+        ({"neighbours": [NEIGHBOUR | {"role": "friend"}]}, "neighbours.0.role"),
+        ({"neighbours": [NEIGHBOUR | {"preference": True}]}, "neighbours.0.preference"),
+        ({"neighbours": [NEIGHBOUR | {"adresses": []}]}, "neighbours.0.adresses"),
+        ({"routes": [ROUTE | {"service": "orders"}]}, "routes.0.service"),
+        ({"routes": [ROUTE, ROUTE]}, "routes.1.service"),
+        ({"routes": [row(f"s{n}@shop") | {"valid_for": "1s"} for n in range(4)]}, "routes"),
+        ({"routes": [ROUTE | {"valid_for": 9}]}, "routes.0.valid_for"),
+        ({"routes": [ROUTE | {"share": "2"}]}, "routes.0.share"),
+        ({"routes": [ROUTE | {"classes": []}]}, "routes.0.classes"),
+        ({"routes": [ROUTE | {"providers": [{"name": "g"}]}]}, "routes.0.providers.0"),
+        ({"routes": [ROUTE | {"providers": [{"nam": "g"}]}]}, "routes.0.providers.0.nam"),
+        ({"routes": [{k: v for k, v in ROUTE.items() if k != "terms"}]}, "routes.0.terms"),
+        ({"routes": [ROUTE | {"terms": OPEN | {"show": "some"}}]}, "routes.0.terms.show"),
+        ({"routes": [ROUTE | {"terms": OPEN | {"until": "soon"}}]}, "routes.0.terms.until"),
+        ({"routes": [ROUTE | {"terms": OPEN | {"pass": 1}}]}, "routes.0.terms.pass"),
+    ],
+)
+def test_a_fault_in_the_file_is_named_by_its_place(tmp_path, data, place):
+    with pytest.raises(Faulty) as caught:
+        load(tmp_path, data)
+    assert place in [fault.path for fault in caught.value.faults]
+    assert all(fault.file.endswith("partners.json") and fault.expected for fault in caught.value.faults)
+
+
+def test_what_the_operator_says_must_go_together(tmp_path):
+    text = '[partners]\nsite = "oslo"\nhold = "2s"\nservice = "orders"\nlisten = "x"\n'
+    (tmp_path / "loftweir.toml").write_text(text, encoding="utf-8")
+    with pytest.raises(Faulty) as caught:
+        operator.load(str(tmp_path / "loftweir.toml"), {})
+    places = {fault.path for fault in caught.value.faults}
+    assert places == {f"partners.{name}" for name in ("site", "file", "hold", "service", "listen")}
+    assert Timing(hold=model.Partners().hold - model.THROUGH_COPIES).anew > 0
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -194,10 +194,12 @@
         self.wait(sidecar.ready)
         for call in ("FLEET", "FLEET-DISABLE s0", "FLEET-ENABLE s0", "FLEET-REMOVE n0"):
             self.assertRegex(sidecar.call(call), "^ERR replication is off")
+        self.assertRegex(sidecar.call("ROUTES"), "^ERR partners are off")
         self.assertEqual(sidecar.terminate(), 0)
         modules = json.loads((sidecar.folder / "modules").read_text())
         self.assertIn("loftweir.sidecar", modules)
-        self.assertEqual([m for m in modules if m.startswith(("loftweir.replication", "loftweir.lease"))], [])
+        off = ("loftweir.replication", "loftweir.lease", "loftweir.partners")
+        self.assertEqual([m for m in modules if m.startswith(off)], [])
 
 
 class UpgradeTest(FleetScene):
