--- a/loftweir/emulator/sites.py
+++ b/loftweir/emulator/sites.py
@@ -215,7 +215,7 @@
             site.start()
         self.clock.after(TICK, self._look)
 
-    def say(self, site: str, service: str, terms: Terms | None) -> None:
+    def told(self, site: str, service: str, terms: Terms | None) -> None:
         """The terms of a site's own service; None: it is withdrawn."""
         if terms is None:
             self.sites[site].own.pop(service, None)
@@ -323,7 +323,7 @@
         world.faults = Faults(*(draw.random() * draw.choice((0, 0.05, 0.3)) for _ in range(3)))
     services = [(name, f"s{number}@{name}") for name in names for number in range(draw.randrange(1, 3))]
     for name, service in services:
-        world.say(name, service, OPEN if draw.random() < 0.5 else random_terms(draw, names, BEGIN))
+        world.told(name, service, OPEN if draw.random() < 0.5 else random_terms(draw, names, BEGIN))
     world.start()
     at = BEGIN
     while True:
@@ -337,9 +337,9 @@
         if kind == "say":
             terms = random_terms(draw, names, at)
             before = world.sites[name].own.get(service)
-            world.say(name, service, terms.meet(before) if before and draw.random() < 0.5 else terms)
+            world.told(name, service, terms.meet(before) if before and draw.random() < 0.5 else terms)
         elif kind == "withdraw":
-            world.say(name, service, None)
+            world.told(name, service, None)
         elif kind == "word":
             world.word(draw.choice([n for n in names if n != name]), service, random_terms(draw, names, at))
         elif kind == "link":
--- a/tests/test_partners.py
+++ b/tests/test_partners.py
@@ -405,7 +405,7 @@
 def world(links, dishonest="", seed=1, said=OPEN):
     pairs = [pair.split("-") for pair in links.split()]
     made = World(seed, sorted({name for pair in pairs for name in pair}), pairs, dishonest)
-    made.say("aa", S, said)
+    made.told("aa", S, said)
     made.start()
     made.run(5 * SECOND)
     return made
@@ -421,7 +421,7 @@
     assert uses(made, "bb") == ("aa",) and uses(made, "cc") == ("bb", "aa")
     made.link("aa", "bb", False)
     made.run(SECOND)
-    made.say("aa", S, terms_then)
+    made.told("aa", S, terms_then)
     made.run(3 * HOP)
     assert made.found() or (uses(made, "bb"), uses(made, "cc")) == (None, None)
     made.link("aa", "bb", True)
@@ -438,7 +438,7 @@
 def test_a_withdrawn_route_does_not_go_round_three_sites():
     made = world("aa-bb bb-cc cc-aa dd-cc", said=terms(passes=9))
     assert uses(made, "bb") == ("aa",) and uses(made, "dd") == ("cc", "aa")
-    made.say("aa", S, None)
+    made.told("aa", S, None)
     made.run(SECOND)
     assert [uses(made, n) for n in ("aa", "bb", "cc", "dd")] == [None] * 4 and not made.found()
     loop = {"bb": fresh("bb", {S: msgspec.structs.replace(route(S, "bb", OPEN), path=("bb", "cc", "aa"))})}
@@ -455,7 +455,7 @@
 
 def test_answers_that_are_given_again_are_not_taken():
     made = world("aa-bb")
-    made.say("aa", S, terms(use=NOBODY))
+    made.told("aa", S, terms(use=NOBODY))
     made.run(SECOND)
     made.faults = Faults(repeated=0.7)
     made.run(20 * SECOND)
@@ -466,7 +466,7 @@
 
 def test_both_sites_restarted_with_all_lost_come_back_by_the_ramp_and_the_others_are_not_touched():
     made = world("aa-bb cc-bb")
-    made.say("cc", "t@cc", OPEN)
+    made.told("cc", "t@cc", OPEN)
     made.run(SECOND)
     made.restart(["aa", "bb"], True, SECOND)
     made.run(1500 * MS)
@@ -575,7 +575,7 @@
 
 def a_replay():
     made = world("aa-bb")
-    made.say("aa", S, CLOSED)
+    made.told("aa", S, CLOSED)
     made.faults = Faults(repeated=0.7)
     made.run(3 * HOP)
     return made
@@ -583,11 +583,11 @@
 
 def an_unknown_term():
     made = World(1, ["aa", "bb"], [("aa", "bb")])
-    made.say("aa", S, OPEN)
+    made.told("aa", S, OPEN)
     made.start()
     made.run(2 * SECOND)
     with mock.patch.object(tables, "plain", lambda said: {**plain(OPEN), "price": 3}):
-        made.say("aa", S, terms(passes=7))  # goes out with a term that nobody here knows
+        made.told("aa", S, terms(passes=7))  # goes out with a term that nobody here knows
     made.oracle.told(made.clock.now, "aa", S, terms(use=NOBODY))  # ... and that is what it means
     made.run(2 * HOP)
     return made
