--- a/loftweir/partners/file.py
+++ b/loftweir/partners/file.py
@@ -3,6 +3,7 @@
     [[neighbours]]
     name = "bergen"
     addresses = ["10.1.0.5:7400", "10.1.0.6:7400"]
+    asks_from = ["10.1.0.0/24"]
 
     [[routes]]
     service = "orders@shop"
@@ -15,6 +16,7 @@
 from __future__ import annotations
 
 import datetime
+import ipaddress
 from collections.abc import Iterator
 from contextlib import suppress
 from typing import Any, NamedTuple
@@ -35,7 +37,7 @@
 VALID_FOR = 60 * SECOND
 KEYS = {
     "": ("neighbours", "routes"),
-    "neighbours": ("name", "addresses", "role", "preference", "shares_keys"),
+    "neighbours": ("name", "addresses", "asks_from", "role", "preference", "shares_keys"),
     "routes": ("service", "providers", "classes", "share", "rate", "valid_for", "terms"),
     "providers": ("name", "address", "zone", "type", "group", "status", "weight", "since_ms"),
     "terms": FIELDS,
@@ -49,9 +51,13 @@
 }
 
 
+Network = ipaddress.IPv4Network | ipaddress.IPv6Network
+
+
 class Neighbour(msgspec.Struct, frozen=True):
     name: str
     addresses: tuple[str, ...] = ()  # none: it asks here, and is not asked
+    asks_from: tuple[Network, ...] = ()  # whoever asks in its name has such an address; none: whoever reaches `listen`
     role: Role = Role.NONE
     preference: int = 0
     shares_keys: bool = False  # its providers and ours drop the repeats of what either has run
@@ -143,6 +149,8 @@
 
     name = take("name", _label, "a label of RFC 1123, as bergen")
     addresses = take("addresses", _addresses, f"a list of at most {ADDRESSES} host:port", ())
+    networks = f"a list of at most {ADDRESSES} networks, as 10.1.0.0/24"
+    asks_from = take("asks_from", _networks, networks, ())
     roles = [role.value for role in Role]
     role = take("role", lambda value: value in roles, f"one of {', '.join(roles)}", Role.NONE.value)
     whole = f"a whole number from {-(1 << 31)} to {1 << 31}"
@@ -153,7 +161,8 @@
         faults += 1
     if faults:
         return None
-    return Neighbour(name.lower(), tuple(addresses), Role(role), preference, shares)
+    found = tuple(map(ipaddress.ip_network, asks_from))
+    return Neighbour(name.lower(), tuple(addresses), found, Role(role), preference, shares)
 
 
 def _label(value: Any) -> bool:
@@ -172,6 +181,15 @@
         return False
 
 
+def _networks(value: Any) -> bool:
+    if not isinstance(value, list) or len(value) > ADDRESSES or not all(isinstance(one, str) for one in value):
+        return False
+    try:
+        return bool(list(map(ipaddress.ip_network, value)))
+    except ValueError:
+        return False
+
+
 def _route(place: str, row: dict[str, Any], site: str, limits: Limits, fault: Any) -> Route | None:
     """A route of this site's own: read in the partners' own form, by the reader that the neighbours have."""
     before: list[None] = []
--- a/loftweir/partners/offer.py
+++ b/loftweir/partners/offer.py
@@ -3,15 +3,16 @@
     GET /routes?site=NEIGHBOUR&to=MARK[&after=EPOCH.INDEX]&wait_ms=N
 
 200 with the table, whole or its changes after the mark; with no news, once the wait is over, no changes: that confirms
-what the neighbour holds. 403: no neighbour of that name; 503: not now, and why, in words. Who asks is not proved here:
-the address is to be reached by the neighbours alone.
+what the neighbour holds. 403: no neighbour of that name, or not from its addresses; 503: not now, and why, in words.
+That is all that proves who asks: the address is to be reached by the neighbours alone.
 """
 
 from __future__ import annotations
 
+import ipaddress
 import re
 import socket
-from collections.abc import Iterable
+from collections.abc import Mapping
 from urllib.parse import parse_qsl
 
 import h11
@@ -20,6 +21,7 @@
 from loftweir.http1.strict import Strict
 from loftweir.net.loop import MS, READABLE, SECOND, WOKEN, Coroutine, Loop, Task, Wait
 from loftweir.net.stream import TookTooLong, send
+from loftweir.partners.file import Neighbour
 from loftweir.partners.shown import Shown
 from loftweir.telemetry.catalogue import PARTNERS_LISTENS, PARTNERS_TURNED
 from loftweir.telemetry.log import say
@@ -71,7 +73,7 @@
         self.loop = loop
         self.shown = shown
         self.most = most
-        self.neighbours: set[str] = set()
+        self.neighbours: Mapping[str, Neighbour] = {}
         self.callers: dict[socket.socket, Task] = {}
         self.waiting: dict[str, set[Task]] = {}  # by neighbour, calls that wait for news
         self.listener: socket.socket | None = None
@@ -167,9 +169,10 @@
         asked = Question(target)
         if asked.wrong:
             return asked.status, f"{asked.wrong}\n".encode(), "text/plain"
-        if asked.site not in self.neighbours:
-            say(PARTNERS_TURNED, site=asked.site if asked.site.isprintable() else "", why="no neighbour of that name")
-            return 403, b"no neighbour of that name\n", "text/plain"
+        turned = self._turned(asked.site, sock)
+        if turned:
+            say(PARTNERS_TURNED, site=asked.site if asked.site.isprintable() else "", why=turned)
+            return 403, f"{turned}\n".encode(), "text/plain"
         until = self.loop.now() + asked.wait
         not_now_at: int | None = None
         while True:
@@ -194,8 +197,18 @@
         finally:
             waiting.discard(task)
 
-    def know(self, neighbours: Iterable[str]) -> None:
-        self.neighbours = set(neighbours)
+    def _turned(self, site: str, sock: socket.socket) -> str:
+        """Why it is not answered, whatever there is; empty: it is."""
+        neighbour = self.neighbours.get(site)
+        if neighbour is None:
+            return "no neighbour of that name"
+        address = ipaddress.ip_address(sock.getpeername()[0])
+        if neighbour.asks_from and not any(address in network for network in neighbour.asks_from):
+            return f"{address} is none of its addresses"
+        return ""
+
+    def know(self, neighbours: Mapping[str, Neighbour]) -> None:
+        self.neighbours = neighbours
         for to in [to for to in self.waiting if to not in self.neighbours]:
             self.changed(to)
             del self.waiting[to]
--- a/tests/partner_scene.py
+++ b/tests/partner_scene.py
@@ -178,10 +178,10 @@
         return [(act.token, act.key, act.value, not isinstance(result, Ok)) for act, result in found]
 
 
-def ask(address, site, after=None, wait_ms=0, timeout=5):
+def ask(address, site, after=None, wait_ms=0, timeout=5, source="127.0.0.1"):
     """One call for a site's routes: the status, and the answer or its words."""
     query = {"site": site, "to": "m", "wait_ms": wait_ms} | ({"after": after} if after else {})
-    client = http.client.HTTPConnection(address, timeout=timeout)
+    client = http.client.HTTPConnection(address, timeout=timeout, source_address=(source, 0))
     try:
         client.request("GET", f"/routes?{urlencode(query)}")
         response = client.getresponse()
--- a/tests/test_partner_parts.py
+++ b/tests/test_partner_parts.py
@@ -263,6 +263,7 @@
         ({"neighbours": [NEIGHBOUR | {"name": "oslo"}]}, "neighbours.0.name"),
         ({"neighbours": [NEIGHBOUR, NEIGHBOUR]}, "neighbours.1.name"),
         ({"neighbours": [NEIGHBOUR | {"addresses": ["nowhere"]}]}, "neighbours.0.addresses"),
+        ({"neighbours": [NEIGHBOUR | {"asks_from": ["10.0.0.1/8"]}]}, "neighbours.0.asks_from"),
         ({"neighbours": [NEIGHBOUR | {"role": "friend"}]}, "neighbours.0.role"),
         ({"neighbours": [NEIGHBOUR | {"preference": True}]}, "neighbours.0.preference"),
         ({"neighbours": [NEIGHBOUR | {"adresses": []}]}, "neighbours.0.adresses"),
--- a/tests/test_partner_sites.py
+++ b/tests/test_partner_sites.py
@@ -240,12 +240,15 @@
     def test_any_sidecar_offers_the_same_and_one_that_may_not_know_says_so(self):
         site = Site.of(self, "oslo", followers=0)
         site.knows("bergen")
+        site.knows("trondheim", asks_from=["127.1.0.0/16"])
         site.offers(row("own@shop"), row("two@shop"))
         site.begin()
         n0, n1, n2 = (site.sidecars[n] for n in site.voters)
         at = [site.listens[n] for n in site.voters]
         for address in at:
             site.wait(lambda address=address: shown(address, "bergen") == {"own@shop", "two@shop"})
+        site.wait(lambda: ask(at[0], "trondheim", source="127.1.0.7")[0] == 200)
+        self.assertEqual(ask(at[0], "trondheim"), (403, "127.0.0.1 is none of its addresses\n"))
         answers = [ask(address, "bergen")[1] for address in at]
         self.assertEqual(answers, [answers[0]] * 3)
         held = mark(answers[0])
@@ -283,6 +286,11 @@
         site.wait(lambda: "cut off" in ask(site.listens[writer.name], "bergen")[1], 12)
         others[1].go_on()
         site.wait(lambda: shown(site.listens[writer.name], "bergen") == {"own@shop"})
+        # One that begins anew goes on with the index of all.
+        held = mark(ask(site.listens[writer.name], "bergen")[1])
+        others[0].start()
+        status, answer = site.wait(lambda: (found := ask(site.listens[others[0].name], "bergen", held))[0] == 200 and found)
+        self.assertEqual((mark(answer), answer["snapshot"]), (held, False))
 
 
 def index_of(answer):
