--- a/tests/test_partner_parts.py
+++ b/tests/test_partner_parts.py
@@ -14,7 +14,7 @@
 from loftweir.config.faults import Faulty
 from loftweir.interface import Effect, Endpoint, Lifecycle, MembershipUpdate, RequestClass, Scope, UpdateKind
 from loftweir.lease.duty import Duty, NotActing
-from loftweir.net.loop import Loop
+from loftweir.net.loop import Loop, Wait
 from loftweir.partners import copies, file
 from loftweir.partners.copies import Cutter, Head, NotReadable, Shelf, written
 from loftweir.partners.keeping import Keeping, NotKept, Target
@@ -23,7 +23,7 @@
 from loftweir.partners.session import Ask, Session, State, Timing
 from loftweir.partners.standby import Standby, gates, unfit
 from loftweir.partners.table import BadTable, Limits, OldTable, Table, fits, one_route, read
-from loftweir.replication.machine import Fact, Full, Ok
+from loftweir.replication.machine import Acquire, Fact, Fenced, Full, Lease, Lower, Machine, NotHeld, Ok, Release
 
 DUTY = "partner:bergen"
 LIMITS = Limits(routes=3)
@@ -149,6 +149,40 @@
         fits(Table("bergen", 1, 2), read(json.dumps(answer).encode(), "bergen"))
 
 
+def test_an_act_that_is_refused_for_its_token_is_the_last_under_it():
+    loop, sent, told = Loop(), [], []
+    answers = {Acquire: Ok(5, 5), Fenced: Lower(6, 5, 6), Release: NotHeld(7, 5)}
+
+    class Copies:
+        writes = type("W", (), {"busy": False})
+
+        def write(self, act, within):
+            sent.append(type(act))
+            yield Wait(None, 0, loop.now())
+            return answers[type(act)]
+
+    def act():
+        while not told:
+            yield Wait(None, 0, loop.now() + 1_000_000)
+        with pytest.raises(NotActing):
+            yield from duty.put("head", b"x", SECOND)
+        told.append(duty.may_act())
+        duty.saw(held)
+        yield Wait(None, 0, loop.now() + SECOND // 5)
+        loop.stopped = True
+
+    duty = Duty(loop, "n0", DUTY, SECOND, (Copies(), Copies()), told.append, lambda: told.append("end"))
+    held = Machine()
+    held.leases[DUTY] = Lease("n1~0", 6, SECOND, 6)
+    loop.after(10 * SECOND, setattr, loop, "stopped", True)
+    loop.spawn(act())
+    duty.want(True)
+    assert duty.may_act() is None and sent == []  # nothing is known of the lease yet
+    duty.saw(Machine())
+    loop.run()
+    assert (told, sent) == ([5, None, "end"], [Acquire, Fenced, Release])
+
+
 # ---- in place of the own --------------------------------------------------------------------------
 
 
--- a/tests/test_partner_sites.py
+++ b/tests/test_partner_sites.py
@@ -51,6 +51,7 @@
         mine = row("orders@shop", [gate.address])
         bergen, trondheim = self.toy("bergen", mine, row("b@shop")), self.toy("trondheim")
         site = Site.of(self, "oslo")
+        site.options = site.options | {"lease": "10s", "hold": "20s"}
         site.knows("bergen", site.free(), bergen.address)  # nobody is at the first
         site.knows("trondheim", trondheim.address)
         site.offers(row("own@shop", terms={"show": {"only": ["trondheim"]}}))
@@ -289,7 +290,9 @@
         # One that begins anew goes on with the index of all.
         held = mark(ask(site.listens[writer.name], "bergen")[1])
         others[0].start()
-        status, answer = site.wait(lambda: (found := ask(site.listens[others[0].name], "bergen", held))[0] == 200 and found)
+        address = site.listens[others[0].name]
+        site.wait(lambda: ask(address, "bergen", held)[0] == 200)
+        answer = ask(address, "bergen", held)[1]
         self.assertEqual((mark(answer), answer["snapshot"]), (held, False))
 
 
