--- /dev/null
+++ b/benchmarks/faults/client.py
@@ -0,0 +1,175 @@
+"""A caller of the copies for the harness: blocking, on one thread, straight to the voters' own addresses.
+
+It speaks the frames of `loftweir.replication.wire` and nothing else of the program's, so that what the program's own
+caller believes is judged by another.
+"""
+
+from __future__ import annotations
+
+import secrets
+import socket
+import time
+from collections.abc import Callable, Mapping
+from random import Random
+
+from loftweir.replication.machine import Act, AnyResult, Order, UnknownSession, read_result
+from loftweir.replication.machine import written as order_written
+from loftweir.replication.wire import (
+    VERSION,
+    Am,
+    Answer,
+    Ask,
+    Follow,
+    Frame,
+    Hello,
+    How,
+    Kind,
+    News,
+    Outcome,
+    Query,
+    Reader,
+    Submit,
+    Who,
+    written,
+)
+
+CLUSTER = "loftweir"
+MS = 1_000_000
+
+
+class Nothing(Exception):
+    """A call that certainly did nothing."""
+
+
+class Unknown(Exception):
+    """A call that may have been done, or may be yet."""
+
+
+class Line:
+    """One greeted connection. OSError where it fails, `TimeoutError` (one of them) where nothing came in time."""
+
+    def __init__(self, address: str, kind: Kind = Kind.CALLER, name: str = "harness", id: str = "", within: float = 1):
+        host, port = address.rsplit(":", 1)
+        self.sock = socket.create_connection((host, int(port)), timeout=within)
+        self.reader = Reader()
+        try:
+            self.say(Hello(VERSION, CLUSTER, id or secrets.token_hex(8), name, kind))
+            there = self.next(within)
+            if not isinstance(there, Hello):
+                raise ConnectionRefusedError(str(there))
+            self.there = there
+        except BaseException:
+            self.sock.close()
+            raise
+
+    def say(self, frame: Frame) -> None:
+        self.sock.sendall(written(frame))
+
+    def next(self, within: float) -> Frame:
+        until = time.monotonic() + within
+        while (frame := self.reader.next()) is None:
+            self.sock.settimeout(max(0.001, until - time.monotonic()))
+            data = self.sock.recv(65536)
+            if not data:
+                raise ConnectionError("ended")
+            self.reader.feed(data)
+        return frame
+
+    def close(self) -> None:
+        self.sock.close()
+
+
+class Caller:
+    """Writes under a session of its own, and sure reads, at whoever leads; `at`, where it is set, names the only voter
+    that is asked. Not for two threads at a time."""
+
+    def __init__(self, seats: Mapping[str, str], random: Random, at: str = "") -> None:
+        self.seats, self.random, self.only = dict(seats), random, at
+        self.id = secrets.token_hex(8)
+        self.at = at or random.choice(sorted(seats))
+        self.line: Line | None = None
+        self.session, self.number, self.tokens = "", 0, 0
+
+    def close(self) -> None:
+        if self.line is not None:
+            self.line.close()
+            self.line = None
+
+    def write(self, act: Act, within: float) -> AnyResult:
+        """Raises `Nothing` and `Unknown`."""
+        if not self.session:
+            self.session, self.number = secrets.token_hex(8), 0
+        self.number += 1
+        order = order_written(Order(self.session, self.number, act))
+        outcome, uncertain = self._ask(lambda token: Submit(token, order), within)
+        result = read_result(outcome.result)
+        if isinstance(result, UnknownSession):
+            self.session = ""
+            raise Unknown("unknown session") if uncertain else Nothing("unknown session")
+        return result
+
+    def read(self, query: Query, within: float) -> object:
+        """What holds for sure. Raises `Nothing`."""
+        try:
+            return self._ask(lambda token: Ask(token, query), within)[0].value
+        except Unknown as error:
+            raise Nothing(str(error)) from None
+
+    def _ask(self, frame: Callable[[int], Frame], within: float):
+        """The final answer, and whether an earlier try may have come true as well."""
+        until, uncertain, why = time.monotonic() + within, False, "no time"
+        while (left := until - time.monotonic()) > 0:
+            sent = False
+            try:
+                if self.line is None:
+                    self.line = Line(self.seats[self.at], id=self.id, within=min(left, 0.5))
+                self.tokens += 1
+                sent = True
+                self.line.say(frame(self.tokens))
+                answer = self._answer(min(until - time.monotonic(), 1.0))
+            except OSError as error:
+                uncertain, why = uncertain or sent, f"{self.at}: {error!r}"
+                self._turn("")
+                continue
+            if answer.how is How.DONE and (isinstance(answer, Outcome) or answer.sure):
+                return answer, uncertain
+            uncertain, why = uncertain or answer.how is How.LOST, f"{self.at}: {answer.how.value}"
+            if answer.how is not How.BUSY:
+                self._turn(answer.leader)
+            time.sleep(0.01 + 0.02 * self.random.random())
+        raise Unknown(why) if uncertain else Nothing(why)
+
+    def _answer(self, within: float) -> Outcome | Answer:
+        assert self.line is not None
+        until = time.monotonic() + within
+        while True:
+            found = self.line.next(until - time.monotonic())
+            if isinstance(found, Outcome | Answer) and found.token == self.tokens:
+                return found
+
+    def _turn(self, leader: str) -> None:
+        self.close()
+        if not self.only:
+            self.at = leader if leader in self.seats else self.random.choice(sorted(self.seats))
+
+
+def members(address: str, within: float = 1) -> Am:
+    """How a voter stands. OSError."""
+    line = Line(address, within=within)
+    try:
+        line.say(Who(()))
+        answer = line.next(within)
+        if not isinstance(answer, Am):
+            raise ConnectionError(f"not an answer: {answer}")
+        return answer
+    finally:
+        line.close()
+
+
+def news(line: Line, after: int, wait: int = 0) -> News:
+    """What a voter tells a follower that has all up to an index. OSError."""
+    line.say(Follow(after, wait))
+    answer = line.next(wait / 1e9 + 2)
+    if not isinstance(answer, News):
+        raise ConnectionError(f"not news: {answer}")
+    return answer
