A word that was answered for stays on a sidecar that has yet to catch up

An operator who was told 'enabled' without a write (nobody had the provider out) saw it out on a sidecar that was behind; and an older word, met on the way to the index that was promised, undid a newer one.

--- a/loftweir/replication/part.py
+++ b/loftweir/replication/part.py
@@ -69,6 +69,7 @@
         self.known_at: int | None = None  # where only what was remembered does: when it was the latest
         self.members: frozenset[str] = frozenset()  # ids of the voters that it is of
         self.words: dict[str, Said] = {}
+        self.ahead: dict[str, int] = {}  # words that were answered for, and from which index on the machine has them
         self.saves = False  # a file is to be written
         self.voter: Voter | None = None
         self.reception: Reception | None = None
@@ -208,6 +209,8 @@
         if not words and not whole and not anew:
             return
         said = {name: Said(word.at, word.out) for name, word in words.items()}
+        self.ahead = {name: index for name, index in self.ahead.items() if index > machine.index and not anew}
+        said |= {name: self.words[name] for name in self.ahead}  # not undone by an older word on the way there
         self.words = said if whole or anew else {**self.words, **said}
         say(REPLICATION_WORDS, out=self.out(), index=self.index)
         self.told(said, whole or anew)
@@ -253,18 +256,26 @@
             if call.word is Word.FLEET_ENABLE:
                 held = yield from self.caller.read(WordOf(call.id), self.options.write_within)
                 if held.sure and not (held.value and held.value[0]):
-                    return f"enabled, at index {held.index}"  # as nobody took it out, it is not to begin cold
+                    # As nobody took it out, it is not to begin cold; this sidecar may have yet to hear of that.
+                    if held.value or call.id in self.out():
+                        self._answered(call.id, Said(held.value[2] if held.value else 0, False), held.index)
+                    return f"enabled, at index {held.index}"
             act = Say(call.id, call.word is Word.FLEET_DISABLE, self.loop.now())
             result = yield from self.caller.write(act, max(SECOND // 1000, until - self.loop.now()))
         except Trouble as error:
             raise No(f"{type(error).__name__}: {error}; {error.remedy}") from None
         if not isinstance(result, Ok):
             raise No(result.text)
-        if result.index > self.index:  # it holds here by the time of the answer; the machine's state follows
-            self.words = {**self.words, call.id: Said(act.at, act.out)}
-            self.told(self.words, False)
+        self._answered(call.id, Said(act.at, act.out), result.index)
         return f"{'disabled' if act.out else 'enabled'}, at index {result.index}"
 
+    def _answered(self, name: str, said: Said, index: int) -> None:
+        """What is promised at an index holds here by the time of the answer; the machine's state follows."""
+        if index > max(self.index, self.ahead.get(name, 0)):
+            self.ahead[name] = index
+            self.words = {**self.words, name: said}
+            self.told(self.words, False)
+
     def line(self) -> str:
         """How it stands, in one line."""
         role, term, leader = "follows", "-", self.follower.leader if self.follower is not None else ""
