--- a/benchmarks/faults/fleet.py
+++ b/benchmarks/faults/fleet.py
@@ -57,9 +57,6 @@
         self.host = f"127.{1 + mine % 254}.{mine >> 8}.1"  # one of its own, so that no ports are fought over
         self.port = PORTS
 
-    def runTest(self):
-        pass
-
     def free(self):
         while True:
             self.port += 1
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,332 @@
+"""Real sidecars while processes, links and disks fail, each case caused; the harness is benchmarks/faults."""
+
+import re
+import shutil
+import time
+import unittest
+from random import Random
+
+import msgspec
+from scene import eventually
+
+from benchmarks.faults import fleet
+from benchmarks.faults.client import Caller, Line, Nothing, Unknown, news
+from benchmarks.faults.load import HOUR, PEN, Load
+from benchmarks.faults.schedule import Play, schedule
+from loftweir.config.model import Replication
+from loftweir.net.loop import Loop
+from loftweir.operations.record import Word as Said
+from loftweir.replication.api import Append, Appended, AskVote, Vote
+from loftweir.replication.machine import Acquire, Fenced, Machine, Ok, Order, Word, written
+from loftweir.replication.part import Part
+from loftweir.replication.wire import Answer, Ask, FactOf, Follow, How, Kind, Outcome, Submit
+
+SLOW = {"beat": "100ms", "election": "1s"}  # where nothing may be elected for want of a turn on a busy machine
+
+
+class Faults(fleet.Fleet):
+    def up(self, voters=3, followers=1, **keys):
+        self.keys = self.keys | keys
+        self.fleet(voters, followers)
+        self.begin()
+        return self.leader()
+
+    def caller(self, at=""):
+        caller = Caller(self.seats, Random(1), at)
+        self.addCleanup(caller.close)
+        return caller
+
+    def pen(self):
+        """The token of a lease to write values under."""
+        return self.caller().write(Acquire(PEN, "test", HOUR), 10).value
+
+    def held(self, key="k"):
+        found = msgspec.msgpack.decode(self.caller().read(FactOf(PEN, key), 10))
+        return found and found[0]
+
+    def line(self, name, kind=Kind.CALLER, **who):
+        line = Line(self.seats[name], kind, **who)
+        self.addCleanup(line.close)
+        return line
+
+    def say(self, name, word):
+        self.assertRegex(self.sidecars[name].call(word), "^OK ")
+
+    def others(self, sidecar):
+        return [name for name in self.voters if name != sidecar.name]
+
+    def led_by_another(self, sidecar):
+        return any(self.sidecars[name].stands()["role"] == "leader" for name in self.others(sidecar))
+
+    def at_rest(self, load):
+        load.finish()
+        self.assertEqual(self.oracle.judge(), [])
+
+
+class AheadTest(unittest.TestCase):
+    def test_a_word_that_was_answered_for_is_not_undone_by_an_older_one_on_the_way_there(self):
+        members = ", ".join(f"n{n}=127.0.0.1:{n + 1}" for n in range(3))
+        part = Part(Loop(), "f0", Replication(members=members), lambda words, whole: None)
+        machine, shown = Machine(), []
+        part._answered("s0", Said(0, False), 3)
+        part._answered("s1", Said(0, True), 4)
+        for index, out in enumerate((True, True, False, True), 1):
+            machine.apply(index, written(Order(f"session {index}", 1, Word("s0" if index < 4 else "s1", out, 0))))
+            part._tell(machine, frozenset({"id"}))
+            shown.append(part.out())
+        self.assertEqual(shown, [["s1"]] * 4)
+        machine.apply(5, written(Order("later", 1, Word("s1", False, 0))))
+        part._tell(machine, frozenset({"id"}))
+        self.assertEqual(part.out(), [])
+
+
+class LeaderTest(Faults):
+    def test_a_write_whose_answer_is_lost_with_the_leader_is_applied_once(self):
+        leader, token = self.up(followers=0), self.pen()
+        first = written(Order("one", 1, Fenced(PEN, token, "k", b"first")))
+        link = self.links.link(self.seats[leader.name])
+        lost = Line(link.address)
+        self.addCleanup(lost.close)
+        link.silence(forth=False, back=True)
+        lost.say(Submit(1, first))
+        self.wait(lambda: self.held() == b"first")
+        self.assertIsInstance(self.caller().write(Fenced(PEN, token, "k", b"second"), 10), Ok)
+        index = int(leader.stands()["index"])
+        self.kill(leader.name)
+        after = self.line(self.leader().name)
+        after.say(Submit(1, first))
+        outcome = after.next(5)
+        self.assertEqual((outcome.how, msgspec.msgpack.decode(outcome.result)["type"]), (How.DONE, "ok"))
+        self.assertLess(msgspec.msgpack.decode(outcome.result)["index"], index)  # it is that of the first time
+        self.assertEqual(self.held(), b"second")
+
+    def test_leaders_killed_in_the_middle_of_writes_cost_no_promise(self):
+        self.up(followers=1)
+        load = Load(self, 1, holders=1).start()
+        for _ in range(3):
+            before = len(self.oracle.promises)
+            self.wait(lambda before=before: len(self.oracle.promises) > before + 20, 20)
+            name = self.leader().name
+            self.kill(name)
+            self.wait(lambda name=name: self.leader().name != name)
+            self.start(name)
+        self.at_rest(load)
+        self.assertGreater(len(self.oracle.promises), 60)
+
+    def test_a_leader_that_was_stopped_answers_nothing_as_one(self):
+        leader, token = self.up(), self.pen()
+        asks, writes, follows = (self.line(leader.name, k) for k in (Kind.CALLER, Kind.CALLER, Kind.FOLLOWER))
+        self.assertTrue(news(follows, 0).leads)
+        term = int(leader.stands()["term"])
+        self.stop(leader.name)
+        self.wait(lambda: self.led_by_another(leader))
+        self.assertIsInstance(self.caller().write(Fenced(PEN, token, "k", b"new"), 10), Ok)
+        # All of this waits in its sockets when it goes on.
+        asks.say(Ask(1, FactOf(PEN, "k")))
+        writes.say(Submit(1, written(Order("old", 1, Fenced(PEN, token, "k", b"old")))))
+        follows.say(Follow(1 << 40, 0))
+        self.go_on(leader.name)
+        told, answer, outcome = follows.next(5), asks.next(5), writes.next(5)
+        self.assertIsInstance(answer, Answer)
+        self.assertFalse(answer.sure)
+        self.assertIsInstance(outcome, Outcome)
+        self.assertIn(outcome.how, (How.NOT_LEADER, How.LOST))
+        self.assertFalse(told.leads)
+        self.wait(lambda: int(leader.stands()["term"]) > term and leader.stands()["role"] == "follower")
+        self.assertEqual(self.held(), b"new")
+
+
+class LinkTest(Faults):
+    def test_one_way_alone_ends_a_leadership_whichever_it_is(self):
+        self.up()
+        for out in (True, False):  # it is not heard; it does not hear
+            leader = self.leader()
+            self.isolate(leader.name, out=out, into=not out)
+            began = time.monotonic()
+            self.wait(lambda leader=leader: self.led_by_another(leader))
+            self.say("f0", f"FLEET-DISABLE s{out:d}")
+            self.assertLess(time.monotonic() - began, 10)
+            self.wait(lambda leader=leader: leader.stands()["role"] != "leader")
+            self.heal()
+            self.assertTrue(self.settled())
+        self.assertEqual({s.stands()["out"] for s in self.sidecars.values()}, {"s0,s1"})
+
+    def test_a_member_that_was_cut_off_or_comes_and_goes_deposes_nobody(self):
+        leader = self.up(**SLOW)
+        term, away = leader.stands()["term"], self.sidecars[self.others(leader)[0]]
+        self.isolate(away.name)
+        self.wait(lambda: away.stands()["role"] == "asking")
+        self.say("f0", "FLEET-DISABLE s0")
+        self.assertEqual(away.stands()["out"], "-")
+        self.assertGreater(int(away.stands()["age_ms"]), 500)
+        for _ in range(4):
+            self.heal()
+            time.sleep(0.1)
+            self.isolate(away.name)
+            time.sleep(0.3)
+        self.heal()
+        self.wait(lambda: away.stands()["out"] == "s0" and away.stands()["role"] == "follower")
+        self.assertEqual((leader.stands()["role"], leader.stands()["term"]), ("leader", term))
+        self.assertEqual(away.stands()["term"], term)
+
+    def test_frames_cut_short_or_changed_on_the_way_are_sent_again(self):
+        leader, load = self.up(), Load(self, 2).start()
+        for n in range(6):
+            for pair, link in self.link.items():
+                (link.cut if n % 2 else link.damage)(after=100 * n + len(pair[0]), back=n % 3 == 0)
+            before = len(self.oracle.promises)
+            self.wait(lambda before=before: len(self.oracle.promises) > before + 5, 20)
+        turned = [r for s in self.sidecars.values() for r in s.logged("replication.turned_away")]
+        self.assertTrue(any("checksum" in record["why"] for record in turned), turned)
+        self.at_rest(load)
+        self.assertTrue(leader.program)
+
+    def test_without_a_majority_reads_say_how_old_they_are_and_writes_fail_in_their_time(self):
+        leader = self.up(write_within="500ms")
+        self.say("f0", "FLEET-DISABLE s0")
+        self.wait(lambda: {s.stands()["out"] for s in self.sidecars.values()} == {"s0"})
+        self.split(*({name} for name in self.voters))
+        for name in (leader.name, *self.others(leader)[:1], "f0"):
+            began = time.monotonic()
+            self.assertRegex(self.sidecars[name].call("FLEET-DISABLE s1"), "^ERR (NoMajority|OutcomeUnknown): ")
+            self.assertLess(time.monotonic() - began, 3)
+        self.wait(lambda: min(int(s.stands()["age_ms"]) for s in self.sidecars.values()) > 1000)
+        for name in [*self.voters, "f0"]:
+            stands = self.sidecars[name].stands()
+            self.assertEqual((stands["out"], name == "f0" or stands["leader"]), ("s0", name == "f0" or "-"))
+            self.assertEqual(self.sidecars[name].call("READY"), "OK")
+        self.heal()
+        self.wait(lambda: self.sidecars["f0"].call("FLEET-DISABLE s2").startswith("OK"))
+
+    def test_followers_go_on_from_another_voter_without_gap_or_repeat(self):
+        self.up(followers=3)
+        load = Load(self, 3, operators=3).start()
+        for name in ("f0", "f1", "f2"):
+            at = self.sidecars[name].logged("replication.follows")[-1]["member"]
+            if name == "f2":
+                self.link[name, at].silence()
+            else:
+                self.kill(at)
+            sidecar = self.sidecars[name]
+            self.wait(lambda s=sidecar, at=at: s.logged("replication.follows")[-1]["member"] != at, 20)
+            before = len(self.oracle.promises)
+            self.wait(lambda before=before: len(self.oracle.promises) > before + 10, 20)
+            self.resume()
+            self.assertTrue(eventually(self.whole, 20))
+        self.at_rest(load)
+
+
+class DiskTest(Faults):
+    def test_who_lost_the_disk_is_another_member_and_the_old_one_is_turned_away(self):
+        leader = self.up(followers=0, **SLOW)
+        self.say(leader.name, "FLEET-DISABLE s0")
+        lost, old = self.sidecars[self.others(leader)[0]], {m.name: m.id for m in self.members()}
+        self.kill(lost.name)
+        shutil.copytree(lost.copies, lost.folder / "old")
+        lost.wipe()
+        self.start(lost.name)
+        self.wait(self.whole, 20)
+        new = {m.name: m.id for m in self.members()}
+        self.assertEqual([n for n in new if new[n] != old[n]], [lost.name])
+        self.wait(lambda: lost.stands()["out"] == "s0")
+        # What is meant for the old one is not taken there, and what says that it is the old one counts nowhere.
+        term = int(leader.stands()["term"])
+        to_old = self.line(lost.name, Kind.MEMBER, id="x")
+        as_old = self.line(leader.name, Kind.MEMBER, id=old[lost.name])
+        said = {"sender": "x", "to": old[lost.name], "term": term + 100, "round": 1}
+        to_old.say(Append(prev_index=0, prev_term=0, entries=(), commit=0, **said))
+        ours = {"sender": old[lost.name], "to": new[leader.name], "term": term + 100}
+        for message in (
+            AskVote(last_index=1 << 40, last_term=term + 100, pre=False, **ours),
+            Vote(granted=True, pre=False, **ours),
+            Appended(ok=True, match=1 << 40, round=1, **ours),
+        ):
+            as_old.say(message)
+        time.sleep(0.3)
+        for name in self.voters:
+            self.assertEqual(int(self.sidecars[name].stands()["term"]), term)
+        turned = [r for n in self.others(lost) for r in self.sidecars[n].logged("replication.turned_away")]
+        self.assertTrue(any("another id is here" in record["why"] for record in turned))
+
+    def test_a_damaged_folder_is_set_aside_with_its_file_and_byte_and_caught_up_from_the_others(self):
+        leader = self.up(followers=0)
+        for n in range(8):
+            self.say(leader.name, f"FLEET-DISABLE s{n}")
+        self.wait(lambda: len({s.stands()["index"] for s in self.sidecars.values()}) == 1)
+        hurt = self.sidecars[self.others(leader)[0]]
+        for n, how in enumerate(("flip", "tail", "lost", "version", "foreign")):
+            self.kill(hurt.name)
+            file, _ = self.damage(hurt.name, how, 0.6)
+            self.start(hurt.name)
+            self.wait(lambda n=n: len(hurt.logged("replication.damaged")) == n + 1)
+            told = hurt.logged("replication.damaged")[-1]
+            named = str(hurt.copies / "identity") if how == "foreign" else str(file)
+            self.assertRegex(told["why"], f"^{re.escape(named)}: .*, at byte [0-9]+$")
+            self.assertTrue(told["aside"].startswith(str(hurt.copies)))
+            self.wait(self.whole, 20)
+            self.wait(lambda: hurt.stands()["out"] == ",".join(f"s{n}" for n in range(8)))
+            self.assertEqual(hurt.stands()["role"], "follower")
+
+    def test_no_promise_comes_of_a_full_disk_or_a_failed_sync_and_the_others_go_on(self):
+        token = self.up() and self.pen()
+        for n, breaks in enumerate((self.fill_disk, self.break_sync)):
+            leader, caller = self.leader(), self.caller()
+            breaks(leader.name)
+            for piece in range(10):  # the last of them it can't keep
+                caller.write(Fenced(PEN, token, "big", bytes([piece]) * 128 * 1024), 10)
+                if leader.stands()["role"] == "follows":
+                    break
+            self.wait(lambda leader=leader: leader.stands()["role"] == "follows")
+            (ended,) = leader.logged("replication.ended")
+            self.assertRegex(ended["why"], "File too large|Input/output error")
+            self.assertIn("Make room on the volume, or replace the disk", ended["remedy"])
+            with self.assertRaises((Nothing, Unknown)):
+                self.caller(leader.name).write(Fenced(PEN, token, "k", b"x"), 1)
+            self.say("f0", f"FLEET-DISABLE s{2 * n}")
+            self.say(leader.name, f"FLEET-DISABLE s{2 * n + 1}")  # it is a follower, and serves
+            self.assertEqual(leader.call("READY"), "OK")
+            self.kill(leader.name)
+            self.start(leader.name)
+            self.wait(self.whole, 20)
+        self.assertTrue(self.settled())
+
+    def test_what_was_promised_outlives_a_loss_of_power_of_all(self):
+        self.up(followers=0)
+        load = Load(self, 4).start()
+        self.wait(lambda: len(self.oracle.promises) > 30, 20)
+        self.kill(*self.voters)
+        for name in self.voters:
+            self.lose_power(name, 0.5)
+        for name in self.voters:
+            self.start(name)
+        self.at_rest(load)
+
+    def test_a_member_far_behind_gets_a_snapshot_while_writes_go_on(self):
+        leader = self.up(followers=0)
+        away, load = self.others(leader)[0], Load(self, 5).start()
+        self.kill(away)
+        self.pour(self.line(leader.name), load.token, 5000)
+        self.assertTrue(self.files(leader.name, "snapshot-*"))
+        before = len(self.oracle.promises)
+        self.start(away)
+        self.wait(lambda: self.files(away, "snapshot-*"), 30)
+        self.wait(lambda: len(self.oracle.promises) > before + 10, 20)
+        self.at_rest(load)
+
+    def pour(self, line, token, many):
+        """So many writes, no faster than those who take note of the log can follow."""
+        for begun in range(0, many, 200):
+            for number in range(begun + 1, begun + 201):
+                line.say(Submit(number, written(Order("pour", number, Fenced(PEN, token, f"k{number % 100}", b"x")))))
+            outcomes = [line.next(10) for _ in range(200)]
+            self.assertEqual({outcome.how for outcome in outcomes}, {How.DONE})
+            self.wait(lambda last=outcomes[-1].index: last in self.oracle.entries)
+
+
+class RandomTest(Faults):
+    def test_a_schedule_of_random_faults(self):
+        self.up(followers=2)
+        load = Load(self, 6, holders=2).start()
+        play = Play(self, load, 6)
+        play.run(schedule(6, 8, self.voters, ["f0", "f1"]))
+        self.at_rest(load)
