--- a/benchmarks/faults/fleet.py
+++ b/benchmarks/faults/fleet.py
@@ -236,6 +236,8 @@
 
     def lose_power(self, name: str, place: float) -> int:
         """While it does not run: of what was written and not promised to be stable, only a part was kept."""
+        if not self.files(name, "mark"):
+            return 0  # its disk is not begun yet
         segment, promised = self.mark(name)
         last = self.files(name, "segment-*")[-1]
         size = last.stat().st_size
--- a/benchmarks/faults/schedule.py
+++ b/benchmarks/faults/schedule.py
@@ -123,15 +123,18 @@
         return self.fleet.whole() and all(self.fleet.index(name) >= promised for name in self.fleet.voters)
 
     def _who(self, fault: Fault, taken: set[str]) -> str:
-        """Whom it meets; empty: nobody, as that one is met by another fault of the round."""
+        """Whom it meets: another, where that one is met by another fault of the round; empty: nobody is left."""
         who = fault.who
         if who == LEADER:
             leads = [name for name in self.fleet.voters if name not in self.fleet.down and self._leads(name)]
             who = leads[0] if leads else self.fleet.voters[int(fault.share * len(self.fleet.voters))]
         if who in ("-", "all"):
             return who
-        running = self.fleet.sidecars[who].program is not None
-        return who if running and who not in taken and "all" not in taken else ""
+        if "all" in taken:
+            return ""
+        alike = self.fleet.voters if who in self.fleet.seats else [n for n in self.fleet.sidecars if n[0] == "f"]
+        free = [name for name in alike if name not in taken and self.fleet.sidecars[name].program is not None]
+        return who if who in free else free[int(fault.share * len(free))] if free else ""
 
     def _leads(self, name: str) -> bool:
         return self.fleet.sidecars[name].stands().get("role") == "leader"
