A member taken out while it was down is taken in when it is started again

It did not know that it was out, ended its part at every start and followed for good, against what its error says. Now only a leader's word in this life makes it one that was taken out; a new start asks to be let in. Found by the fault harness; caused in tests/test_faults.py.

--- a/loftweir/replication/joining.py
+++ b/loftweir/replication/joining.py
@@ -77,12 +77,13 @@
                 say(REPLICATION_BEGUN, id=voter.me, members=[m.name for m in members])
                 voter.found(members)
                 return True
-        for name, (_, am) in answers.items():
-            if am.leader == name and voter.voted and all(m.id != voter.me for m in am.members):
-                voter.end(Removed(f"{name} leads, and its members are without {voter.me}", voter.name))
-                return False
+        without = [n for n, (_, am) in answers.items() if am.leader == n and all(m.id != voter.me for m in am.members)]
+        if without and voter.voted:
+            voter.end(Removed(f"{without[0]} leads, and its members are without {voter.me}", voter.name))
+            return False
         own = voter.member(voter.me)
-        if own is not None and own.votes and own.address == self.own.address:
+        # One that was taken out while it was down does not know; started again, it wants in.
+        if not without and own is not None and own.votes and own.address == self.own.address:
             return False
         leaders = {am.leader: am.address for _, am in answers.values() if am.leader not in ("", voter.name)}
         for name, address in leaders.items():
--- a/loftweir/replication/member.py
+++ b/loftweir/replication/member.py
@@ -104,7 +104,7 @@
         self.told_index = 0
         self.known_at = 0  # when it last knew a leader with a majority, itself or another; 0: never
         self.led = (0, 0)  # the term that it led last, and when it began to
-        self.voted = False  # it has been one of the voters, in the life of this process
+        self.voted = False  # a leader had it as one of the voters, in the life of this process
         self.hello = Hello(VERSION, options.cluster, self.me, name, Who.MEMBER)
         self.ticker: Task = loop.spawn(self._tick(), self._crashed, urgent=True)
         self.reader: Task = loop.spawn(self._read_disk(), self._crashed, urgent=True)
@@ -272,7 +272,7 @@
             members=[m.name if m.votes else f"{m.name} (learns)" for m in action.members],
             id=self.me,
         )
-        self.voted = self.voted or (own is not None and own.votes)
+        self.voted = self.voted or (own is not None and own.votes and bool(action.leader))
         known, now = {m.id for m in action.members}, self.loop.now()
         for id, link in list(self.links.items()):
             if id not in known and link.said_at < now - LINK_UNUSED:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -248,6 +248,17 @@
         turned = [r for n in self.others(lost) for r in self.sidecars[n].logged("replication.turned_away")]
         self.assertTrue(any("another id is here" in record["why"] for record in turned))
 
+    def test_who_was_taken_out_while_it_was_down_is_taken_in_when_it_is_started_again(self):
+        leader = self.up()
+        away = self.others(leader)[0]
+        self.kill(away)
+        self.assertEqual(self.sidecars["f0"].call(f"FLEET-REMOVE {away}"), "OK removed")
+        time.sleep(6 * 0.3)  # past the time for which the leader goes on telling it
+        self.say("f0", "FLEET-DISABLE s0")
+        self.start(away)
+        self.wait(self.whole, 20)
+        self.wait(lambda: self.sidecars[away].stands()["out"] == "s0")
+
     def test_a_damaged_folder_is_set_aside_with_its_file_and_byte_and_caught_up_from_the_others(self):
         leader = self.up(followers=0)
         for n in range(8):
