--- a/benchmarks/faults/fleet.py
+++ b/benchmarks/faults/fleet.py
@@ -292,6 +292,7 @@
 
     def whole(self) -> bool:
         """Every listed voter votes, under the id that its process has now."""
+        self._start_removed()
         taken = self.members()
         if {m.name for m in taken if m.votes} != set(self.voters):
             return False
@@ -305,6 +306,17 @@
                 return False
         return True
 
+    def _start_removed(self) -> None:
+        """Who was taken out while it ran follows until it is started again."""
+        for name in self.voters:
+            sidecar = self.sidecars[name]
+            lives = [r for r in map(sidecar.logged, ("replication.opened", "replication.ended")) if r]
+            last = max((records[-1] for records in lives), key=lambda record: record["time"], default={})
+            if sidecar.program is not None and "are without" in str(last.get("why", "")):
+                self.kill(name)
+                self.start(name)
+                eventually(sidecar.ready, 20)
+
     def resume(self) -> None:
         """All is healed and runs."""
         self.heal()
--- a/benchmarks/faults/schedule.py
+++ b/benchmarks/faults/schedule.py
@@ -16,8 +16,8 @@
 from scene import eventually
 
 from benchmarks.faults.client import Caller, Nothing, Unknown
-from benchmarks.faults.fleet import Fleet
-from benchmarks.faults.load import PEN, Load
+from benchmarks.faults.fleet import Fleet, desk
+from benchmarks.faults.load import PEN, WITHIN, Load
 from loftweir.replication.machine import Fenced
 
 LEADER = "leader"  # in the place of a name: who leads then
@@ -262,6 +262,14 @@
     play.fleet.sidecars[who].wipe()
 
 
+def _remove(play: Play, fault: Fault, who: str) -> None:
+    """It is taken out while it is down, or while it runs."""
+    if fault.share < 0.6:
+        play.fleet.kill(who)
+    others = [name for name in play.fleet.sidecars if name != who]
+    desk(play.fleet.sidecars[others[int(fault.share * len(others))]], f"FLEET-REMOVE {who}", WITHIN)
+
+
 def _damage(play: Play, fault: Fault, who: str) -> None:
     play.fleet.kill(who)
     play.fleet.damage(who, DAMAGES[int(fault.share * len(DAMAGES))], play.random.random())
@@ -340,6 +348,7 @@
     "stop-follower": Kind(3, "follower", _stop, _go_on),
     "wipe": Kind(4, "voter", _wipe, _start, True),
     "damage": Kind(5, "voter", _damage, _start, True),
+    "remove": Kind(3, "voter", _remove, _start, True),
     "power": Kind(4, "voter", _lose_power, _start),
     "power-all": Kind(2, "all", _lose_all_power, _start_all),
     "disk-full": Kind(3, "voter", _fill, _restart),
