--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -305,11 +305,11 @@
         self.up(followers=0)
         load = Load(self, 4).start()
         for name in self.voters:
-            self.slow_sync(name, 0.02)  # so that it is met between a write and its sync
+            self.slow_sync(name, 0.1)  # so that it is met between a write and its sync
         self.wait(lambda: len(self.oracle.promises) > 30, 20)
         self.kill(*self.voters)
         for name in self.voters:
-            self.lose_power(name, 0.5)
+            self.lose_power(name, 0)
         for name in self.voters:
             self.start(name)
         self.at_rest(load)
