--- a/loftweir/emulator/copies.py
+++ b/loftweir/emulator/copies.py
@@ -78,6 +78,7 @@
     quiet: bool = False  # only one follower has troubles: no leader may fall
     doomed: float = 0.0  # part of leaders that crash within the first few ms
     timing: Timing = TIMING
+    check: int = 8  # steps from one look at a core's own invariants to the next
 
     @classmethod
     def of(cls, seed: int) -> Plan:
@@ -298,6 +299,7 @@
         self.lost: dict[str, Disk] = {}  # by id, as they were: each may be what an answer still on its way rests on
         self.old: list[AnyMessage] = []  # said once, to be heard again
         self.tokens: dict[int, tuple[Event, int, int]] = {}  # the event, and what was promised and committed then
+        self.outcomes: dict[int, Done | Refused] = {}
         self._token = 0
         self._queue: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self._order = 0
@@ -329,7 +331,7 @@
     def run(self) -> World:
         """Troubles, then all is well again: what was promised must hold, and the copies must go on."""
         self._calls()
-        self.later(5 * MS, self._administer)
+        self.later(5 * MS, self.administer)
         if self.plan.troubles:
             self.later(self.plan.each, self._trouble)
         self.play(self.plan.length)
@@ -337,7 +339,7 @@
         self.cuts.clear()
         for seat in self.seats.values():
             seat.stalled_until = min(seat.stalled_until, self.at)
-            self._clock(seat)
+            self.clock(seat)
             self.start(seat)
         promised, until = self.promises, self.at + END
         if not self.play(until, lambda: self.promises > promised and self.well()):
@@ -396,7 +398,7 @@
         self.steps += 1
         if led and stalled:
             self._says_nothing(core, led, actions)
-        if self.steps % 8 == 0 or isinstance(event, (Change, Compact)):
+        if self.steps % self.plan.check == 0 or isinstance(event, (Change, Compact)):
             core.check()
         for action in actions:
             self._act(seat, core, action)
@@ -428,6 +430,7 @@
         elif isinstance(action, Done):
             self._done(seat, core, action)
         elif isinstance(action, Refused):
+            self.outcomes[action.token] = action
             event, *_ = self.tokens.pop(action.token)
             if action.why is not Refusal.LOST and isinstance(event, Write):
                 self.oracle.nothing.add(event.data)
@@ -447,6 +450,7 @@
             raise Breach(f"a leader that was well was deposed: {seat.name} in term {action.term}")
 
     def _done(self, seat: Seat, core: Core, done: Done) -> None:
+        self.outcomes[done.token] = done
         event, promised, terms = self.tokens.pop(done.token)
         if seat.machine.applied < done.index:
             raise Breach("answered before it was applied")
@@ -571,10 +575,10 @@
             self.read(self.random.choice(up))
         self.later(self.random.randrange(2 * self.plan.writes if self.troubled else 10 * MS), self._calls)
 
-    def _administer(self) -> None:
+    def administer(self) -> None:
         """One step towards the members that are wanted, at whoever says that it leads: who lost a disk is removed
         first, another comes in as a learner, and votes once it has nearly all."""
-        self.later(10 * MS, self._administer)
+        self.later(10 * MS, self.administer)
         lead = [s for s in self.seats.values() if s.core is not None and s.core.role is Role.LEADER]
         if not lead:
             return
@@ -668,10 +672,10 @@
 
     def _clock_trouble(self, seat: Seat, lasts: int) -> None:
         """Its clock goes far too slow or too fast."""
-        self._clock(seat, self.random.choice((250, 3000)))
-        self.later(lasts, self._clock, seat)
+        self.clock(seat, self.random.choice((250, 3000)))
+        self.later(lasts, self.clock, seat)
 
-    def _clock(self, seat: Seat, part: int = 1000) -> None:
+    def clock(self, seat: Seat, part: int = 1000) -> None:
         seat.goes(self.at, part)
         self.event(seat, seat.core, Tick())
 
@@ -753,4 +757,3 @@
             for members in (leader.members[1:], leader.members[2:]):
                 self.ask(at, lambda token, members=members: Change(token, members))  # type: ignore[misc]
         return True
-
--- a/loftweir/replication/core.py
+++ b/loftweir/replication/core.py
@@ -629,7 +629,9 @@
             elif peer.sending is None and peer.next <= self._base:
                 self._send_snapshot(peer)  # what it lacks was let go, whether all that was sent got there or not
             elif peer.sending is not None:
-                if not peer.moved:
+                if not peer.moved and peer.sending.index < self._base:
+                    self._send_snapshot(peer)  # a newer one: behind the old one there would be a gap
+                elif not peer.moved:
                     peer.sent, peer.probing = peer.taken, True
                     self._piece(peer, peer.sending)
                 peer.moved = False
--- /dev/null
+++ b/tests/test_replication_core.py
@@ -0,0 +1,524 @@
+"""The consensus core: what it does, runs with troubles from seeds, every order of events in small sizes, and the
+guarantees broken on purpose, each of which one of these must find."""
+
+import time
+from random import Random
+
+import msgspec
+import pytest
+
+from loftweir.emulator.copies import MS, Breach, Plan, World
+from loftweir.emulator.walk import ALL, Left, Timeless, Walk
+from loftweir.replication import api
+from loftweir.replication.api import Kind, Member, Refusal, Refused, Role, Timing
+from loftweir.replication.core import _HEARD, NEVER, Core
+
+SECOND = 1000 * MS
+replaced = msgspec.structs.replace
+
+
+def led(make=Core, seats=3, **plan):
+    """A world in which one leads and nothing is wrong, and the seats: the leader's first."""
+    world = World(1, Plan(seats, **plan), make)
+    until(world, lambda: (leader := world.leader()) and leader.settled and world.well())
+    first = at(world, world.leader().me)
+    return world, [first, *(seat for seat in world.seats.values() if seat is not first)]
+
+
+def at(world, id):
+    return world.seats[id.split(".")[0]]
+
+
+def until(world, over, within=2 * SECOND):
+    assert world.play(world.at + within, over), [world.tell(seat) for seat in world.seats.values()]
+
+
+def cut(world, a, b, by=1):
+    world.cut([(a.name, b.name), (b.name, a.name)], by)
+
+
+def written(world, seat, count=1):
+    """Writes, one after the other, and their outcomes."""
+    outcomes = []
+    for _ in range(count):
+        token = world.write(seat)
+        until(world, lambda token=token: token in world.outcomes)
+        outcomes.append(world.outcomes[token])
+    return outcomes
+
+
+# ---- scripts: each passes with the core as it is, and fails with one broken on purpose ---------------
+
+
+def figure_eight(make=Core):
+    """Paper, figure 8: an entry of an old term lies on a majority, and another leader may still overwrite it."""
+    world, (a, b, c) = led(make, timing=Timing(10 * MS, 50 * MS, append_bytes=1))
+    for other in (b, c):
+        cut(world, a, other)
+    world.write(a)
+    old = a.core.last_index
+    until(world, lambda: a.disk.last_index == old)
+    world.crash(a)
+    until(world, lambda: Role.LEADER in (b.core.role, c.core.role))
+    p, q = (b, c) if b.core.role is Role.LEADER else (c, b)
+    cut(world, p, q)
+    until(world, lambda: p.disk.last_index == old)  # another entry at the same index, on its own disk only
+    world.crash(p)
+    cut(world, a, q, -1)
+    world.start(a)
+    until(world, lambda: a.core.match(q.id) == old)  # in a leader's later term, on two disks of three
+    cut(world, a, q)
+    world.crash(a)
+    cut(world, p, q, -1)
+    world.start(p)
+    until(world, lambda: p.core.role is Role.LEADER and p.core.settled)
+    assert q.core.entries(old, old)[0].kind is Kind.NOOP
+
+
+def stale_read(make=Core):
+    """A leader that is cut off and whose clock nearly stands answers no read, whatever it takes itself for."""
+    world, (a, b, c) = led(make)
+    world.clock(a, 20)
+    for other in (b, c):
+        cut(world, a, other)
+    until(world, lambda: world.leader() not in (None, a.core))
+    written(world, at(world, world.leader().me))
+    assert a.core.role is Role.LEADER
+    token = world.read(a)
+    world.play(world.at + 100 * MS)
+    assert token not in world.outcomes
+    for other in (b, c):
+        cut(world, a, other, -1)
+    until(world, lambda: token in world.outcomes)
+    assert world.outcomes[token] == Refused(token, Refusal.NOT_LEADER)
+
+
+def deaf_follower(make=Core):
+    """Who doesn't hear the leader, and is heard by all, changes nothing: not while it is so, nor when it is over."""
+    world, (a, b, c) = led(make)
+    term = a.core.term
+    world.cut([(a.name, b.name)], 1)
+    until(world, lambda: b.core.role is not Role.FOLLOWER)
+    world.play(world.at + 300 * MS)
+    world.cut([(a.name, b.name)], -1)
+    world.play(world.at + 300 * MS)
+    assert [s.core.term for s in (a, b, c)] == [term] * 3 and world.leader() is a.core
+
+
+def removed_voter(make=Core):
+    """Who was removed and doesn't know it does not disturb (diss. 4.2.3), nor does its later term."""
+    world, (a, b, c) = led(make)
+    term = a.core.term
+    cut(world, a, b)
+    world.ask(a, lambda token: api.Change(token, tuple(m for m in a.core.members if m.id != b.id)))
+    world.play(world.at + 20 * MS)
+    world.crash(b)
+    b.disk.hard = api.Hard(term + 1, b.id)  # as if it had stood
+    world.start(b)
+    cut(world, a, b, -1)
+    world.play(world.at + 500 * MS)
+    assert b.core.role is not Role.OUT and (c.core.leader, c.core.term) == (a.id, term) == (a.id, a.core.term)
+
+
+def cut_members(make=Core):
+    """Members of an entry that was cut are in force no more."""
+    world, (a, b, c) = led(make)
+    before = a.core.members
+    for other in (b, c):
+        cut(world, a, other)
+    token = world.ask(a, lambda token: api.Change(token, before[:2]))
+    assert a.core.members == before[:2]
+    until(world, lambda: world.leader() not in (None, a.core))
+    for other in (b, c):
+        cut(world, a, other, -1)
+    until(world, world.well)
+    assert a.core.members == before and world.outcomes[token] == Refused(token, Refusal.LOST)
+
+
+def two_snapshots(make=Core):
+    """Pieces of two leaders' snapshots of one index don't go together, and what is held already is not taken again."""
+    core = make("b", api.Kept(), Timing(), Random(1), 0)
+    members = (Member("a", "a", ""), Member("b", "b", ""))
+
+    def piece(sender, term, at, data, index=5):
+        head = {"sender": sender, "to": "b", "term": term, "index_term": 1, "members": members, "size": 4, "round": 1}
+        return core.step(0, api.Heard(api.Piece(**head, index=index, at=at, data=data)))
+
+    def upto(actions):
+        return [a.message.upto for a in actions if isinstance(a, api.Say)]
+
+    assert upto(piece("a", 2, 0, b"AA")) == [2] == upto(piece("a", 2, 0, b"AA"))
+    assert upto(piece("c", 3, 2, b"CC")) == [0]
+    assert upto(piece("c", 3, 0, b"CC")) == [2]
+    actions = piece("c", 3, 2, b"CC")
+    assert [a.snapshot.data for a in actions if isinstance(a, api.Restore)] == [b"CCCC"]
+    keep, say = (next(a for a in actions if isinstance(a, kind)) for kind in (api.Keep, api.Say))
+    assert say.after == keep.batch and keep.all_gone and say.message.upto == 4
+    again = piece("c", 3, 0, b"CC", index=4)
+    assert upto(again) == [4] and not any(isinstance(a, (api.Keep, api.Restore)) for a in again)
+
+
+@pytest.mark.parametrize("script", [figure_eight, stale_read, deaf_follower, removed_voter, cut_members, two_snapshots])
+def test_scripts(script):
+    script()
+
+
+# ---- what it does ------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("seats", [1, 2, 3, 5])
+def test_founds_leads_writes_and_reads(seats):
+    world, (a, *others) = led(seats=seats)
+    outcomes = written(world, a, 20)
+    assert [type(o) for o in outcomes] == [api.Done] * 20
+    assert [o.index for o in outcomes] == list(range(outcomes[0].index, outcomes[0].index + 20))
+    token = world.read(a)
+    until(world, lambda: token in world.outcomes)
+    assert world.outcomes[token] == api.Done(token, outcomes[-1].index)
+    for other in others:
+        assert written(world, other)[0].why is Refusal.NOT_LEADER
+    for seat in world.seats.values():
+        world.crash(seat)
+        world.start(seat)
+    until(world, lambda: world.leader() and world.well())
+
+
+def test_hand_over_takes_no_election_and_loses_no_write():
+    world, (a, *_) = led()
+    tokens = [world.write(a) for _ in range(10)]
+    began = world.at
+    world.event(a, a.core, api.HandOver())
+    late = world.write(a)
+    assert world.outcomes[late].why is Refusal.BUSY
+    until(world, lambda: world.leader() not in (None, a.core))
+    assert world.at - began < 20 * MS and all(type(world.outcomes[t]) is api.Done for t in tokens)
+
+
+def test_hand_over_to_nobody_is_given_up():
+    world, (a, b, c) = led()
+    for _ in range(5):
+        world.write(a)
+    cut(world, a, b)
+    cut(world, a, c)
+    world.event(a, a.core, api.HandOver())
+    cut(world, a, b, -1)
+    cut(world, a, c, -1)
+    a.core._hand_to = "nobody"
+    world.play(world.at + 100 * MS)
+    assert type(written(world, a)[0]) is api.Done
+
+
+def test_a_leader_that_removes_itself_ends_once_that_is_committed():
+    world, (a, *_) = led()
+    token = world.ask(a, lambda token: api.Change(token, tuple(m for m in a.core.members if m.id != a.id)))
+    world.wanted.discard(a.name)
+    until(world, lambda: token in world.outcomes)
+    assert type(world.outcomes[token]) is api.Done and a.core.role is Role.OUT
+    began = world.at
+    until(world, world.well)
+    assert world.at - began < 40 * MS, "it told another to lead"
+    world.play(world.at + 500 * MS)
+    assert a.core.role is Role.OUT and max(world.oracle.leaders) == world.leader().term
+
+
+def test_a_wiped_disk_comes_back_as_another_member_by_way_of_a_learner():
+    world, (a, b, _) = led()
+    written(world, a, 30)
+    world._wipe_trouble(b, 50 * MS)
+    until(world, lambda: b.core is not None)
+    assert b.core.role is Role.OUT and not b.core.members
+    seen = set()
+    world.later(0, world.administer)
+    until(world, lambda: seen.add(b.core.role) or seen.add(b.id in a.core._ids - a.core.voters) or world.well())
+    assert seen >= {Role.OUT, Role.FOLLOWER, True} and b.id in a.core.voters and b.id.endswith(".2")
+
+
+def test_changes_that_are_not_one_step_are_refused():
+    world, (a, b, c) = led()
+    core, members = a.core, a.core.members
+    learners = tuple(Member(f"x{i}", f"x{i}", "", False) for i in range(14))
+    for unfit in ((), members[:1], (*members, members[0]), (*members, Member("d", b.name, "")), (*members, *learners)):
+        assert core.step(core._now, api.Change(1, unfit)) == [Refused(1, Refusal.UNFIT)]
+    more = (*members, *learners[:1])
+    taken = core.step(core._now, api.Change(2, more))
+    assert any(isinstance(a, api.Keep) for a in taken) and core.members == more  # in force at once
+    assert core.step(core._now, api.Change(3, members)) == [Refused(3, Refusal.BUSY)]
+    busy = [core.step(core._now, api.Write(10 + i, b"")) for i in range(50)]
+    assert busy[-1] == [Refused(59, Refusal.BUSY)]
+    ended = core.step(core._now, api.Broken("gone"))
+    assert {r.why for r in ended if isinstance(r, Refused)} == {Refusal.LOST}
+    assert not any(isinstance(a, api.Say) for a in ended) and core.role is Role.OUT and core.next_at == NEVER
+    assert core.step(core._now, api.Write(99, b"")) == [Refused(99, Refusal.NOT_LEADER)]
+    core.check()
+
+
+def test_a_member_far_behind_gets_10_000_entries_quickly():
+    timing = Timing(10 * MS, 50 * MS, log_entries=1 << 30)
+    world, (a, b, _) = led(timing=timing, check=1 << 30)
+    world.crash(b)
+    for _ in range(10):
+        tokens = [world.write(a) for _ in range(1000)]
+        until(world, lambda tokens=tokens: tokens[-1] in world.outcomes)
+    world.start(b)
+    began, real = world.at, time.perf_counter()
+    until(world, lambda: b.core.applied == a.core.last_index >= 10_000)
+    assert world.at - began < 200 * MS and time.perf_counter() - real < 5
+
+
+def test_a_snapshot_goes_in_pieces_while_writes_go_on_and_memory_stays_bounded():
+    world, (a, b, _) = led(seats=3, sync=200_000)
+    world.crash(b)
+    written(world, a, 100)
+    world.start(b)
+    said, most = [], 0
+    send = world._send
+    world._send = lambda source, m: (said.append(m), send(source, m))
+    for _ in range(200):
+        written(world, a)
+        most = max(most, a.core.last_index - a.core.first_index, b.core.last_index - b.core.first_index)
+    pieces = [m for m in said if isinstance(m, api.Piece)]
+    assert len({m.at for m in pieces}) > 2 and max(len(m.data) for m in pieces) <= world.plan.timing.piece_bytes
+    assert len({m.index for m in pieces}) == 1, "one snapshot was enough, and the log went on from there"
+    assert b.core.applied >= a.core.last_index - 5 and most < 5 * world.plan.timing.log_entries
+    until(world, world.well)
+
+
+def test_views_for_the_socket_side():
+    world, (a, b, c) = led()
+    written(world, a, 3)
+    world.crash(c)
+    world.play(world.at + 200 * MS)
+    now = a.clock(world.at)
+    assert a.core.match(b.id) == a.core.last_index == a.core.match(a.id) and a.core.match("nobody") == 0
+    assert now - a.core.heard_from(b.id) < 20 * MS < 150 * MS < now - a.core.heard_from(c.id)
+    assert 0 <= now - a.core.quorum_heard_at < 20 * MS and now <= a.core.next_at <= now + 10 * MS
+    assert 0 <= b.clock(world.at) - b.core.quorum_heard_at < 20 * MS
+
+
+def test_a_step_costs_little():
+    world, (a, b, c) = led(check=1 << 30)
+    for _ in range(5):
+        began, steps = time.process_time(), world.steps
+        tokens = [world.write(a) for _ in range(30)]
+        until(world, lambda tokens=tokens: tokens[-1] in world.outcomes)
+        each = (time.process_time() - began) / (world.steps - steps)
+        if each < 200e-6:
+            return
+    raise AssertionError(f"{each * 1e6:.0f} us a step, the world around it included")
+
+
+# ---- runs from seeds, and every order ----------------------------------------------------------------
+
+
+def runs(make=Core, seeds=range(160), same_id=False):
+    for seed in seeds:
+        World(seed, make=make, same_id=same_id).run()
+
+
+def walk(make=Timeless, depth=7, left=ALL, same_id=False):
+    return Walk(make, left, same_id=same_id).run(depth)
+
+
+def test_runs_with_troubles_break_nothing():
+    runs()
+
+
+def test_a_seed_decides_all():
+    assert [(w.steps, w.promises, w.faults) for w in (World(5).run(), World(5).run())][::-1] == [
+        (w.steps, w.promises, w.faults) for w in (World(5).run(), World(5).run())
+    ]
+
+
+def test_every_order_in_small_sizes_breaks_nothing():
+    seen = walk()
+    assert (seen.depth, seen.states) == (7, 51841) and seen.promises > 300
+    changes = walk(left=Left(1, 1, 0, 0, 0, 2), depth=8)
+    assert changes.states > 10_000 and changes.promises > 100
+
+
+# ---- guarantees broken on purpose --------------------------------------------------------------------
+
+
+def kept(change):
+    return {"_flushed": lambda b: lambda s: [change(a) if isinstance(a, api.Keep) else a for a in b._flushed(s)]}
+
+
+def answers_for_any(base):
+    def heard(self, event):
+        me, self.me = self.me, event.message.to
+        getattr(self, _HEARD[type(event.message)])(event.message)
+        self.me = me
+
+    return heard
+
+
+def counts_any(base):
+    def count(self):
+        best = max([self.stable_index, *(p.match for p in self._voting)])
+        if best > self.commit and self._own_term(best):
+            self._commit_to(best)
+
+    return count
+
+
+def confirms_at_once(base):
+    def confirm(self):
+        while self._reads and self._reads[0][1] <= self.commit:
+            _, index, token = self._reads.popleft()
+            self._out.append(api.Done(token, index))
+
+    return confirm
+
+
+def reads_before_own(base):
+    def read(self, event):
+        own, self._own_from = self._own_from, 0
+        base._read(self, event)
+        self._own_from = own
+
+    return read
+
+
+def lies_of_the_lost(base):
+    def give_back(self, reads):
+        self._out += [Refused(token, Refusal.NOT_LEADER) for _, token in self._owed]
+        self._owed.clear()
+        base._give_back(self, reads)
+
+    return give_back
+
+
+def commits_what_it_has(base):
+    def heard(self, m):
+        base._append_heard(self, m)
+        if m.term == self.term and self.commit < min(m.commit, self.last_index):
+            self._commit_to(min(m.commit, self.last_index))
+
+    return heard
+
+
+def votes_again(base):
+    def ask_vote(self, m):
+        if not m.pre and m.term == self.term:
+            self.vote = ""
+        base._ask_vote(self, m)
+
+    return ask_vote
+
+
+def takes_pieces_of_any(base):
+    def heard(self, m):
+        if self._incoming is not None:
+            self._incoming.key = (m.sender, m.term, m.index, m.size)
+        base._piece_heard(self, m)
+
+    def follow(self, term, leader):
+        incoming = self._incoming
+        base._follow(self, term, leader)
+        self._incoming = incoming
+
+    return {"_piece_heard": heard, "_follow": follow}
+
+
+def takes_old_snapshots(base):
+    def heard(self, m):
+        self.commit = min(self.commit, m.index - 1)
+        base._piece_heard(self, m)
+
+    return heard
+
+
+def keeps_members_that_were_cut(base):
+    def cut_from(self, index):
+        configs = self._configs[:]
+        base._cut_from(self, index)
+        self._configs, self.members = configs, configs[-1][1]
+
+    return cut_from
+
+
+def hears_anyone(base):
+    def answered(self, m):
+        if m.term > self.term:
+            self._follow(m.term, "")
+        return base._answered(self, m)
+
+    return answered
+
+
+def leads_though_removed(base):
+    def commit_to(self, index):
+        ids, self._ids = self._ids, self._ids | {self.me}
+        base._commit_to(self, index)
+        self._ids = ids
+
+    return commit_to
+
+
+def feeds_no_snapshot(base):
+    """The member whose missing entries were let go while its window was full is told of entry 0 for ever."""
+
+    def beat(self):
+        full = [p for p in self._peers.values() if p.sending is None and p.next <= self._base]
+        for p in full:
+            p.sending, p.moved = api.Snapshot(1, 1, (), b""), True
+        base._beat(self)
+        for p in full:
+            p.sending = None
+
+    return beat
+
+
+def runs_of(kind, count):
+    """The seeds of one kind of plan."""
+    return lambda make, same_id=False: runs(make, range(kind, 8 * count, 8), same_id)
+
+
+def some(make, same_id=False):
+    runs(make, range(48), same_id)
+
+
+BROKEN = {  # what is broken: how, and what finds it
+    "the vote is not kept": (kept(lambda k: replaced(k, hard=k.hard and replaced(k.hard, vote=""))), some, walk),
+    "the term is not kept": (kept(lambda k: replaced(k, hard=None)), some, walk),
+    "a cut is not kept": (kept(lambda k: replaced(k, cut=None)), runs_of(3, 20)),
+    "OK before a majority has it": ({"_count": counts_any}, some, walk),
+    "the leader counts itself before it is stable": ({"_own_match": lambda b: lambda s: s.last_index}, some, walk),
+    "an entry of an old term is counted": ({"_own_term": lambda b: lambda s, i: True}, figure_eight),
+    "any log is up to date": ({"_up_to_date": lambda b: lambda s, m: True}, some, walk),
+    "two votes in a term": ({"_ask_vote": votes_again}, some, walk),
+    "messages for another id are answered": ({"_heard": answers_for_any}, some, walk),
+    "a wiped disk comes back under its id": ({}, some, walk),
+    "a stale leader answers reads": ({"_confirm": confirms_at_once}, stale_read),
+    "reads before an entry of the own term": ({"_read": reads_before_own}, some),
+    "any change of members is taken": ({"_unfit": lambda b: lambda s, m: None}, some),
+    "two changes at once": ({"settled": lambda b: property(lambda s: s.commit >= s._own_from)}, some),
+    "a change before the own term": ({"settled": lambda b: property(lambda s: s.commit >= s._configs[-1][0])}, some),
+    "members that were cut stay": ({"_cut_from": keeps_members_that_were_cut}, cut_members),
+    "a follower answers before it is stable": ({"_covers": lambda b: lambda s, i: 0}, some, walk),
+    "no pre-vote": ({"_ask": lambda b: lambda s: s._stand(False)}, deaf_follower, runs_of(0, 10)),
+    "no stickiness": ({"_sticky": lambda b: lambda s: False}, deaf_follower),
+    "anyone's later term is heard": ({"_answered": hears_anyone}, removed_voter),
+    "a stalled leader goes on": ({"_check_quorum": lambda b: lambda s: setattr(s, "_quorum_until", NEVER)}, some),
+    "what may be committed is called nothing": ({"_give_back": lies_of_the_lost}, some),
+    "a follower commits what did not match": ({"_append_heard": commits_what_it_has}, runs_of(3, 20)),
+    "a removed leader goes on": ({"_commit_to": leads_though_removed}, some),
+    "pieces of two snapshots go together": (takes_pieces_of_any, two_snapshots),
+    "an older snapshot is taken in": ({"_piece_heard": takes_old_snapshots}, two_snapshots, some),
+    "what was let go is never sent": ({"_beat": feeds_no_snapshot}, runs_of(2, 40)),
+}
+
+
+def broken(base, patch):
+    patch = patch(base) if callable(patch) else {name: made(base) for name, made in patch.items()}
+    return type("Broken", (base,), patch)
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_what_is_broken_on_purpose_is_found(name):
+    patch, *finders = BROKEN[name]
+    for finder in finders:
+        make = broken(Timeless if finder is walk else Core, patch)
+        same_id = {"same_id": True} if patch == {} else {}
+        with pytest.raises((Breach, AssertionError)):
+            finder(make, **same_id)
