--- a/tests/test_partner_sites.py
+++ b/tests/test_partner_sites.py
@@ -2,12 +2,14 @@
 
 import http.client
 import socket
+import subprocess
+import sys
 import time
 import unittest
 
 import msgspec
 from partner_scene import Site, Toy, ask, mark, row, services
-from scene import Party, entry, ok, reply
+from scene import ROOT, Party, entry, ok, reply
 
 HOLD, GONE = 3, 1.5
 SLACK = 3  # of a loaded machine
@@ -56,6 +58,7 @@
         site.knows("trondheim", trondheim.address)
         site.offers(row("own@shop", terms={"show": {"only": ["trondheim"]}}))
         site.begin()
+        begun = time.monotonic()
         follower, address = site.sidecars["f0"], site.listens["n0"]
         site.all(lambda s: site.standing(s, "bergen") == "fresh" and site.routes(s)["used"] == "2")
         self.assertEqual([len(site.asks("bergen")), len(bergen.lives())], [1, 1], "one asks for all")
@@ -68,8 +71,10 @@
         # News reach all; what was passed on against its own terms is found out by them, with who did it.
         leak = row("leak@shop", path=["bergen", "kirkenes"], terms={"show": {"only": ["oslo"]}})
         secret = row("secret@shop", path=["bergen", "kirkenes"], terms={"passes": 0})
+        at = time.monotonic()
         bergen.put(mine, leak, secret, row("old@shop", terms={"until": 1}))
         site.all(lambda s: site.routes(s)["left"] == "expired:1,leaked:2")
+        print(f"a change seen at all four within {time.monotonic() - at:.2f} s")
         self.assertIn("left=bergen: leaked by kirkenes", follower.call("ROUTES leak@shop"))
         self.assertIn("left=bergen: leaked by bergen", follower.call("ROUTES secret@shop"))
         self.assertEqual({r["by"] for r in follower.logged("partners.leaked")}, {"bergen", "kirkenes"})
@@ -98,6 +103,11 @@
         site.wait(lambda: follower.invoke() == 200)
         self.assertEqual(len(gate.seen), before)
 
+        # Only news are written: that it answers, and answers, is a note in two seconds at most.
+        asks, before = len(bergen.asks), [key for _, key, _, _ in site.fenced("partner:bergen")].count("note")
+        self.assertLessEqual(before, (time.monotonic() - begun) / 2 + 2)
+        self.assertGreater(asks, 2 * before)
+
         # Told to end, who asks lets go at once, and another goes on with what is held.
         (first,) = site.asks("bergen")
         at = time.monotonic()
@@ -296,6 +306,14 @@
         self.assertEqual((mark(answer), answer["snapshot"]), (held, False))
 
 
+    def test_the_example_of_two_sites_shows_the_terms_at_work_and_ends(self):
+        program = [sys.executable, str(ROOT / "examples" / "two-sites" / "run.py")]
+        done = subprocess.run(program, capture_output=True, text=True, timeout=120)
+        self.assertEqual((done.returncode, done.stderr), (0, ""), done.stdout)
+        for line in ("bergen's serves at oslo-n2: after", "a request at oslo is answered: 503", "it serves: after"):
+            self.assertIn(line, done.stdout)
+
+
 def index_of(answer):
     return answer["epoch"], answer["index"]
 
