Begin no cluster where files of a voter were set aside

Need: a voter whose files can't be trusted sets them aside and begins with an empty disk. Where this happened to all at once (a damaged image, or an older build put back after one that writes another version), all were empty, and the first began a cluster with nothing in it: what had been promised was undone without a word of an operator. Change: a folder with anything set aside counts as one that may have promised; its member waits for a leader, and says that all folders are to be emptied only where the copies are gone. Result: a test damages the disk of a member whose others answer that they are empty; it founded before, and waits now.

--- a/loftweir/replication/disk.py
+++ b/loftweir/replication/disk.py
@@ -76,6 +76,7 @@
 
     def __init__(self, folder: Folder, found: Found, segment_bytes: int) -> None:
         self.member = found.tape.identity.member
+        self.lost = folder.lost()
         self.failure: StorageFailed | None = None  # set before its `Broken` is told
         self._folder = folder
         self._writer = _Writer(folder, found, segment_bytes)
--- a/loftweir/replication/folder.py
+++ b/loftweir/replication/folder.py
@@ -179,6 +179,10 @@
         names = set(self.own())
         return not names or (IDENTITY + NEW in names and names <= BEGINNING)
 
+    def lost(self) -> bool:
+        """Whether files were set aside here, by any process: something may have been promised by them."""
+        return any(name.startswith(ASIDE) for name in os.listdir(self.path))
+
     def set_aside(self) -> Path:
         """All files into a folder beside them. Where a crash ends that midway, the rest is set aside at the next start,
         for each of the files is missed when it is gone."""
--- a/loftweir/replication/joining.py
+++ b/loftweir/replication/joining.py
@@ -22,6 +22,11 @@
 LONG = 4  # election timeouts without a leader, after which a member asks whether it still is one
 SILENT_FOR = 3 * SECOND  # from the start, before waiting is worth a line
 
+LOST = (
+    "files were set aside here, and no leader is known: it begins nothing, as more may have been promised; look at the "
+    "other members, and only where the copies are gone empty all folders, this one too"
+)
+
 
 class Joining:
     def __init__(self, loop: Loop, voter: Voter, still: Callable[[], bool]) -> None:
@@ -71,7 +76,7 @@
         answers = yield from self._ask_all()
         if not self.still():
             return False
-        if not voter.begun:
+        if not voter.begun and not voter.lost:
             members = tuple(founders(self.own, min(voter.seats), voter.seats, answers))
             if members:
                 say(REPLICATION_BEGUN, id=voter.me, members=[m.name for m in members])
@@ -93,7 +98,8 @@
                     return True
                 say(REPLICATION_WAITS, why=f"{name}: {joined.why}")
         if not leaders and self.loop.now() > self.begun_at + SILENT_FOR:
-            say(REPLICATION_WAITS, why=waits_for(voter.name, min(voter.seats), voter.seats, answers))
+            why = waits_for(voter.name, min(voter.seats), voter.seats, answers)
+            say(REPLICATION_WAITS, why=LOST if voter.lost else why)
         return False
 
     def _join(self) -> Join:
--- a/loftweir/replication/member.py
+++ b/loftweir/replication/member.py
@@ -90,6 +90,7 @@
         self.machine = Machine()
         self.keeper = Keeper()
         self.begun = kept != Kept()  # something was kept, or is asked to be, ever
+        self.lost = self.disk.lost  # ... or may have been, by files that were set aside
         self.founding: Kept | None = None  # asked to be kept, and not yet stable
         self.over = False
         self.stable = 0  # the last batch that is
@@ -306,7 +307,7 @@
 
     def found(self, members: tuple[Member, ...]) -> None:
         """Begins the cluster, where nothing was kept here yet: stable first, then in force."""
-        if not self.begun:
+        if not self.begun and not self.lost:
             self.founding = begun(members)
             self._keep(Keep(FOUNDS, self.founding.hard, None, self.founding.entries))
 
@@ -354,7 +355,7 @@
 
     def am(self, names: tuple[str, ...]) -> Am:
         agrees = sorted(names) == sorted(self.seats)
-        empty = agrees and not self.begun and not self.over
+        empty = agrees and not (self.begun or self.lost or self.over)
         return Am(empty, agrees, self.seats[self.name], *self.leader(), self.core.members)
 
     def news(self, after: int) -> News:
--- a/tests/test_replication_member.py
+++ b/tests/test_replication_member.py
@@ -179,3 +179,19 @@
     place.vote()
     found = run(place.loop, place.part.do(Call(Say.FLEET_DISABLE, "s0")))
     assert isinstance(found, No) and str(found).startswith("OutcomeUnknown: ") and "Ask `FLEET`" in str(found)
+
+
+def test_whose_files_were_set_aside_begins_no_cluster_and_is_none_to_begin_with(place, tmp_path):
+    """All disks damaged at once, or written by a later version, must not end in copies that are empty."""
+    for toy in place.toys.values():
+        toy.answer = lambda frame, at=toy.address: Am(True, True, at, "", "", ()) if isinstance(frame, Who) else None
+    begun = place.vote()
+    assert until(place.loop, lambda: begun.begun), "all are empty"
+    place.part.close()
+    (tmp_path / "copies" / "identity").write_bytes(b"?")
+    for _ in range(2):  # the next start finds files that are whole
+        place.part = Part(place.loop, "n0", place.part.options, lambda words, whole: None)
+        voter = place.vote()
+        place.rest(600 * MS)
+        assert voter.me != begun.me and not voter.begun and not voter.am(tuple(voter.seats)).empty
+        place.part.close()
