Take a member in again that was removed while it was down; believe only committed removals

Need: a voter that was taken out while it was down finds itself on its own disk as a voter. It heard from the leader that it was out, ended its part, and did so again at every start: the remedy that it named, to start it again, led nowhere. And it believed a leader whose removal of it was not committed: where that leader fell, the member was still counted, and gone. Change: what a process may be taken out of is the place in which it found itself; 'Am' says whether its members are committed.

--- a/loftweir/replication/joining.py
+++ b/loftweir/replication/joining.py
@@ -39,6 +39,7 @@
         self.random = Random(f"{voter.me} joining")
         self.begun_at = loop.now()
         self.joins = False
+        self.voted = False  # it was found in its place, in the life of this process: the disk alone does not tell
         self.task: Task = loop.spawn(self._run(), self._crashed)
 
     def _crashed(self, _: Exception) -> None:
@@ -67,6 +68,7 @@
         if self.joins:
             self.joins = False
             say(REPLICATION_JOINED, id=voter.me, leader=voter.leader()[0])
+        self.voted = self.voted or age is not None
         away = age if age is not None else self.loop.now() - self.begun_at
         return away < LONG * voter.options.election
 
@@ -82,12 +84,12 @@
                 say(REPLICATION_BEGUN, id=voter.me, members=[m.name for m in members])
                 voter.found(members)
                 return True
-        for name, (_, am) in answers.items():
-            if am.leader == name and voter.voted and all(m.id != voter.me for m in am.members):
-                voter.end(Removed(f"{name} leads, and its members are without {voter.me}", voter.name))
-                return False
+        without = [n for n, (_, am) in answers.items() if am.sure and all(m.id != voter.me for m in am.members)]
+        if without and self.voted:
+            voter.end(Removed(f"{without[0]} leads, and its members are without {voter.me}", voter.name))
+            return False
         own = voter.member(voter.me)
-        if own is not None and own.votes and own.address == self.own.address:
+        if not without and own is not None and own.votes and own.address == self.own.address:
             return False
         leaders = {am.leader: am.address for _, am in answers.values() if am.leader not in ("", voter.name)}
         for name, address in leaders.items():
--- a/loftweir/replication/member.py
+++ b/loftweir/replication/member.py
@@ -105,7 +105,6 @@
         self.told_index = 0
         self.known_at = 0  # when it last knew a leader with a majority, itself or another; 0: never
         self.led = (0, 0)  # the term that it led last, and when it began to
-        self.voted = False  # it has been one of the voters, in the life of this process
         self.hello = Hello(VERSION, options.cluster, self.me, name, Who.MEMBER)
         self.ticker: Task = loop.spawn(self._tick(), self._crashed, urgent=True)
         self.reader: Task = loop.spawn(self._read_disk(), self._crashed, urgent=True)
@@ -264,7 +263,6 @@
             self.keeper.lost()
         elif self.led[0] != action.term:
             self.led = action.term, self.loop.now()
-        own = next((m for m in action.members if m.id == self.me), None)
         say(
             REPLICATION_ROLE,
             role=action.role.value,
@@ -273,7 +271,6 @@
             members=[m.name if m.votes else f"{m.name} (learns)" for m in action.members],
             id=self.me,
         )
-        self.voted = self.voted or (own is not None and own.votes)
         known, now = {m.id for m in action.members}, self.loop.now()
         for id, link in list(self.links.items()):
             if id not in known and link.said_at < now - LINK_UNUSED:
@@ -356,7 +353,7 @@
     def am(self, names: tuple[str, ...]) -> Am:
         agrees = sorted(names) == sorted(self.seats)
         empty = agrees and not (self.begun or self.lost or self.over)
-        return Am(empty, agrees, self.seats[self.name], *self.leader(), self.core.members)
+        return Am(empty, agrees, self.seats[self.name], *self.leader(), self.core.members, self.core.settled)
 
     def news(self, after: int) -> News:
         """What a follower that has all up to `after` lacks."""
--- a/loftweir/replication/wire.py
+++ b/loftweir/replication/wire.py
@@ -91,6 +91,7 @@
     leader: str  # a name; empty: not known
     address: str  # of the leader, as the members have it
     members: tuple[Member, ...]
+    sure: bool = False  # it leads, and its members are committed: none of them may come back to what was before
 
 
 class Join(Value, frozen=True, tag="join"):
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -223,3 +223,17 @@
         self.assertEqual(old.wait(10), 0)
         self.assertEqual(len({record["id"] for record in leader.logged("replication.opened")}), 1)
         self.assertTrue(eventually(lambda: leader.call("FLEET-ENABLE s0").startswith("OK")))
+
+
+class RemovedTest(FleetScene):
+    def test_who_was_taken_out_while_it_was_down_is_taken_in_again_by_its_next_start(self):
+        sidecars = self.fleet(followers=0)
+        self.begin()
+        out = [s for s in sidecars.values() if s is not self.leader()][0]
+        out.kill()
+        leader = self.leader()
+        self.wait(lambda: leader.call(f"FLEET-REMOVE {out.name}") == "OK removed")
+        out.start()  # its disk says that it votes
+        self.wait(lambda: out.logged("replication.joined"), 20)
+        self.assertEqual(out.stands()["role"], "follower")
+        self.assertEqual(out.logged("replication.ended"), [])
--- a/tests/test_replication_member.py
+++ b/tests/test_replication_member.py
@@ -16,7 +16,7 @@
 from loftweir.replication.api import AskVote, Member, Role, Tick, Vote
 from loftweir.replication.line import dial
 from loftweir.replication.machine import Order, Word, written
-from loftweir.replication.member import MemberBroken
+from loftweir.replication.member import MemberBroken, Removed
 from loftweir.replication.part import Part
 from loftweir.replication.wire import Am, Ask, Hello, Kind, Submit, Turned, Who, Why, WordOf
 
@@ -195,3 +195,14 @@
         place.rest(600 * MS)
         assert voter.me != begun.me and not voter.begun and not voter.am(tuple(voter.seats)).empty
         place.part.close()
+
+
+def test_only_a_leader_whose_members_are_committed_takes_a_voter_out(place):
+    voter, ended = place.vote(), []
+    voter.ended, voter.begun, place.part.joining.voted = ended.append, True, True
+    said = Am(False, True, "127.0.0.1:1", "n1", "", (Member("id-n1", "n1", "127.0.0.1:1"),))
+    place.toys["n1"].answer = lambda frame: said if isinstance(frame, Who) else None
+    place.rest(800 * MS)
+    assert not ended
+    said = msgspec.structs.replace(said, sure=True)
+    assert until(place.loop, lambda: ended) and isinstance(ended[0], Removed)
