Refuse FLEET-REMOVE of a member without whom no majority is up

Need: with one of three members down, FLEET-REMOVE of the live one was in force at once in the leader's log, could not be committed, and no word to the fleet was taken any more until the one that was down came back. Change: the leader counts the voters that would be left and that it heard from in the last election timeout. Result: a test of three members on one loop removes the live one of two: refused with the reason; the dead one goes.

--- a/loftweir/replication/member.py
+++ b/loftweir/replication/member.py
@@ -345,6 +345,10 @@
         now, election = self.loop.now(), self.options.election
         return id == self.me or max(self.core.heard_from(id), self.led[1] + election) > now - election
 
+    def near(self, id: str) -> bool:
+        """Whether a leader heard from a member in the last election timeout."""
+        return id == self.me or self.core.heard_from(id) > self.loop.now() - self.options.election
+
     def behind(self, id: str) -> int:
         """How many committed entries a member is not known to have."""
         match = self.core.match(id)
--- a/loftweir/replication/reception.py
+++ b/loftweir/replication/reception.py
@@ -269,6 +269,12 @@
         if left == members and self.voter.leads():
             line.put(Outcome(frame.token, How.UNFIT, 0, f"no member has the name {frame.name}".encode()))
             return
+        voting = [m for m in left if m.votes]
+        up = [m.name for m in voting if self.voter.near(m.id)]
+        if self.voter.leads() and len(up) <= len(voting) // 2:  # it would not even come to hold
+            why = f"without {frame.name} there is no majority: of {len(voting)} voters only {', '.join(up)} would be up"
+            line.put(Outcome(frame.token, How.UNFIT, 0, why.encode()))
+            return
         self.voter.change(left, self._outcome(line, frame.token))
 
     def _submit(self, line: Line, frame: Submit) -> None:
--- a/tests/test_replication_member.py
+++ b/tests/test_replication_member.py
@@ -206,3 +206,64 @@
     assert not ended
     said = msgspec.structs.replace(said, sure=True)
     assert until(place.loop, lambda: ended) and isinstance(ended[0], Removed)
+
+
+class Trio:
+    """Three parts that vote, on one loop; a cut one hears and says nothing to the others."""
+
+    def __init__(self, folder, **more):
+        self.loop, seats = Loop(), {}
+        for name in ("n0", "n1", "n2"):
+            with listener() as free:
+                seats[name] = address_of(free)
+        members = ", ".join(f"{n}={a}" for n, a in seats.items())
+        self.options = Replication(members=members, election=400 * MS, beat=40 * MS, **more)
+        self.parts = {n: self.part(n, folder / n) for n in seats}
+
+    def part(self, name, folder):
+        part = Part(self.loop, name, msgspec.structs.replace(self.options, folder=str(folder)), lambda *_: None)
+        part.start()
+        return part
+
+    def leader(self):
+        assert until(self.loop, lambda: [p for p in self.parts.values() if p.voter and p.voter.core.settled])
+        return next(p for p in self.parts.values() if p.voter and p.voter.core.settled)
+
+    def others(self, part):
+        return [p for p in self.parts.values() if p is not part]
+
+    def do(self, part, word, id):
+        return run(self.loop, part.do(Call(word, id)))
+
+    def close(self):
+        for part in self.parts.values():
+            part.close()
+
+
+@pytest.fixture
+def trio(tmp_path, monkeypatch):
+    monkeypatch.delenv("TMPDIR", raising=False)
+    made = Trio(tmp_path)
+    yield made
+    made.close()
+
+
+def test_none_is_removed_without_whom_there_is_no_majority(trio):
+    leader = trio.leader()
+    dead, alive = trio.others(leader)
+    assert str(trio.do(alive, Say.FLEET_DISABLE, "s0")).startswith("disabled")
+    dead.close()
+    assert until(trio.loop, lambda: not leader.voter.lately(dead.id) and leader.voter.leads())
+    run_for(trio.loop, SECOND)
+    found = trio.do(alive, Say.FLEET_REMOVE, alive.name)
+    assert isinstance(found, No) and "NotTaken" in str(found) and "majority" in str(found)
+    assert str(trio.do(alive, Say.FLEET_DISABLE, "s1")).startswith("disabled"), "there still is one"
+    assert trio.do(alive, Say.FLEET_REMOVE, dead.name) == "removed"
+    assert str(trio.do(leader, Say.FLEET_DISABLE, "s2")).startswith("disabled")
+
+
+def run_for(loop, time):
+    def wait():
+        yield Wait(None, 0, loop.now() + time)
+
+    run(loop, wait())
