Bound what a voter holds for its lines: answers one by one, lines of members too

Need: who sent many questions at once without reading had all of them answered in one step of the loop (500 calls for news: 8 MB held, and the work of all 500); connections that said they were members were not bounded at all, nor the names and links kept for them, each taking a descriptor from the clients; of a listed sidecar a fifth line was turned away, which two processes of it need in an upgrade; a line parked for longer than 30 s was closed with its news. Change: the next question is taken once the answer has gone out; two lines of members for each name and eight for all that nobody lists, the oldest goes; 32 links; eight lines of a listed sidecar, the oldest goes. Result: of those 500 a few are answered and one is held, until they are read; each bound has a test that failed before.

--- a/loftweir/replication/line.py
+++ b/loftweir/replication/line.py
@@ -135,6 +135,16 @@
                 raise ConnectionError("ended")
             self.reader.feed(data)
 
+    def taken(self, until: int) -> Coroutine[None]:
+        """Until the other side's kernel has taken all that was put; one of `Broken` where it doesn't in time."""
+        while self.out and not self.over:
+            self.told_to_write = True
+            events = yield Wait(self.sock, WRITABLE, until)
+            self.told_to_write = False
+            if events == 0:
+                raise TookTooLong
+            self._flush()
+
     def greeting(self, until: int) -> Coroutine[Hello]:
         """The other side's first frame; `TurnedAway` where that says no, or says something else."""
         frame = yield from self.next(until)
--- a/loftweir/replication/member.py
+++ b/loftweir/replication/member.py
@@ -52,6 +52,7 @@
 FOUNDS = 0  # the batch that founds; the core counts its own from 1 on
 NEWS_ENTRIES, NEWS_BYTES = 256, 256 * 1024  # of one answer to a follower; the rest comes with the next
 LINK_UNUSED = 10 * SECOND  # of a link to one that is no member
+LINKS = 32  # at most; twice the members that there may be
 NEVER_MET = 1 << 62
 
 Answered = Callable[[How, int, AnyResult | None], None]
@@ -219,10 +220,15 @@
         id = action.message.to
         link = self.links.get(id)
         if link is None:
+            if len(self.links) >= LINKS:
+                self._drop_link(min(self.links, key=lambda id: (self.member(id) is not None, self.links[id].said_at)))
             link = Link(self.loop, id, self.hello, lambda: self.address_of(id), self._turned)
             self.links[id] = link
         link.put(action.message)
 
+    def _drop_link(self, id: str) -> None:
+        self.links.pop(id).close()
+
     def _apply(self, action: Apply) -> None:
         machine = self.machine
         for entry in action.entries:
@@ -274,8 +280,7 @@
         known, now = {m.id for m in action.members}, self.loop.now()
         for id, link in list(self.links.items()):
             if id not in known and link.said_at < now - LINK_UNUSED:
-                del self.links[id]
-                link.close()
+                self._drop_link(id)
 
     def _want_snapshot(self, action: WantSnapshot) -> None:
         self.pending.append(Compact(self.machine.index, self.machine.dump()))
--- a/loftweir/replication/reception.py
+++ b/loftweir/replication/reception.py
@@ -1,7 +1,9 @@
 """A voter's listener: other members, and the sidecars that ask, write and follow.
 
 Members' messages go before all else on the loop. All others together are bounded; of too many, the one that comes is
-turned away to the other voters, and who is listed as a member is never among them.
+turned away to the other voters. Who is listed as a member is never among them: the oldest of its own lines goes. Who
+asks is answered one question after another, the next one once the answer has gone out: what is held for it is one
+answer, and one turn of the loop does one.
 """
 
 from __future__ import annotations
@@ -56,7 +58,9 @@
 BACKLOG = 512  # a voter that comes back is called by many at once
 UNGREETED = 64  # connections that have not said who they are; more wait to be accepted
 SLOW_AFTER = 250 * MS  # of too many, the oldest goes after this
-BESIDE = 4  # lines of each listed member that asks or joins, beside those for others
+BESIDE = 8  # lines of each listed member that asks or joins, beside those for others; two processes may be under way
+OF_A_SEAT = 2  # lines of members of one name: an old id, and the one that takes its place
+OF_STRANGERS = 8  # ... and of all whose names are neither listed nor members'
 UNUSED_FOR = 30 * SECOND  # of a line that asks nothing
 LONGEST_WAIT = 60 * SECOND
 NEWS_APART = 20 * MS  # from one round of news to the next: what is applied meanwhile goes together
@@ -172,8 +176,7 @@
         if foreign is not None or hello.kind is Kind.MEMBER:
             return foreign
         if hello.name in self.voter.seats:
-            beside = sum(other.name == hello.name for other in self.others.values())
-            return Turned(Why.FULL, str(BESIDE)) if beside >= BESIDE else None
+            return None
         others = sum(other.name not in self.voter.seats for other in self.others.values())
         return Turned(Why.FULL, str(self.most)) if others >= self.most else None
 
@@ -182,13 +185,29 @@
             before = self.members.get(hello.id)
             if before is not None and before.task is not None:
                 before.task.cancel()  # its other side may be gone without a word
+            seat = self._seat(hello.name)
+            beside = [line for id, line in self.members.items() if self._seat(self.voter.names[id]) == seat]
+            self._make_room(beside, OF_A_SEAT if seat else OF_STRANGERS)
             self.members[hello.id] = line
             self.voter.names[hello.id] = hello.name
             self._run(line, self._hear(line, hello), self.loop.urgent)
         else:
+            if hello.name in self.voter.seats:
+                self._make_room([line for line, other in self.others.items() if other.name == hello.name], BESIDE)
             self.others[line] = hello
             self._run(line, self._answer(line), self.loop.due)
 
+    def _seat(self, name: str) -> str:
+        """One of those that there are; empty for all others."""
+        known = name in self.voter.seats or any(member.name == name for member in self.voter.core.members)
+        return name if known else ""
+
+    def _make_room(self, lines: list[Line], most: int) -> None:
+        """For one more; the oldest come first."""
+        for line in lines[: max(0, len(lines) + 1 - most)]:
+            assert line.task is not None
+            line.task.cancel()
+
     # ---- members --------------------------------------------------------------------------------
 
     def _hear(self, line: Line, hello: Hello) -> Coroutine[None]:
@@ -210,6 +229,7 @@
         finally:
             if self.members.get(hello.id) is line:
                 del self.members[hello.id]
+                voter.names.pop(hello.id, None)
             line.close()
 
     # ---- all others -----------------------------------------------------------------------------
@@ -224,6 +244,7 @@
                 except TookTooLong:
                     if line in self.parked:
                         self._news(line, self.parked[line][0])
+                        unused_at = self.loop.now() + UNUSED_FOR
                     elif self.loop.now() >= unused_at:
                         return
                     continue
@@ -233,6 +254,10 @@
                     yield from self._send_away(line, Turned(Why.FORM, type(frame).__name__))
                     return
                 answer(self, line, frame)
+                if line.out:
+                    yield from line.taken(unused_at)
+                elif line.reader.more:
+                    yield Wait(None, 0, self.loop.now())  # the others' turn
         except Broken as error:
             if isinstance(error, BadFrame):
                 say(REPLICATION_TURNED, name=self.others[line].name, why=error)
--- a/loftweir/replication/wire.py
+++ b/loftweir/replication/wire.py
@@ -249,6 +249,11 @@
         self.at = 0
         self.first = True
 
+    @property
+    def more(self) -> bool:
+        """Whether there are bytes that are in no frame yet."""
+        return len(self.data) > self.at
+
     def feed(self, data: bytes) -> None:
         del self.data[: self.at]
         self.at = 0
--- a/tests/test_replication_member.py
+++ b/tests/test_replication_member.py
@@ -12,7 +12,7 @@
 from loftweir.net.loop import MS, SECOND, Loop, Wait
 from loftweir.operations.calls import Call, No
 from loftweir.operations.calls import Word as Say
-from loftweir.replication import wire
+from loftweir.replication import reception, wire
 from loftweir.replication.api import AskVote, Member, Role, Tick, Vote
 from loftweir.replication.line import dial
 from loftweir.replication.machine import Order, Word, written
@@ -267,3 +267,47 @@
         yield Wait(None, 0, loop.now() + time)
 
     run(loop, wait())
+
+
+def test_who_asks_much_at_once_and_reads_nothing_is_answered_one_by_one(place, monkeypatch):
+    voter, asked = place.vote(), []
+    news = msgspec.structs.replace(voter.news(0), entries=(wire.Told(1, bytes(wire.LARGEST // 8)),))
+    monkeypatch.setattr(voter, "news", lambda after: (asked.append(after), news)[1])
+    line = place.line(place.hello("id-f", "f", Kind.FOLLOWER))
+    line.sock.setblocking(True)
+    line.sock.sendall(wire.written(wire.Follow(0, 0)) * 500)
+    place.rest(400 * MS)
+    (served,) = place.part.reception.others
+    assert 1 < len(asked) < 100 and served.held <= wire.LARGEST // 4 and not served.over
+    line.sock.setblocking(False)
+    for _ in range(500):
+        assert isinstance(run(place.loop, line.next(place.loop.now() + SECOND)), wire.News)
+
+
+def test_a_wait_for_news_longer_than_a_line_may_rest_does_not_end_the_line(place, monkeypatch):
+    monkeypatch.setattr(reception, "UNUSED_FOR", 100 * MS)
+    place.vote()
+    line = place.line(place.hello("id-f", "f", Kind.FOLLOWER))
+    for _ in range(2):
+        assert isinstance(place.ask(line, wire.Follow(0, 250 * MS)), wire.News)
+    place.rest(400 * MS)
+    assert not line.alive()
+
+
+def test_lines_are_bounded_whatever_their_other_sides_say_they_are(place):
+    voter, part = place.vote(), place.part
+    newest = [place.line(place.hello(f"id-{n}", "n1")) for n in range(4)][-1]
+    for n in range(40):
+        stranger = place.line(place.hello(f"stranger-{n}", f"s{n}"))
+        stranger.put(ask_vote(voter, f"stranger-{n}", 10 + n))
+        assert until(place.loop, lambda n=n: voter.core.term == 10 + n)
+    assert len(part.reception.members) <= 10 and len(voter.names) <= 10 and len(voter.links) <= 32
+    newest.put(ask_vote(voter, "id-3", 60))
+    assert until(place.loop, lambda: voter.core.term == 60)
+    again = place.line(place.hello("id-3", "n1"))
+    place.rest(50 * MS)
+    assert not newest.alive() and again.alive()
+    # Two processes of a listed sidecar, and what a third left behind: the oldest goes, not the one that comes.
+    callers = [place.line(place.hello("id-n2", "n2", Kind.CALLER)) for _ in range(12)]
+    place.rest(50 * MS)
+    assert [line.alive() for line in callers] == [False] * 4 + [True] * 8
