Keep a promised word in force until the news that hold it have come

Need: a sidecar that answered OK told its balancer at once, but not its record of the copies: news of an earlier index, with another's word of the same provider, took the promised one back until the next news. Change: words promised here, behind the index of the machine, go before what the machine says. Result: a test plays the news between a promise and its index; the word held, where it was called back before.

--- a/loftweir/replication/part.py
+++ b/loftweir/replication/part.py
@@ -69,6 +69,7 @@
         self.known_at: int | None = None  # where only what was remembered does: when it was the latest
         self.members: frozenset[str] = frozenset()  # ids of the voters that it is of
         self.words: dict[str, Said] = {}
+        self.promised: dict[str, tuple[int, Said]] = {}  # words that were promised here, behind `index`
         self.saves = False  # a file is to be written
         self.voter: Voter | None = None
         self.reception: Reception | None = None
@@ -199,15 +200,17 @@
     def _tell(self, machine: Machine, members: frozenset[str]) -> None:
         anew = bool(self.members and members) and not self.members & members
         if anew:
-            self.index = 0
+            self.index, self.promised = 0, {}
         self.members = members or self.members
         if machine.index < self.index:
             return  # a voter that has yet to hear how much of its log holds, or one that joins
         whole, words = machine.words_since(self.index)
         self.index, self.known_at = machine.index, None
+        self.promised = {name: it for name, it in self.promised.items() if it[0] > machine.index}
         if not words and not whole and not anew:
             return
         said = {name: Said(word.at, word.out) for name, word in words.items()}
+        said |= {name: word for name, (_, word) in self.promised.items()}
         self.words = said if whole or anew else {**self.words, **said}
         say(REPLICATION_WORDS, out=self.out(), index=self.index)
         self.told(said, whole or anew)
@@ -261,6 +264,7 @@
         if not isinstance(result, Ok):
             raise No(result.text)
         if result.index > self.index:  # it holds here by the time of the answer; the machine's state follows
+            self.promised[call.id] = result.index, Said(act.at, act.out)
             self.words = {**self.words, call.id: Said(act.at, act.out)}
             self.told(self.words, False)
         return f"{'disabled' if act.out else 'enabled'}, at index {result.index}"
--- a/tests/test_replication_member.py
+++ b/tests/test_replication_member.py
@@ -15,7 +15,7 @@
 from loftweir.replication import reception, wire
 from loftweir.replication.api import AskVote, Member, Role, Tick, Vote
 from loftweir.replication.line import dial
-from loftweir.replication.machine import Order, Word, written
+from loftweir.replication.machine import Ok, Order, Word, written
 from loftweir.replication.member import MemberBroken, Removed
 from loftweir.replication.part import Part
 from loftweir.replication.wire import Am, Ask, Hello, Kind, Submit, Turned, Who, Why, WordOf
@@ -311,3 +311,25 @@
     callers = [place.line(place.hello("id-n2", "n2", Kind.CALLER)) for _ in range(12)]
     place.rest(50 * MS)
     assert [line.alive() for line in callers] == [False] * 4 + [True] * 8
+
+
+def test_a_word_that_was_promised_here_is_not_taken_back_by_news_from_before_it(place):
+    copies, part = Machines(), place.part
+    seen = []
+    part.told = lambda words, whole: seen.append({n: w.on for n, w in words.items()})
+    copies.apply(order_of(1, "s0", True))
+    part._tell(copies.machine, frozenset({"a"}))
+    part.caller.write = lambda act, within: iter_of(Ok(3))
+    assert run(place.loop, part.do(Call(Say.FLEET_DISABLE, "s0"))) == "disabled, at index 3"
+    copies.apply(order_of(2, "s0", False))  # another's word, between them in the log
+    part._tell(copies.machine, frozenset({"a"}))
+    assert part.out() == ["s0"] and not any(said.get("s0") is False for said in seen)
+    copies.apply(order_of(3, "s0", True))
+    copies.apply(order_of(4, "s0", False))
+    part._tell(copies.machine, frozenset({"a"}))
+    assert part.out() == [] and seen[-1] == {"s0": False}
+
+
+def iter_of(value):
+    return value
+    yield
