Tell a follower that a voter leads only once a majority has said so

Need: a follower that has more than the leader lets go of it, for another history. But one that was just stopped, or is handing over, may only believe that it leads: what a follower had been told by its successor was taken back. Change: such a call for news is answered after a read by a majority. Result: the test has the read refused and confirmed; before, no read was made.

--- a/loftweir/replication/member.py
+++ b/loftweir/replication/member.py
@@ -364,8 +364,8 @@
         empty = agrees and not (self.begun or self.lost or self.over)
         return Am(empty, agrees, self.seats[self.name], *self.leader(), self.core.members, self.core.settled)
 
-    def news(self, after: int) -> News:
-        """What a follower that has all up to `after` lacks."""
+    def news(self, after: int, leads: bool = False) -> News:
+        """What a follower that has all up to `after` lacks. `leads`: a majority has just said so."""
         core, index = self.core, self.machine.index
         whole = after < core.first_index - 1
         entries: list[Told] = []
@@ -378,7 +378,7 @@
                     break
         told = entries[-1].index if entries else index
         members = tuple(m.id for m in core.members)
-        return News(after, told, self.age(), self.leads(), self.leader()[0], members, tuple(entries), whole)
+        return News(after, told, self.age(), leads, self.leader()[0], members, tuple(entries), whole)
 
 
 class Removed(Trouble):
--- a/loftweir/replication/reception.py
+++ b/loftweir/replication/reception.py
@@ -330,7 +330,15 @@
     # ---- news -----------------------------------------------------------------------------------
 
     def _follow(self, line: Line, frame: Follow) -> None:
-        if frame.after < self.voter.machine.index or frame.wait <= 0:
+        voter = self.voter
+        if frame.after > voter.machine.index and voter.leads():
+            # The follower would let go of what it was told. One that was stopped, or hands over, may only believe that
+            # it leads.
+            def answered(how: How, *_: Any) -> None:
+                line.put(voter.news(frame.after, how is How.DONE))
+
+            voter.read(answered)
+        elif frame.after < voter.machine.index or frame.wait <= 0:
             self._news(line, frame.after)
         else:
             self.parked[line] = frame.after, self.loop.now() + min(frame.wait, LONGEST_WAIT)
--- a/loftweir/replication/wire.py
+++ b/loftweir/replication/wire.py
@@ -200,7 +200,7 @@
     after: int  # as it was asked
     index: int  # applied there; below `after`: this one is behind who asks
     age: int | None  # since it last knew a leader with a majority; None: never
-    leads: bool  # it leads with a majority: nothing that was promised is behind its index
+    leads: bool  # a majority has just said that it leads: nothing that was promised is behind its index
     leader: str  # a name
     members: tuple[str, ...]  # ids
     entries: tuple[Told, ...]  # from behind `after` without gap; empty where only the whole helps, or none is there
--- a/tests/test_replication_member.py
+++ b/tests/test_replication_member.py
@@ -333,3 +333,19 @@
 def iter_of(value):
     return value
     yield
+
+
+def test_who_is_behind_a_follower_leads_only_if_a_majority_says_so(place):
+    voter = place.vote()
+    voter.leads = lambda: True  # it was stopped, and others have elected meanwhile
+    line = place.line(place.hello("id-f", "f", Kind.FOLLOWER))
+    monkey = []
+    voter.read = monkey.append
+    line.put(wire.Follow(5, 0))
+    assert until(place.loop, lambda: monkey)
+    monkey.pop()(wire.How.NOT_LEADER, 0, None)
+    assert run(place.loop, line.next(place.loop.now() + SECOND)).leads is False
+    line.put(wire.Follow(5, 0))
+    assert until(place.loop, lambda: monkey)
+    monkey.pop()(wire.How.DONE, 0, None)
+    assert run(place.loop, line.next(place.loop.now() + SECOND)).leads is True
