Count a word to the fleet from now on where its sender's clock is ahead

Need: FLEET-ENABLE states when the provider started, by the clock of the sidecar that was called. With that clock an hour ahead, every other sidecar held the provider for cold, and sent next to nothing, for that hour. Change: a time ahead of this sidecar's clock is now, the first time that it is heard. Result: a test with a word from an hour ahead; the start of the provider is not later than now.

--- a/loftweir/operations/desk.py
+++ b/loftweir/operations/desk.py
@@ -54,8 +54,17 @@
     # ---- the fleet ------------------------------------------------------------------------------
 
     def fleet_said(self, words: Mapping[str, Said], whole: bool) -> None:
-        """What holds for the whole fleet; `whole`: nothing else does."""
-        update = self.overlay.lay(words, whole)
+        """What holds for the whole fleet; `whole`: nothing else does. Its times are of the clock of whoever said it:
+        of one that is ahead of this one's the provider starts now, not in an hour. Once: a word that comes again is not
+        news."""
+        now, known = self.loop.now(), self.overlay.fleet
+        heard = {}
+        for name, word in words.items():
+            before = known.get(name)
+            if word.at > now:
+                word = before if before is not None and before.on == word.on else Said(now, word.on)
+            heard[name] = word
+        update = self.overlay.lay(heard, whole)
         if update is not None:
             self.told(*update)
 
