Leave without waiting for the disk, and read it only where the address is free

Need: at SIGTERM a voter's loop waited up to 0.5 s for a disk that did not answer, with clients' requests behind it. And a sidecar whose address was still another's read its whole disk, and began and ended its thread, three times a second. Change: the thread lets the folder go once all that it was asked for is kept; the address is taken before the folder.

--- a/loftweir/replication/disk.py
+++ b/loftweir/replication/disk.py
@@ -106,14 +106,13 @@
         return told
 
     def close(self, within: float = 5.0) -> list[Stable | Broken]:
-        """Keeps what was asked for, gives what was not taken yet, and lets the folder go. A disk that does not answer
-        `within` seconds keeps its files and the lock until the process ends."""
+        """Keeps what was asked for, gives what was not taken yet, and lets the folder go, which the thread does: waited
+        for `within` seconds. A disk that never answers keeps its files and the lock until the process ends."""
         self._asked.put(None)
         self._thread.join(within)
         told = self.taken()
         if not self._thread.is_alive():
             os.close(self._wake)
-            self._folder.close()
         return told
 
     # ---- the thread ----
@@ -135,8 +134,11 @@
         except Exception as error:  # whatever it was, nothing more may be promised
             self.failure = writer.failed(error)
             self._tell(Broken(str(self.failure)))
+            while self._asked.get() is not None:  # the folder is this one's until its owner has heard
+                pass
         finally:
             writer.close()
+            self._folder.close()
 
     def _waiting(self) -> Iterator[Keep]:
         """One group: all that is asked for by now, and at least one batch, unless it is the end."""
--- a/loftweir/replication/member.py
+++ b/loftweir/replication/member.py
@@ -193,8 +193,9 @@
             self.over = True
             self.loop.after(0, self.ended, why)
 
-    def close(self) -> None:
-        """Nothing more is said, heard or kept. Not to be called by what this member itself runs."""
+    def close(self, within: float = 0.0) -> None:
+        """Nothing more is said or heard; what was asked to be kept is, and the folder is free then, which is waited for
+        `within` seconds of the loop's time. Not to be called by what this member itself runs."""
         self.over = True
         for link in self.links.values():
             link.close()
@@ -204,7 +205,7 @@
         for task in (self.ticker, self.reader):
             task.cancel()
         self.loop.forget(self.disk.fileno())
-        self.disk.close(within=0.5)
+        self.disk.close(within)
 
     def _keep(self, action: Keep) -> None:
         self.begun = True
--- a/loftweir/replication/part.py
+++ b/loftweir/replication/part.py
@@ -112,14 +112,22 @@
 
     def _vote(self) -> bool:
         """Takes the part of a member; False: not now, and it follows meanwhile."""
-        options = self.options
+        options, address = self.options, self.seats[self.name]
         try:
+            sock = reception.bound(address)
+        except OSError as error:
+            say(REPLICATION_WAITS, why=f"{address}: {error.strerror or error}")
+            self._follow()
+            return False
+        try:  # second, since reading it takes the loop's time
             disk, kept, report = open_disk(Path(options.folder), options.cluster)
         except FolderInUse as error:
+            sock.close()
             say(REPLICATION_WAITS, why=error)
             self._follow()
             return False
         except StorageFailed as error:
+            sock.close()
             self._ended(error)
             return True
         index = kept.entries[-1].index if kept.entries else kept.snapshot.index if kept.snapshot else 0
@@ -129,13 +137,7 @@
             say(REPLICATION_DAMAGED, why=report.damage, before=report.before, id=report.member, aside=report.aside)
         voter = Voter(self.loop, self.name, options, self.seats, (disk, kept), self._applied, self._ended)
         listener = Reception(self.loop, voter, options.callers)
-        try:
-            listener.listen(self.seats[self.name])
-        except OSError as error:
-            say(REPLICATION_WAITS, why=f"{self.seats[self.name]}: {error.strerror or error}")
-            voter.close()
-            self._follow()
-            return False
+        listener.listen(sock)
         self._end_following()
         self.voter, self.reception = voter, listener
         voter.start()
@@ -154,10 +156,10 @@
         if not self.leaves:
             self._follow()
 
-    def _end_voting(self) -> None:
+    def _end_voting(self, within: float = 0.0) -> None:
         if self.voter is not None and self.reception is not None and self.joining is not None:
             self.reception.close()
-            self.voter.close()
+            self.voter.close(within)
             self.joining.task.cancel()
         self.voter = self.reception = self.joining = None
 
@@ -182,7 +184,7 @@
         self.leaves = True
         if self.saves:
             self._save()
-        self._end_voting()
+        self._end_voting(within=0.5)
         self._end_following()
         self.caller.close()
 
--- a/loftweir/replication/reception.py
+++ b/loftweir/replication/reception.py
@@ -69,6 +69,21 @@
 DESCRIPTORS = 40  # beside those of others: listener, links both ways, UNGREETED in part, disk, epoll's wakes
 
 
+def bound(address: str) -> socket.socket:
+    """OSError where it can't be had."""
+    host, port = host_and_port(address)
+    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        sock.listen(BACKLOG)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 class Reception:
     """Invariant: every line that is open has its one coroutine, and is in `ungreeted`, `members` or `others`."""
 
@@ -88,18 +103,8 @@
         self.accepting: Task | None = None
         self.over = False
 
-    def listen(self, address: str) -> None:
-        """OSError where it can't be had."""
-        host, port = host_and_port(address)
-        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind((host, port))
-            sock.listen(BACKLOG)
-            sock.setblocking(False)
-        except OSError:
-            sock.close()
-            raise
+    def listen(self, sock: socket.socket) -> None:
+        """On what is `bound`, and closed with this."""
         self.listener = sock
         self.accepting = self.loop.spawn(self._accept(sock), urgent=True)
 
--- a/tests/test_replication_member.py
+++ b/tests/test_replication_member.py
@@ -1,7 +1,10 @@
 """One voter in the test's own process, on a real disk and real sockets; the test plays the members and callers."""
 
 import os
+import socket
 import threading
+import time
+from contextlib import suppress
 
 import msgspec
 import pytest
@@ -12,8 +15,11 @@
 from loftweir.net.loop import MS, SECOND, Loop, Wait
 from loftweir.operations.calls import Call, No
 from loftweir.operations.calls import Word as Say
+from loftweir.replication import part as part_module
 from loftweir.replication import reception, wire
 from loftweir.replication.api import AskVote, Member, Role, Tick, Vote
+from loftweir.replication.disk import open_disk
+from loftweir.replication.folder import FolderInUse
 from loftweir.replication.line import dial
 from loftweir.replication.machine import Ok, Order, Word, written
 from loftweir.replication.member import MemberBroken, Removed
@@ -349,3 +355,45 @@
     assert until(place.loop, lambda: monkey)
     monkey.pop()(wire.How.DONE, 0, None)
     assert run(place.loop, line.next(place.loop.now() + SECOND)).leads is True
+
+
+def test_a_disk_that_hangs_holds_up_no_client_when_a_member_leaves(place, monkeypatch, tmp_path):
+    voter, gate, sync = place.vote(), threading.Event(), os.fdatasync
+    monkeypatch.setattr(os, "fdatasync", lambda fd: (gate.wait(10), sync(fd))[1])
+    voter.found((Member(voter.me, "n0", "127.0.0.1:1"),))
+    place.rest(50 * MS)
+    place.part.leave()
+    began, turns = time.monotonic(), []
+    while len(turns) < 10:
+        place.rest(20 * MS)
+        turns.append(time.monotonic() - began)
+        began = time.monotonic()
+    assert max(turns) < 0.35 and place.part.voter is None
+    with pytest.raises(FolderInUse):
+        open_disk(tmp_path / "copies", "loftweir")
+    gate.set()
+
+    def opens():
+        with suppress(FolderInUse):
+            return open_disk(tmp_path / "copies", "loftweir")
+
+    disk, kept, _ = until_found(place.loop, opens)
+    assert disk.member == voter.me and kept.entries, "what was asked for was kept before the folder was free"
+    disk.close()
+
+
+def until_found(loop, find):
+    found = []
+    assert until(loop, lambda: found or ((it := find()) and (found.append(it) or True)))
+    return found[0]
+
+
+def test_an_address_that_is_taken_costs_no_reading_of_the_disk(place, monkeypatch):
+    opened = []
+    monkeypatch.setattr(part_module, "open_disk", lambda *a: (opened.append(a), open_disk(*a))[1])
+    host, port = place.address.split(":")
+    with socket.create_server((host, int(port))):
+        assert place.vote() is None and place.part.follower is not None
+        place.rest(800 * MS)
+        assert not opened
+    assert until(place.loop, lambda: place.part.voter) and len(opened) == 1
