Tests of the copies: three parts on one loop, wholes, tokens, leaders that leave, sure reads

Change: 'Trio' runs three parts on one loop; tests for what was not found, and stricter ones for a follower's history.

--- a/tests/test_replication_member.py
+++ b/tests/test_replication_member.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from contextlib import suppress
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -17,13 +18,15 @@
 from loftweir.operations.calls import Word as Say
 from loftweir.replication import part as part_module
 from loftweir.replication import reception, wire
-from loftweir.replication.api import AskVote, Member, Role, Tick, Vote
+from loftweir.replication.api import AskVote, Compact, Member, Role, Tick, Vote
+from loftweir.replication.caller import Reading
 from loftweir.replication.disk import open_disk
 from loftweir.replication.folder import FolderInUse
 from loftweir.replication.line import dial
 from loftweir.replication.machine import Ok, Order, Word, written
 from loftweir.replication.member import MemberBroken, Removed
 from loftweir.replication.part import Part
+from loftweir.replication.seats import REACH
 from loftweir.replication.wire import Am, Ask, Hello, Kind, Submit, Turned, Who, Why, WordOf
 
 
@@ -173,7 +176,7 @@
     behind = Machines()
     behind.apply(order_of(1, "s7", True))
     fresh._tell(behind.machine, frozenset({"b"}))
-    assert len(told) == 1 and fresh.out() == ["s0"]
+    assert len(told) == 1 and fresh.out() == ["s0"] and fresh.index == 3
     fresh._tell(behind.machine, frozenset({"x"}))  # another cluster: begun anew
     assert told[1][1] and fresh.out() == ["s7"]
     other = Part(place.loop, "f0", msgspec.structs.replace(part.options, cluster="other"), print)
@@ -210,7 +213,11 @@
     place.toys["n1"].answer = lambda frame: said if isinstance(frame, Who) else None
     place.rest(800 * MS)
     assert not ended
-    said = msgspec.structs.replace(said, sure=True)
+    own = Member(voter.me, "n0", place.address, False)  # it still learns
+    said = msgspec.structs.replace(said, sure=True, members=(own, *said.members))
+    place.rest(800 * MS)
+    assert not ended
+    said = msgspec.structs.replace(said, members=said.members[1:])
     assert until(place.loop, lambda: ended) and isinstance(ended[0], Removed)
 
 
@@ -397,3 +404,69 @@
         place.rest(800 * MS)
         assert not opened
     assert until(place.loop, lambda: place.part.voter) and len(opened) == 1
+
+
+def test_a_word_is_enabled_without_a_write_only_where_it_is_sure_that_none_holds(place):
+    written_, part = [], place.part
+    part.caller.write = lambda act, within: (written_.append(act), iter_of(Ok(9)))[1]
+    for sure, value in ((False, None), (False, [False, 3, 4]), (True, [True, 3, 4])):
+        part.caller.read = lambda query, within, it=(sure, value): iter_of(Reading(it[0], 5, None, it[1]))
+        assert run(place.loop, part.do(Call(Say.FLEET_ENABLE, "s0"))) == "enabled, at index 9"
+    assert [act.out for act in written_] == [False] * 3
+    part.caller.read = lambda query, within: iter_of(Reading(True, 5, 0, None))
+    assert run(place.loop, part.do(Call(Say.FLEET_ENABLE, "s0"))) == "enabled, at index 5" and len(written_) == 3
+
+
+def test_a_seat_whose_address_is_anothers_is_no_answer_to_begin_with(place):
+    for toy, name in zip(place.toys.values(), ("n2", "n1"), strict=True):
+        toy.hello = msgspec.structs.replace(toy.hello, name=name)
+        toy.answer = lambda frame: Am(True, True, "127.0.0.1:1", "", "", ()) if isinstance(frame, Who) else None
+    voter = place.vote()
+    place.rest(700 * MS)
+    assert not voter.begun
+
+
+def test_a_leader_that_has_just_begun_takes_nobodys_seat_and_gives_no_vote_to_one_it_has_not_met(place):
+    voter = place.vote()
+    voter.led = (1, place.loop.now())
+    assert voter.lately("id-n1") and voter.behind("id-n1") > REACH
+    voter.led = (1, place.loop.now() - 2 * voter.options.election)
+    assert not voter.lately("id-n1") and voter.lately(voter.me) and not voter.near("id-n1")
+
+
+def test_a_follower_gets_a_long_log_in_parts_and_a_longer_one_as_a_whole(trio):
+    leader, told = trio.leader(), []
+    for number in range(1, 601):
+        leader.voter.write(order_of(number, f"s{number % 40}", number % 3 == 0).order, lambda how, *_: told.append(how))
+    assert until(trio.loop, lambda: len(told) == 600) and set(told) == {wire.How.DONE}
+    news, voter = leader.voter.news(0), leader.voter
+    assert [e.index for e in news.entries] == list(range(1, news.index + 1)) and len(news.entries) == 256
+    assert not news.whole and all(bool(e.data) == (e.index > 2) for e in news.entries)
+    trio.parts["f0"] = first = trio.part("f0", None)
+    assert until(trio.loop, lambda: first.index == voter.machine.index) and first.words == leader.words
+    for part in trio.others(first):  # all of them: a follower may ask any
+        assert until(trio.loop, lambda part=part: part.voter.machine.index == voter.machine.index)
+        part.voter.feed(Compact(part.voter.machine.index, part.voter.machine.dump()))
+    assert voter.news(0).whole and not voter.news(voter.core.first_index - 1).whole
+    trio.parts["f1"] = second = trio.part("f1", None)
+    assert until(trio.loop, lambda: second.index == voter.machine.index) and second.words == leader.words
+    line, snapshot = [], voter.core.snapshot
+    line_ = type("Line", (), {"put": lambda self, frame: line.append(frame)})()
+    for frame in (wire.Fetch(snapshot.index, 100), wire.Fetch(snapshot.index - 1, 100)):
+        leader.reception._fetch(line_, frame)
+    assert [(piece.index, piece.at) for piece in line] == [(snapshot.index, 100), (snapshot.index, 0)]
+
+
+def test_a_leader_that_leaves_hands_over_and_a_member_that_goes_leaves_what_it_promised(trio):
+    leader = trio.leader()
+    assert str(trio.do(leader, Say.FLEET_DISABLE, "s0")).startswith("disabled")
+    term, voter = leader.voter.core.term, leader.voter
+    leader.leave()
+    heirs = trio.others(leader)
+    assert until(trio.loop, lambda: any(p.voter.core.role is Role.LEADER for p in heirs) and leader.voter is None)
+    assert [p.voter.core.term for p in heirs] == [term + 1] * 2 and voter.core.role is not Role.LEADER
+    assert until(trio.loop, lambda: leader.index >= 3 and leader.out() == ["s0"]), "it follows on"
+    assert voter.age() is not None and voter.age() < 10 * SECOND
+    trio.parts["again"] = again = trio.part(leader.name, Path(voter.options.folder))
+    assert until(trio.loop, lambda: again.voter is not None and again.out() == ["s0"])
+    assert again.voter.me == voter.me
--- a/tests/test_replication_wire.py
+++ b/tests/test_replication_wire.py
@@ -22,11 +22,13 @@
 from loftweir.operations.overlay import Overlay
 from loftweir.operations.record import Record
 from loftweir.operations.record import Word as Said
+from loftweir.replication import follower as follower_module
 from loftweir.replication import wire
 from loftweir.replication.api import Append, Entry, Kind, LeadNow, Member
 from loftweir.replication.caller import Caller, NoMajority, OutcomeUnknown
 from loftweir.replication.follower import Follower
 from loftweir.replication.line import Line
+from loftweir.replication.links import Link
 from loftweir.replication.machine import Machine, Ok, Order, UnknownSession, Word, written
 from loftweir.replication.seats import REACH, founders, step_in
 from loftweir.replication.wire import Am, BadFrame, Follow, Hello, How, Join, Joined, News, Outcome, Reader, Told
@@ -218,8 +220,8 @@
                     if said is ...:
                         sock.close()
                         return
-                    if said is not None:
-                        sock.sendall(wire.written(said))
+                    for one in said if isinstance(said, list) else [said] if said is not None else ():
+                        sock.sendall(wire.written(one))
 
     def close(self):
         for sock in (self.listener, *self.socks):
@@ -440,9 +442,81 @@
     follow.voters = [("n1", made[1].address), ("n0", made[0].address)]
     assert until(loop, lambda: follow.machine.index == 5)
     made[1].answer = lambda frame: ...
-    assert until(loop, lambda: len(made[0].seen) > 1) and min(least) == 5
+    assert until(loop, lambda: sum(isinstance(f, Follow) for f in made[0].seen) > 3)
+    assert min(least) == 5 and follow.machine.index == 5 and not any(isinstance(f, wire.Fetch) for f in made[0].seen)
     made[0].answer = follows(other, members=("x", "y"))  # begun anew: all members are others
     assert until(loop, lambda: set(follow.machine.words) == {f"t{n}" for n in range(1, 8)})
     made[0].answer = made[1].answer = follows(history(1, "u"), members=("x", "y"))  # what was promised is gone
     assert until(loop, lambda: set(follow.machine.words) == {"u1"})
     follow.close()
+
+
+@pytest.mark.parametrize(
+    ("wrong", "why"),
+    [
+        (lambda whole: msgspec.structs.replace(whole, at=whole.at + 10), "a piece from byte 10"),
+        (lambda whole: msgspec.structs.replace(whole, data=b""), "a piece from byte 0"),
+        (lambda whole: msgspec.structs.replace(whole, index=whole.index + 1), "the whole is of index 2"),
+        (lambda whole: whole, "the whole is of index 2, behind 5"),
+    ],
+)
+def test_a_whole_that_does_not_fit_together_or_is_behind_is_not_taken(voters, wrong, why, monkeypatch):
+    said, entries = [], history(5)
+    monkeypatch.setattr(follower_module, "say", lambda event, **more: said.append(str(more.get("why"))))
+    old, right = follows(entries[:2]), follows(entries)
+
+    def answer(frame):
+        if isinstance(frame, Follow):
+            return News(frame.after, 5, 0, False, "n0", ("a", "b"), (), True)
+        return wrong(old(frame))
+
+    made = voters(right, answer)
+    loop = Loop()
+    follow = follower(loop, made, lambda: None)
+    follow.voters = [("n0", made[0].address), ("n1", made[1].address)]
+    assert until(loop, lambda: follow.machine.index == 5)
+    before, made[0].answer = follow.machine, lambda frame: ...
+    assert until(loop, lambda: any(isinstance(frame, wire.Fetch) for frame in made[1].seen))
+    made[0].answer = right
+    assert until(loop, lambda: follow.member == "n0") and follow.machine is before
+    assert any(why in line for line in said)
+    follow.close()
+
+
+def test_a_voter_without_a_leader_is_left_and_news_are_as_old_as_it_says(voters):
+    made = voters(follows(history(2), age=SECOND, leads=False), follows(history(2), age=20 * MS))
+    loop = Loop()
+    follow = follower(loop, made, lambda: None)
+    follow.voters = [("n0", made[0].address), ("n1", made[1].address)]
+    assert until(loop, lambda: follow.machine.index == 2)
+    assert follow.member == "n0" and follow.age() >= SECOND, "what is committed is taken from any"
+    assert until(loop, lambda: follow.member == "n1" and 20 * MS <= follow.age() < SECOND)
+    follow.close()
+
+
+def test_an_answer_to_an_earlier_question_is_none_to_this_one_and_of_unsure_ones_the_latest_counts(voters):
+    copies = Machines()
+    made = voters(lambda frame: [Outcome(frame.token - 1, How.NOT_LEADER), copies.apply(frame)])
+    loop = Loop()
+    calls = caller(loop, made)
+    assert isinstance(run(loop, calls.write(Word("s", True, 1), SECOND)), Ok) and len(made[0].seen) == 1
+    calls.close()
+    unsure = [
+        lambda frame, n=n: wire.Answer(frame.token, How.NOT_LEADER, False, n, n, msgspec.msgpack.encode(n))
+        for n in (3, 7, 5)
+    ]
+    calls = caller(loop, voters(*unsure)[1:])
+    reading = run(loop, calls.read(wire.WordOf("s"), 400 * MS))
+    assert (reading.sure, reading.index, reading.value) == (False, 7, 7)
+    calls.close()
+
+
+def test_a_link_to_one_that_is_down_holds_little():
+    loop, turned = Loop(), []
+    with listener() as sock:
+        address = address_of(sock)
+    link = Link(loop, "id", HELLO, lambda: address, lambda *why: turned.append(why))
+    for n in range(100):
+        link.put(LeadNow(sender="a", to="id", term=n))
+    assert len(link.waiting) == 8 and link.waiting[-1].term == 99
+    link.close()
