Hold a provider for called back only at the start that the operators spoke of

Need: a word to the fleet is kept for good. A provider that was once taken out and called back counted as called back at each later cold start, also at those that no operator knew of, and was fed by the sidecars of all zones while cold. Change: a start more than an hour after the word is of its own; a sidecar's own words already end after an hour.

--- a/loftweir/operations/overlay.py
+++ b/loftweir/operations/overlay.py
@@ -2,7 +2,7 @@
 
 A ban is this sidecar's own or the whole fleet's: a provider is out while either says so. It drains then, whatever the
 list says of it, also where it leaves the list and comes back under another address. One that was called back has been
-restarted meanwhile: it starts, at the earliest, at that moment.
+restarted meanwhile: it starts, at the earliest, at that moment. A start more than an hour later is of its own.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 from dataclasses import replace
 
 from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, UpdateKind
-from loftweir.operations.record import Record, Word, changed
+from loftweir.operations.record import HOUR, Record, Word, changed
 
 
 class Overlay:
@@ -33,7 +33,9 @@
             return endpoint
         if any(word.on for word in words):
             return replace(endpoint, lifecycle=Lifecycle.DRAINING)
-        return replace(endpoint, started_at=max(endpoint.started_at, *(w.at for w in words)), called_back=True)
+        at = max(word.at for word in words)
+        # The fleet's words are kept for good: a start long after one is not the start that it spoke of.
+        return replace(endpoint, started_at=max(endpoint.started_at, at), called_back=endpoint.started_at <= at + HOUR)
 
     def update(
         self, update: MembershipUpdate, addresses: Mapping[str, str]
