--- a/loftweir/replication/api.py
+++ b/loftweir/replication/api.py
@@ -266,7 +266,8 @@
     election: int = 500_000_000  # without a leader, from this to twice as long, at random, until a member stands
     # A leader that has not heard from a majority for `election` is none: it answers nothing and steps down.
     log_entries: int = 4096  # applied in the log, over which a snapshot is wanted
-    keep_behind: int = 512  # entries left behind a snapshot, for members a little behind
+    log_bytes: int = 16 * 1024 * 1024  # ... or so many bytes of them
+    keep_behind: int = 512  # entries left behind a snapshot, for members a little behind; half of `log_bytes` at most
     append_bytes: int = 256 * 1024  # of entries in one message
     piece_bytes: int = 64 * 1024  # of a snapshot in one
     under_way: int = 4096  # writes and reads not answered yet
--- a/loftweir/replication/core.py
+++ b/loftweir/replication/core.py
@@ -164,6 +164,7 @@
         self.broken = ""  # why the storage ended this member's part
         self.commit = self.applied = self._base
         self._wanted = self._base  # applied when a snapshot was last wanted or made
+        self._since = 0  # bytes applied since then
         self._leader_heard = 0
         self._incoming: Incoming | None = None
         self._votes: set[str] = set()
@@ -398,14 +399,15 @@
     def _commit_to(self, index: int) -> None:
         """Committed up to there: applied, and answered for. Who leads and is removed by it leads no more."""
         self.commit = index
-        first = self.applied - self._base
-        self._out.append(Apply(tuple(self._log[first : index - self._base])))
+        entries = tuple(self._log[self.applied - self._base : index - self._base])
+        self._out.append(Apply(entries))
+        self._since += sum(len(entry.data) for entry in entries)
         self.applied = index
         while self._owed and self._owed[0][0] <= index:
             at, token = self._owed.popleft()
             self._out.append(Done(token, at))
-        if self.applied - self._wanted >= self.timing.log_entries:
-            self._wanted = self.applied
+        if self.applied - self._wanted >= self.timing.log_entries or self._since >= self.timing.log_bytes:
+            self._wanted, self._since = self.applied, 0
             self._out.append(WantSnapshot())
         if self.role is not Role.LEADER:
             return
@@ -422,10 +424,11 @@
         self._wanted = max(self._wanted, event.index)
         snapshot = Snapshot(event.index, self.term_at(event.index), self._members_at(event.index), event.data)
         self.snapshot = self._taken_in = snapshot
-        keep_from = event.index - self.timing.keep_behind
+        keep_from = self._kept_from(event.index, self.timing.keep_behind, self.timing.log_bytes // 2)
         taking = [p.sending.index for p in self._peers.values() if p.sending and self._alive(p)]
         if taking:  # they go on from their snapshot by the log, or they would need one snapshot after the other
-            keep_from = max(min(keep_from, *taking), event.index - HELD * self.timing.log_entries)
+            most = self._kept_from(event.index, HELD * self.timing.log_entries, HELD * self.timing.log_bytes)
+            keep_from = max(min(keep_from, *taking), most)
         if keep_from > self._base:
             self._base_term = self.term_at(keep_from)
             del self._log[: keep_from - self._base]
@@ -433,6 +436,14 @@
         while len(self._configs) > 1 and self._configs[1][0] <= event.index:
             self._configs.pop(0)
 
+    def _kept_from(self, index: int, entries: int, size: int) -> int:
+        """Where to begin, so that so many entries and so many bytes of them at most are left up to `index`."""
+        least = max(index - entries, self._base)
+        while index > least and size >= 0:
+            size -= len(self._log[index - self._base - 1].data)
+            index -= 1
+        return index + (size < 0)
+
     # ---- terms and elections --------------------------------------------------------------------
 
     def _restart_wait(self) -> None:
--- a/tests/test_replication_member.py
+++ b/tests/test_replication_member.py
@@ -4,8 +4,10 @@
 import socket
 import threading
 import time
+from collections import deque
 from contextlib import suppress
 from pathlib import Path
+from random import Random
 
 import msgspec
 import pytest
@@ -16,10 +18,11 @@
 from loftweir.net.loop import MS, SECOND, Loop, Wait
 from loftweir.operations.calls import Call, No
 from loftweir.operations.calls import Word as Say
+from loftweir.replication import api, reception, wire
 from loftweir.replication import part as part_module
-from loftweir.replication import reception, wire
-from loftweir.replication.api import AskVote, Compact, Member, Role, Tick, Vote
+from loftweir.replication.api import AskVote, Compact, Member, Role, Tick, Timing, Vote
 from loftweir.replication.caller import Reading
+from loftweir.replication.core import Core, begun
 from loftweir.replication.disk import open_disk
 from loftweir.replication.folder import FolderInUse
 from loftweir.replication.line import dial
@@ -470,3 +473,21 @@
     trio.parts["again"] = again = trio.part(leader.name, Path(voter.options.folder))
     assert until(trio.loop, lambda: again.voter is not None and again.out() == ["s0"])
     assert again.voter.me == voter.me
+
+
+def test_a_log_of_large_entries_is_bounded_by_their_bytes():
+    timing = Timing(log_bytes=1024 * 1024)
+    core = Core("a", begun([Member("a", "a", "a:1")]), timing, Random(1), 0)
+    now, most, events = 0, 0, deque([Tick()])
+    for token in range(200):
+        events.append(api.Write(token, bytes(64 * 1024)))
+        while events or core.role is not Role.LEADER:
+            now = max(now, core.next_at) if not events else now
+            for action in core.step(now, events.popleft() if events else Tick()):
+                if isinstance(action, api.Keep):
+                    events.append(api.Stable(action.batch))
+                elif isinstance(action, api.WantSnapshot):
+                    events.append(Compact(core.applied, b""))
+        core.check()
+        most = max(most, sum(len(e.data) for e in core.entries(core.first_index, core.last_index)))
+    assert core.last_index > 190 and most <= 2 * timing.log_bytes
