Take one write of a line at a time

Need: a caller could send any number of writes at once, of 1 MB each: up to 4,096 were in the leader's log, unanswered, and as many from one line as it liked. Change: a line's next question is read once its last one has its answer; a line that ends meanwhile is noticed. Result: of 30 writes on one line, with disks that hang, one is under way; all are answered in order afterwards.

--- a/loftweir/replication/reception.py
+++ b/loftweir/replication/reception.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from loftweir.config.units import host_and_port
-from loftweir.net.loop import MS, READABLE, SECOND, Coroutine, Loop, Task, Wait
+from loftweir.net.loop import HUNG_UP, MS, READABLE, SECOND, WOKEN, Coroutine, Loop, Task, Wait
 from loftweir.net.stream import TookTooLong, prepare
 from loftweir.replication.api import Heard, Message
 from loftweir.replication.line import GREETED_WITHIN, Broken, Line
@@ -97,6 +97,7 @@
         self.others: dict[Line, Hello] = {}
         self.parked: dict[Line, tuple[int, int]] = {}  # who waits for news: behind which index, and until when
         self.asked_from: dict[str, str] = {}  # by name, the id that asked last how this one stands while it was empty
+        self.asked: set[Line] = set()  # whose question the voter has: it gets no other one meanwhile
         self.news_due = False
         self.news_at = 0
         self.listener: socket.socket | None = None
@@ -259,6 +260,9 @@
                     yield from self._send_away(line, Turned(Why.FORM, type(frame).__name__))
                     return
                 answer(self, line, frame)
+                while line in self.asked:  # a voter's answer may not come for long
+                    if (yield Wait(line.sock, HUNG_UP, None)) != WOKEN:
+                        return
                 if line.out:
                     yield from line.taken(unused_at)
                 elif line.reader.more:
@@ -269,6 +273,7 @@
         finally:
             self.others.pop(line, None)
             self.parked.pop(line, None)
+            self.asked.discard(line)
             line.close()
 
     def _who(self, line: Line, frame: Who) -> None:
@@ -289,8 +294,9 @@
 
         def answered(how: How, index: int, _: AnyResult | None) -> None:
             on = how in (How.DONE, How.BUSY)
-            line.put(Joined(False, on, "" if on else how.value, *voter.leader()))
+            self._answered(line, Joined(False, on, "" if on else how.value, *voter.leader()))
 
+        self.asked.add(line)
         voter.change(step, answered)
 
     def _remove(self, line: Line, frame: Remove) -> None:
@@ -314,10 +320,18 @@
         else:
             self.voter.write(frame.order, self._outcome(line, frame.token))
 
+    def _answered(self, line: Line, frame: Frame) -> None:
+        if line in self.asked and line.task is not None:
+            self.asked.discard(line)
+            line.put(frame)
+            line.task.wake()
+
     def _outcome(self, line: Line, token: int) -> Callable[[How, int, AnyResult | None], None]:
+        self.asked.add(line)
+
         def answered(how: How, index: int, result: AnyResult | None) -> None:
             data = b"" if result is None else result_written(result)
-            line.put(Outcome(token, how, index, data, *self.voter.leader()))
+            self._answered(line, Outcome(token, how, index, data, *self.voter.leader()))
 
         return answered
 
@@ -326,10 +340,10 @@
             voter = self.voter
             value = msgspec.msgpack.encode(looked_up(voter, frame.query))
             sure = how is How.DONE
-            line.put(
-                Answer(frame.token, how, sure, voter.machine.index, 0 if sure else voter.age(), value, *voter.leader())
-            )
+            age, index = 0 if sure else voter.age(), voter.machine.index
+            self._answered(line, Answer(frame.token, how, sure, index, age, value, *voter.leader()))
 
+        self.asked.add(line)
         self.voter.read(answered)
 
     # ---- news -----------------------------------------------------------------------------------
@@ -340,8 +354,9 @@
             # The follower would let go of what it was told. One that was stopped, or hands over, may only believe that
             # it leads.
             def answered(how: How, *_: Any) -> None:
-                line.put(voter.news(frame.after, how is How.DONE))
+                self._answered(line, voter.news(frame.after, how is How.DONE))
 
+            self.asked.add(line)
             voter.read(answered)
         elif frame.after < voter.machine.index or frame.wait <= 0:
             self._news(line, frame.after)
--- a/tests/test_replication_member.py
+++ b/tests/test_replication_member.py
@@ -491,3 +491,25 @@
         core.check()
         most = max(most, sum(len(e.data) for e in core.entries(core.first_index, core.last_index)))
     assert core.last_index > 190 and most <= 2 * timing.log_bytes
+
+
+def test_of_one_line_one_write_is_under_way_and_a_line_that_ends_meanwhile_is_noticed(trio, monkeypatch):
+    leader, gate, sync = trio.leader(), threading.Event(), os.fdatasync
+    lines = []
+    for name in ("f0", "f1"):
+        hello = Hello(wire.VERSION, "loftweir", f"id-{name}", name, Kind.CALLER)
+        lines.append(run(trio.loop, dial(trio.loop, leader.seats[leader.name], hello, trio.loop.now() + SECOND))[0])
+    monkeypatch.setattr(os, "fdatasync", lambda fd: (gate.wait(10), sync(fd))[1])
+    before = len(leader.voter.waiting)
+    for number in range(1, 31):
+        lines[0].put(msgspec.structs.replace(order_of(number, "s0", True), token=number))
+    lines[1].put(Submit(1, written(Order("v", 1, Word("s1", True, 1), 0))))
+    run_for(trio.loop, 200 * MS)
+    assert before < len(leader.voter.waiting) <= before + 2
+    lines[1].close()
+    others = leader.reception.others
+    assert until(trio.loop, lambda: all(hello.name != "f1" for hello in others.values()))
+    gate.set()
+    answers = [run(trio.loop, lines[0].next(trio.loop.now() + 5 * SECOND)) for _ in range(30)]
+    assert [(answer.token, answer.how) for answer in answers] == [(n, wire.How.DONE) for n in range(1, 31)]
+    lines[0].close()
