--- a/loftweir/replication/part.py
+++ b/loftweir/replication/part.py
@@ -114,14 +114,22 @@
 
     def _vote(self) -> bool:
         """Takes the part of a member; False: not now, and it follows meanwhile."""
-        options = self.options
+        options, address = self.options, self.seats[self.name]
         try:
+            sock = reception.bound(address)
+        except OSError as error:
+            say(REPLICATION_WAITS, why=f"{address}: {error.strerror or error}")
+            self._follow()
+            return False
+        try:  # second, since reading it takes the loop's time
             disk, kept, report = open_disk(Path(options.folder), options.cluster)
         except FolderInUse as error:
+            sock.close()
             say(REPLICATION_WAITS, why=error)
             self._follow()
             return False
         except StorageFailed as error:
+            sock.close()
             self._ended(error)
             return True
         index = kept.entries[-1].index if kept.entries else kept.snapshot.index if kept.snapshot else 0
@@ -131,13 +139,7 @@
             say(REPLICATION_DAMAGED, why=report.damage, before=report.before, id=report.member, aside=report.aside)
         voter = Voter(self.loop, self.name, options, self.seats, (disk, kept), self._applied, self._ended)
         listener = Reception(self.loop, voter, options.callers)
-        try:
-            listener.listen(self.seats[self.name])
-        except OSError as error:
-            say(REPLICATION_WAITS, why=f"{self.seats[self.name]}: {error.strerror or error}")
-            voter.close()
-            self._follow()
-            return False
+        listener.listen(sock)
         self._end_following()
         self.voter, self.reception = voter, listener
         voter.start()
@@ -156,10 +158,10 @@
         if not self.leaves:
             self._follow()
 
-    def _end_voting(self) -> None:
+    def _end_voting(self, within: float = 0.0) -> None:
         if self.voter is not None and self.reception is not None and self.joining is not None:
             self.reception.close()
-            self.voter.close()
+            self.voter.close(within)
             self.joining.task.cancel()
         self.voter = self.reception = self.joining = None
 
@@ -184,7 +186,7 @@
         self.leaves = True
         if self.saves:
             self._save()
-        self._end_voting()
+        self._end_voting(within=0.5)
         self._end_following()
         self.caller.close()
 
@@ -202,7 +204,7 @@
     def _tell(self, machine: Machine, members: frozenset[str]) -> None:
         anew = bool(self.members and members) and not self.members & members
         if anew:
-            self.index = 0
+            self.index, self.ahead = 0, {}
         self.members = members or self.members
         if machine.index < self.index:
             return  # a voter that has yet to hear how much of its log holds, or one that joins
@@ -213,7 +215,7 @@
         if not words and not whole and not anew:
             return
         said = {name: Said(word.at, word.out) for name, word in words.items()}
-        self.ahead = {name: index for name, index in self.ahead.items() if index > machine.index and not anew}
+        self.ahead = {name: index for name, index in self.ahead.items() if index > machine.index}
         said |= {name: self.words[name] for name in self.ahead}  # not undone by an older word on the way there
         self.words = said if whole or anew else {**self.words, **said}
         say(REPLICATION_WORDS, out=self.out(), index=self.index)
