--- a/tests/test_replication_member.py
+++ b/tests/test_replication_member.py
@@ -19,6 +19,7 @@
 from loftweir.operations.calls import Call, No
 from loftweir.operations.calls import Word as Say
 from loftweir.replication import api, reception, wire
+from loftweir.replication import member as member_module
 from loftweir.replication import part as part_module
 from loftweir.replication.api import AskVote, Compact, Member, Role, Tick, Timing, Vote
 from loftweir.replication.caller import Reading
@@ -437,13 +438,16 @@
     assert not voter.lately("id-n1") and voter.lately(voter.me) and not voter.near("id-n1")
 
 
-def test_a_follower_gets_a_long_log_in_parts_and_a_longer_one_as_a_whole(trio):
+def test_a_follower_gets_a_long_log_in_parts_and_a_longer_one_as_a_whole(trio, monkeypatch):
     leader, told = trio.leader(), []
     for number in range(1, 601):
         leader.voter.write(order_of(number, f"s{number % 40}", number % 3 == 0).order, lambda how, *_: told.append(how))
     assert until(trio.loop, lambda: len(told) == 600) and set(told) == {wire.How.DONE}
     news, voter = leader.voter.news(0), leader.voter
     assert [e.index for e in news.entries] == list(range(1, news.index + 1)) and len(news.entries) == 256
+    with monkeypatch.context() as patched:
+        patched.setattr(member_module, "NEWS_BYTES", 1000)
+        assert sum(len(e.data) for e in leader.voter.news(0).entries) < 1200
     assert not news.whole and all(bool(e.data) == (e.index > 2) for e in news.entries)
     trio.parts["f0"] = first = trio.part("f0", None)
     assert until(trio.loop, lambda: first.index == voter.machine.index) and first.words == leader.words
@@ -513,3 +517,29 @@
     answers = [run(trio.loop, lines[0].next(trio.loop.now() + 5 * SECOND)) for _ in range(30)]
     assert [(answer.token, answer.how) for answer in answers] == [(n, wire.How.DONE) for n in range(1, 31)]
     lines[0].close()
+
+
+def test_a_member_at_another_address_joins_anew_and_one_without_a_leader_for_long_asks_whether_it_is_out(place):
+    voter, ended = place.vote(), []
+    voter.ended, voter.begun, place.part.joining.voted = ended.append, True, True
+    own, asked = Member(voter.me, "n0", "127.0.0.1:1"), []
+    members = [(own, Member("id-n1", "n1", "127.0.0.1:2"))]
+    voter.member = lambda id: own
+
+    def answer(frame):
+        asked.append(frame)
+        if isinstance(frame, Who):
+            return Am(False, True, "127.0.0.1:2", "n1", "", members[0], True)
+        return wire.Joined(True, True)
+
+    place.toys["n1"].answer, voter.age = answer, lambda: 0
+    assert until(place.loop, lambda: any(isinstance(frame, wire.Join) for frame in asked))
+    assert [f.address for f in asked if isinstance(f, wire.Join)][0] == place.address
+    own = msgspec.structs.replace(own, address=place.address)
+    place.rest(1300 * MS)
+    asked.clear()
+    place.rest(1300 * MS)
+    assert not asked, "it is in its place"
+    members[0] = members[0][1:]
+    voter.age = lambda: 5 * voter.options.election
+    assert until(place.loop, lambda: ended) and isinstance(ended[0], Removed)
--- a/tests/test_replication_wire.py
+++ b/tests/test_replication_wire.py
@@ -523,4 +523,9 @@
     for n in range(100):
         link.put(LeadNow(sender="a", to="id", term=n))
     assert len(link.waiting) == 8 and link.waiting[-1].term == 99
+    kept = []
+    link.line = type("Line", (), {"put": lambda self, message, may_drop: kept.append(may_drop)})()
+    link.put(LeadNow(sender="a", to="id", term=1))
+    link.put(Append(sender="a", to="id", term=1, prev_index=0, prev_term=0, entries=(), commit=0, round=1))
+    assert kept == [False, True], "a vote or an answer is never dropped for entries"
     link.close()
