--- a/tests/test_partner_sites.py
+++ b/tests/test_partner_sites.py
@@ -250,7 +250,7 @@
 
     def test_any_sidecar_offers_the_same_and_one_that_may_not_know_says_so(self):
         site = Site.of(self, "oslo", followers=0)
-        site.knows("bergen")
+        site.knows("bergen", self.toy("bergen").address)
         site.knows("trondheim", asks_from=["127.1.0.0/16"])
         site.offers(row("own@shop"), row("two@shop"))
         site.begin()
@@ -291,12 +291,14 @@
         self.assertEqual(shown(at[0], "bergen"), {"own@shop"})
         for sock in silent:
             sock.close()
-        # Cut off from the copies it does not confirm what may have changed.
+        # Cut off from the copies it does not confirm what may have changed, and what it knows of partners ages.
         others[0].kill()
         others[1].stop()
         site.wait(lambda: "cut off" in ask(site.listens[writer.name], "bergen")[1], 12)
+        site.wait(lambda: site.standing(writer, "bergen") == "gone", 12)
         others[1].go_on()
         site.wait(lambda: shown(site.listens[writer.name], "bergen") == {"own@shop"})
+        site.wait(lambda: site.standing(writer, "bergen") == "fresh")
         # One that begins anew goes on with the index of all.
         held = mark(ask(site.listens[writer.name], "bergen")[1])
         others[0].start()
