--- a/loftweir/emulator/copies.py
+++ b/loftweir/emulator/copies.py
@@ -78,6 +78,7 @@
     quiet: bool = False  # only one follower has troubles: no leader may fall
     doomed: float = 0.0  # part of leaders that crash within the first few ms
     timing: Timing = TIMING
+    check: int = 8  # steps from one look at a core's own invariants to the next
 
     @classmethod
     def of(cls, seed: int) -> Plan:
@@ -231,7 +232,7 @@
         self.sums = [0]  # of the machine after each
         self.done = 0  # the last promised index
         self.nothing: set[bytes] = set()  # data of writes that were refused as never in the log
-        self.terms: set[int] = set()  # of the entries committed
+        self.terms: list[int] = []  # of who committed each
         self.voters: frozenset[str] = frozenset()
 
     def kept(self, core: Core, keep: Keep) -> None:
@@ -242,7 +243,7 @@
             if known != (entry, before) and before >= 0:
                 raise Breach(f"log matching: {known} and {entry} behind {before}")
 
-    def applied(self, machine: Machine, entry: Entry) -> None:
+    def applied(self, core: Core, machine: Machine, entry: Entry) -> None:
         if entry.index != machine.applied + 1:
             raise Breach(f"applied {entry.index} behind {machine.applied}")
         machine.apply(entry)
@@ -254,7 +255,7 @@
             raise Breach(f"a write that was refused came true: {entry}")
         self.committed.append(entry)
         self.sums.append(machine.sum)
-        self.terms.add(entry.term)
+        self.terms.append(core.term)
         if entry.kind is Kind.MEMBERS:
             members = msgspec.msgpack.decode(entry.data, type=tuple[Member, ...])
             voters = frozenset(m.id for m in members if m.votes)
@@ -274,8 +275,10 @@
         """Election safety and leader completeness (paper, 5.2 and 5.4.3)."""
         if self.leaders.setdefault(core.term, core.me) != core.me:
             raise Breach(f"two leaders in term {core.term}: {self.leaders[core.term]} and {core.me}")
-        for entry in self.committed:
-            if entry.index >= core.first_index and core.entries(entry.index, entry.index) != [entry]:
+        for entry, term in zip(self.committed, self.terms, strict=True):
+            # Who wins an older term late, by votes long on their way, need not have what a later one committed.
+            at = entry.index
+            if term < core.term and at >= core.first_index and core.entries(at, at) != [entry]:
                 raise Breach(f"the leader of term {core.term} lacks {entry}, which was committed")
 
 
@@ -298,6 +301,7 @@
         self.lost: dict[str, Disk] = {}  # by id, as they were: each may be what an answer still on its way rests on
         self.old: list[AnyMessage] = []  # said once, to be heard again
         self.tokens: dict[int, tuple[Event, int, int]] = {}  # the event, and what was promised and committed then
+        self.outcomes: dict[int, Done | Refused] = {}
         self._token = 0
         self._queue: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self._order = 0
@@ -329,7 +333,7 @@
     def run(self) -> World:
         """Troubles, then all is well again: what was promised must hold, and the copies must go on."""
         self._calls()
-        self.later(5 * MS, self._administer)
+        self.later(5 * MS, self.administer)
         if self.plan.troubles:
             self.later(self.plan.each, self._trouble)
         self.play(self.plan.length)
@@ -337,7 +341,7 @@
         self.cuts.clear()
         for seat in self.seats.values():
             seat.stalled_until = min(seat.stalled_until, self.at)
-            self._clock(seat)
+            self.clock(seat)
             self.start(seat)
         promised, until = self.promises, self.at + END
         if not self.play(until, lambda: self.promises > promised and self.well()):
@@ -396,7 +400,7 @@
         self.steps += 1
         if led and stalled:
             self._says_nothing(core, led, actions)
-        if self.steps % 8 == 0 or isinstance(event, (Change, Compact)):
+        if self.steps % self.plan.check == 0 or isinstance(event, (Change, Compact)):
             core.check()
         for action in actions:
             self._act(seat, core, action)
@@ -420,7 +424,7 @@
             self._sync(seat)
         elif isinstance(action, Apply):
             for entry in action.entries:
-                self.oracle.applied(seat.machine, entry)
+                self.oracle.applied(core, seat.machine, entry)
         elif isinstance(action, Restore):
             self.oracle.restored(seat.machine, action.snapshot)
         elif isinstance(action, Stands):
@@ -428,6 +432,7 @@
         elif isinstance(action, Done):
             self._done(seat, core, action)
         elif isinstance(action, Refused):
+            self.outcomes[action.token] = action
             event, *_ = self.tokens.pop(action.token)
             if action.why is not Refusal.LOST and isinstance(event, Write):
                 self.oracle.nothing.add(event.data)
@@ -447,6 +452,7 @@
             raise Breach(f"a leader that was well was deposed: {seat.name} in term {action.term}")
 
     def _done(self, seat: Seat, core: Core, done: Done) -> None:
+        self.outcomes[done.token] = done
         event, promised, terms = self.tokens.pop(done.token)
         if seat.machine.applied < done.index:
             raise Breach("answered before it was applied")
@@ -551,6 +557,8 @@
         """An event with a token, from a caller at this seat; it may never be answered."""
         self._token += 1
         made = event(self._token)
+        if isinstance(made, Change) and self.at < seat.stalled_until:
+            return self._token  # who calls can't wait: what is lost meanwhile might make it a wrong one
         self.tokens[self._token] = (made, self.oracle.done, max(self.oracle.terms, default=0))
         self.event(seat, None, made)
         return self._token
@@ -571,10 +579,10 @@
             self.read(self.random.choice(up))
         self.later(self.random.randrange(2 * self.plan.writes if self.troubled else 10 * MS), self._calls)
 
-    def _administer(self) -> None:
+    def administer(self) -> None:
         """One step towards the members that are wanted, at whoever says that it leads: who lost a disk is removed
         first, another comes in as a learner, and votes once it has nearly all."""
-        self.later(10 * MS, self._administer)
+        self.later(10 * MS, self.administer)
         lead = [s for s in self.seats.values() if s.core is not None and s.core.role is Role.LEADER]
         if not lead:
             return
@@ -668,10 +676,10 @@
 
     def _clock_trouble(self, seat: Seat, lasts: int) -> None:
         """Its clock goes far too slow or too fast."""
-        self._clock(seat, self.random.choice((250, 3000)))
-        self.later(lasts, self._clock, seat)
+        self.clock(seat, self.random.choice((250, 3000)))
+        self.later(lasts, self.clock, seat)
 
-    def _clock(self, seat: Seat, part: int = 1000) -> None:
+    def clock(self, seat: Seat, part: int = 1000) -> None:
         seat.goes(self.at, part)
         self.event(seat, seat.core, Tick())
 
@@ -753,4 +761,3 @@
             for members in (leader.members[1:], leader.members[2:]):
                 self.ask(at, lambda token, members=members: Change(token, members))  # type: ignore[misc]
         return True
-
--- a/loftweir/replication/joining.py
+++ b/loftweir/replication/joining.py
@@ -22,6 +22,11 @@
 LONG = 4  # election timeouts without a leader, after which a member asks whether it still is one
 SILENT_FOR = 3 * SECOND  # from the start, before waiting is worth a line
 
+LOST = (
+    "files were set aside here, and no leader is known: it begins nothing, as more may have been promised; look at the "
+    "other members, and only where the copies are gone empty all folders, this one too"
+)
+
 
 class Joining:
     def __init__(self, loop: Loop, voter: Voter, still: Callable[[], bool]) -> None:
@@ -34,6 +39,7 @@
         self.random = Random(f"{voter.me} joining")
         self.begun_at = loop.now()
         self.joins = False
+        self.voted = False  # it was found in its place, in the life of this process: the disk alone does not tell
         self.task: Task = loop.spawn(self._run(), self._crashed)
 
     def _crashed(self, _: Exception) -> None:
@@ -62,6 +68,7 @@
         if self.joins:
             self.joins = False
             say(REPLICATION_JOINED, id=voter.me, leader=voter.leader()[0])
+        self.voted = self.voted or age is not None
         away = age if age is not None else self.loop.now() - self.begun_at
         return away < LONG * voter.options.election
 
@@ -71,18 +78,18 @@
         answers = yield from self._ask_all()
         if not self.still():
             return False
-        if not voter.begun:
+        if not voter.begun and not voter.lost:
             members = tuple(founders(self.own, min(voter.seats), voter.seats, answers))
             if members:
                 say(REPLICATION_BEGUN, id=voter.me, members=[m.name for m in members])
                 voter.found(members)
                 return True
-        for name, (_, am) in answers.items():
-            if am.leader == name and voter.voted and all(m.id != voter.me for m in am.members):
-                voter.end(Removed(f"{name} leads, and its members are without {voter.me}", voter.name))
-                return False
+        without = [n for n, (_, am) in answers.items() if am.sure and all(m.id != voter.me for m in am.members)]
+        if without and self.voted:
+            voter.end(Removed(f"{without[0]} leads, and its members are without {voter.me}", voter.name))
+            return False
         own = voter.member(voter.me)
-        if own is not None and own.votes and own.address == self.own.address:
+        if not without and own is not None and own.votes and own.address == self.own.address:
             return False
         leaders = {am.leader: am.address for _, am in answers.values() if am.leader not in ("", voter.name)}
         for name, address in leaders.items():
@@ -93,7 +100,8 @@
                     return True
                 say(REPLICATION_WAITS, why=f"{name}: {joined.why}")
         if not leaders and self.loop.now() > self.begun_at + SILENT_FOR:
-            say(REPLICATION_WAITS, why=waits_for(voter.name, min(voter.seats), voter.seats, answers))
+            why = waits_for(voter.name, min(voter.seats), voter.seats, answers)
+            say(REPLICATION_WAITS, why=LOST if voter.lost else why)
         return False
 
     def _join(self) -> Join:
--- a/loftweir/replication/member.py
+++ b/loftweir/replication/member.py
@@ -52,6 +52,7 @@
 FOUNDS = 0  # the batch that founds; the core counts its own from 1 on
 NEWS_ENTRIES, NEWS_BYTES = 256, 256 * 1024  # of one answer to a follower; the rest comes with the next
 LINK_UNUSED = 10 * SECOND  # of a link to one that is no member
+LINKS = 32  # at most; twice the members that there may be
 NEVER_MET = 1 << 62
 
 Answered = Callable[[How, int, AnyResult | None], None]
@@ -90,6 +91,7 @@
         self.machine = Machine()
         self.keeper = Keeper()
         self.begun = kept != Kept()  # something was kept, or is asked to be, ever
+        self.lost = self.disk.lost  # ... or may have been, by files that were set aside
         self.founding: Kept | None = None  # asked to be kept, and not yet stable
         self.over = False
         self.stable = 0  # the last batch that is
@@ -104,7 +106,6 @@
         self.told_index = 0
         self.known_at = 0  # when it last knew a leader with a majority, itself or another; 0: never
         self.led = (0, 0)  # the term that it led last, and when it began to
-        self.voted = False  # it has been one of the voters, in the life of this process
         self.hello = Hello(VERSION, options.cluster, self.me, name, Who.MEMBER)
         self.ticker: Task = loop.spawn(self._tick(), self._crashed, urgent=True)
         self.reader: Task = loop.spawn(self._read_disk(), self._crashed, urgent=True)
@@ -192,8 +193,9 @@
             self.over = True
             self.loop.after(0, self.ended, why)
 
-    def close(self) -> None:
-        """Nothing more is said, heard or kept. Not to be called by what this member itself runs."""
+    def close(self, within: float = 0.0) -> None:
+        """Nothing more is said or heard; what was asked to be kept is, and the folder is free then, which is waited for
+        `within` seconds of the loop's time. Not to be called by what this member itself runs."""
         self.over = True
         for link in self.links.values():
             link.close()
@@ -203,7 +205,7 @@
         for task in (self.ticker, self.reader):
             task.cancel()
         self.loop.forget(self.disk.fileno())
-        self.disk.close(within=0.5)
+        self.disk.close(within)
 
     def _keep(self, action: Keep) -> None:
         self.begun = True
@@ -219,10 +221,15 @@
         id = action.message.to
         link = self.links.get(id)
         if link is None:
+            if len(self.links) >= LINKS:
+                self._drop_link(min(self.links, key=lambda id: (self.member(id) is not None, self.links[id].said_at)))
             link = Link(self.loop, id, self.hello, lambda: self.address_of(id), self._turned)
             self.links[id] = link
         link.put(action.message)
 
+    def _drop_link(self, id: str) -> None:
+        self.links.pop(id).close()
+
     def _apply(self, action: Apply) -> None:
         machine = self.machine
         for entry in action.entries:
@@ -263,7 +270,6 @@
             self.keeper.lost()
         elif self.led[0] != action.term:
             self.led = action.term, self.loop.now()
-        own = next((m for m in action.members if m.id == self.me), None)
         say(
             REPLICATION_ROLE,
             role=action.role.value,
@@ -272,12 +278,10 @@
             members=[m.name if m.votes else f"{m.name} (learns)" for m in action.members],
             id=self.me,
         )
-        self.voted = self.voted or (own is not None and own.votes)
         known, now = {m.id for m in action.members}, self.loop.now()
         for id, link in list(self.links.items()):
             if id not in known and link.said_at < now - LINK_UNUSED:
-                del self.links[id]
-                link.close()
+                self._drop_link(id)
 
     def _want_snapshot(self, action: WantSnapshot) -> None:
         self.pending.append(Compact(self.machine.index, self.machine.dump()))
@@ -306,7 +310,7 @@
 
     def found(self, members: tuple[Member, ...]) -> None:
         """Begins the cluster, where nothing was kept here yet: stable first, then in force."""
-        if not self.begun:
+        if not self.begun and not self.lost:
             self.founding = begun(members)
             self._keep(Keep(FOUNDS, self.founding.hard, None, self.founding.entries))
 
@@ -347,6 +351,10 @@
         now, election = self.loop.now(), self.options.election
         return id == self.me or max(self.core.heard_from(id), self.led[1] + election) > now - election
 
+    def near(self, id: str) -> bool:
+        """Whether a leader heard from a member in the last election timeout."""
+        return id == self.me or self.core.heard_from(id) > self.loop.now() - self.options.election
+
     def behind(self, id: str) -> int:
         """How many committed entries a member is not known to have."""
         match = self.core.match(id)
@@ -354,11 +362,11 @@
 
     def am(self, names: tuple[str, ...]) -> Am:
         agrees = sorted(names) == sorted(self.seats)
-        empty = agrees and not self.begun and not self.over
-        return Am(empty, agrees, self.seats[self.name], *self.leader(), self.core.members)
+        empty = agrees and not (self.begun or self.lost or self.over)
+        return Am(empty, agrees, self.seats[self.name], *self.leader(), self.core.members, self.core.settled)
 
-    def news(self, after: int) -> News:
-        """What a follower that has all up to `after` lacks."""
+    def news(self, after: int, leads: bool = False) -> News:
+        """What a follower that has all up to `after` lacks. `leads`: a majority has just said so."""
         core, index = self.core, self.machine.index
         whole = after < core.first_index - 1
         entries: list[Told] = []
@@ -371,7 +379,7 @@
                     break
         told = entries[-1].index if entries else index
         members = tuple(m.id for m in core.members)
-        return News(after, told, self.age(), self.leads(), self.leader()[0], members, tuple(entries), whole)
+        return News(after, told, self.age(), leads, self.leader()[0], members, tuple(entries), whole)
 
 
 class Removed(Trouble):
--- a/loftweir/replication/part.py
+++ b/loftweir/replication/part.py
@@ -71,6 +71,7 @@
         self.words: dict[str, Said] = {}
         self.machine: Machine | None = None  # the state that holds here; None: none was heard of yet
         self.heard: list[Callable[[Machine], None]] = []  # who else is told of each change of it
+        self.ahead: dict[str, int] = {}  # words that were answered for, and from which index on the machine has them
         self.saves = False  # a file is to be written
         self.voter: Voter | None = None
         self.reception: Reception | None = None
@@ -113,14 +114,22 @@
 
     def _vote(self) -> bool:
         """Takes the part of a member; False: not now, and it follows meanwhile."""
-        options = self.options
+        options, address = self.options, self.seats[self.name]
         try:
+            sock = reception.bound(address)
+        except OSError as error:
+            say(REPLICATION_WAITS, why=f"{address}: {error.strerror or error}")
+            self._follow()
+            return False
+        try:  # second, since reading it takes the loop's time
             disk, kept, report = open_disk(Path(options.folder), options.cluster)
         except FolderInUse as error:
+            sock.close()
             say(REPLICATION_WAITS, why=error)
             self._follow()
             return False
         except StorageFailed as error:
+            sock.close()
             self._ended(error)
             return True
         index = kept.entries[-1].index if kept.entries else kept.snapshot.index if kept.snapshot else 0
@@ -130,13 +139,7 @@
             say(REPLICATION_DAMAGED, why=report.damage, before=report.before, id=report.member, aside=report.aside)
         voter = Voter(self.loop, self.name, options, self.seats, (disk, kept), self._applied, self._ended)
         listener = Reception(self.loop, voter, options.callers)
-        try:
-            listener.listen(self.seats[self.name])
-        except OSError as error:
-            say(REPLICATION_WAITS, why=f"{self.seats[self.name]}: {error.strerror or error}")
-            voter.close()
-            self._follow()
-            return False
+        listener.listen(sock)
         self._end_following()
         self.voter, self.reception = voter, listener
         voter.start()
@@ -155,10 +158,10 @@
         if not self.leaves:
             self._follow()
 
-    def _end_voting(self) -> None:
+    def _end_voting(self, within: float = 0.0) -> None:
         if self.voter is not None and self.reception is not None and self.joining is not None:
             self.reception.close()
-            self.voter.close()
+            self.voter.close(within)
             self.joining.task.cancel()
         self.voter = self.reception = self.joining = None
 
@@ -183,7 +186,7 @@
         self.leaves = True
         if self.saves:
             self._save()
-        self._end_voting()
+        self._end_voting(within=0.5)
         self._end_following()
         self.caller.close()
 
@@ -201,7 +204,7 @@
     def _tell(self, machine: Machine, members: frozenset[str]) -> None:
         anew = bool(self.members and members) and not self.members & members
         if anew:
-            self.index = 0
+            self.index, self.ahead = 0, {}
         self.members = members or self.members
         if machine.index < self.index:
             return  # a voter that has yet to hear how much of its log holds, or one that joins
@@ -212,6 +215,8 @@
         if not words and not whole and not anew:
             return
         said = {name: Said(word.at, word.out) for name, word in words.items()}
+        self.ahead = {name: index for name, index in self.ahead.items() if index > machine.index}
+        said |= {name: self.words[name] for name in self.ahead}  # not undone by an older word on the way there
         self.words = said if whole or anew else {**self.words, **said}
         say(REPLICATION_WORDS, out=self.out(), index=self.index)
         self.told(said, whole or anew)
@@ -257,18 +262,26 @@
             if call.word is Word.FLEET_ENABLE:
                 held = yield from self.caller.read(WordOf(call.id), self.options.write_within)
                 if held.sure and not (held.value and held.value[0]):
-                    return f"enabled, at index {held.index}"  # as nobody took it out, it is not to begin cold
+                    # As nobody took it out, it is not to begin cold; this sidecar may have yet to hear of that.
+                    if held.value or call.id in self.out():
+                        self._answered(call.id, Said(held.value[2] if held.value else 0, False), held.index)
+                    return f"enabled, at index {held.index}"
             act = Say(call.id, call.word is Word.FLEET_DISABLE, self.loop.now())
             result = yield from self.caller.write(act, max(SECOND // 1000, until - self.loop.now()))
         except Trouble as error:
             raise No(f"{type(error).__name__}: {error}; {error.remedy}") from None
         if not isinstance(result, Ok):
             raise No(result.text)
-        if result.index > self.index:  # it holds here by the time of the answer; the machine's state follows
-            self.words = {**self.words, call.id: Said(act.at, act.out)}
-            self.told(self.words, False)
+        self._answered(call.id, Said(act.at, act.out), result.index)
         return f"{'disabled' if act.out else 'enabled'}, at index {result.index}"
 
+    def _answered(self, name: str, said: Said, index: int) -> None:
+        """What is promised at an index holds here by the time of the answer; the machine's state follows."""
+        if index > max(self.index, self.ahead.get(name, 0)):
+            self.ahead[name] = index
+            self.words = {**self.words, name: said}
+            self.told(self.words, False)
+
     def line(self) -> str:
         """How it stands, in one line."""
         role, term, leader = "follows", "-", self.follower.leader if self.follower is not None else ""
--- a/loftweir/replication/reception.py
+++ b/loftweir/replication/reception.py
@@ -1,7 +1,9 @@
 """A voter's listener: other members, and the sidecars that ask, write and follow.
 
 Members' messages go before all else on the loop. All others together are bounded; of too many, the one that comes is
-turned away to the other voters, and who is listed as a member is never among them.
+turned away to the other voters. Who is listed as a member is never among them: the oldest of its own lines goes. Who
+asks is answered one question after another, the next one once the answer has gone out: what is held for it is one
+answer, and one turn of the loop does one.
 """
 
 from __future__ import annotations
@@ -14,7 +16,7 @@
 import msgspec
 
 from loftweir.config.units import host_and_port
-from loftweir.net.loop import MS, READABLE, SECOND, Coroutine, Loop, Task, Wait
+from loftweir.net.loop import HUNG_UP, MS, READABLE, SECOND, WOKEN, Coroutine, Loop, Task, Wait
 from loftweir.net.stream import TookTooLong, prepare
 from loftweir.replication.api import Heard, Message
 from loftweir.replication.line import GREETED_WITHIN, Broken, Line
@@ -56,7 +58,9 @@
 BACKLOG = 512  # a voter that comes back is called by many at once
 UNGREETED = 64  # connections that have not said who they are; more wait to be accepted
 SLOW_AFTER = 250 * MS  # of too many, the oldest goes after this
-BESIDE = 6  # lines of each listed member that asks or joins, beside those for others
+BESIDE = 8  # lines of each listed member that asks or joins, beside those for others; two processes may be under way
+OF_A_SEAT = 2  # lines of members of one name: an old id, and the one that takes its place
+OF_STRANGERS = 8  # ... and of all whose names are neither listed nor members'
 UNUSED_FOR = 30 * SECOND  # of a line that asks nothing
 LONGEST_WAIT = 60 * SECOND
 NEWS_APART = 20 * MS  # from one round of news to the next: what is applied meanwhile goes together
@@ -65,6 +69,21 @@
 DESCRIPTORS = 48  # beside those of others: listener, links both ways, UNGREETED in part, disk, epoll's wakes
 
 
+def bound(address: str) -> socket.socket:
+    """OSError where it can't be had."""
+    host, port = host_and_port(address)
+    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        sock.listen(BACKLOG)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 class Reception:
     """Invariant: every line that is open has its one coroutine, and is in `ungreeted`, `members` or `others`."""
 
@@ -78,24 +97,15 @@
         self.others: dict[Line, Hello] = {}
         self.parked: dict[Line, tuple[int, int]] = {}  # who waits for news: behind which index, and until when
         self.asked_from: dict[str, str] = {}  # by name, the id that asked last how this one stands while it was empty
+        self.asked: set[Line] = set()  # whose question the voter has: it gets no other one meanwhile
         self.news_due = False
         self.news_at = 0
         self.listener: socket.socket | None = None
         self.accepting: Task | None = None
         self.over = False
 
-    def listen(self, address: str) -> None:
-        """OSError where it can't be had."""
-        host, port = host_and_port(address)
-        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind((host, port))
-            sock.listen(BACKLOG)
-            sock.setblocking(False)
-        except OSError:
-            sock.close()
-            raise
+    def listen(self, sock: socket.socket) -> None:
+        """On what is `bound`, and closed with this."""
         self.listener = sock
         self.accepting = self.loop.spawn(self._accept(sock), urgent=True)
 
@@ -172,8 +182,7 @@
         if foreign is not None or hello.kind is Kind.MEMBER:
             return foreign
         if hello.name in self.voter.seats:
-            beside = sum(other.name == hello.name for other in self.others.values())
-            return Turned(Why.FULL, str(BESIDE)) if beside >= BESIDE else None
+            return None
         others = sum(other.name not in self.voter.seats for other in self.others.values())
         return Turned(Why.FULL, str(self.most)) if others >= self.most else None
 
@@ -182,13 +191,29 @@
             before = self.members.get(hello.id)
             if before is not None and before.task is not None:
                 before.task.cancel()  # its other side may be gone without a word
+            seat = self._seat(hello.name)
+            beside = [line for id, line in self.members.items() if self._seat(self.voter.names[id]) == seat]
+            self._make_room(beside, OF_A_SEAT if seat else OF_STRANGERS)
             self.members[hello.id] = line
             self.voter.names[hello.id] = hello.name
             self._run(line, self._hear(line, hello), self.loop.urgent)
         else:
+            if hello.name in self.voter.seats:
+                self._make_room([line for line, other in self.others.items() if other.name == hello.name], BESIDE)
             self.others[line] = hello
             self._run(line, self._answer(line), self.loop.due)
 
+    def _seat(self, name: str) -> str:
+        """One of those that there are; empty for all others."""
+        known = name in self.voter.seats or any(member.name == name for member in self.voter.core.members)
+        return name if known else ""
+
+    def _make_room(self, lines: list[Line], most: int) -> None:
+        """For one more; the oldest come first."""
+        for line in lines[: max(0, len(lines) + 1 - most)]:
+            assert line.task is not None
+            line.task.cancel()
+
     # ---- members --------------------------------------------------------------------------------
 
     def _hear(self, line: Line, hello: Hello) -> Coroutine[None]:
@@ -210,6 +235,7 @@
         finally:
             if self.members.get(hello.id) is line:
                 del self.members[hello.id]
+                voter.names.pop(hello.id, None)
             line.close()
 
     # ---- all others -----------------------------------------------------------------------------
@@ -224,6 +250,7 @@
                 except TookTooLong:
                     if line in self.parked:
                         self._news(line, self.parked[line][0])
+                        unused_at = self.loop.now() + UNUSED_FOR
                     elif self.loop.now() >= unused_at:
                         return
                     continue
@@ -233,12 +260,20 @@
                     yield from self._send_away(line, Turned(Why.FORM, type(frame).__name__))
                     return
                 answer(self, line, frame)
+                while line in self.asked:  # a voter's answer may not come for long
+                    if (yield Wait(line.sock, HUNG_UP, None)) != WOKEN:
+                        return
+                if line.out:
+                    yield from line.taken(unused_at)
+                elif line.reader.more:
+                    yield Wait(None, 0, self.loop.now())  # the others' turn
         except Broken as error:
             if isinstance(error, BadFrame):
                 say(REPLICATION_TURNED, name=self.others[line].name, why=error)
         finally:
             self.others.pop(line, None)
             self.parked.pop(line, None)
+            self.asked.discard(line)
             line.close()
 
     def _who(self, line: Line, frame: Who) -> None:
@@ -259,8 +294,9 @@
 
         def answered(how: How, index: int, _: AnyResult | None) -> None:
             on = how in (How.DONE, How.BUSY)
-            line.put(Joined(False, on, "" if on else how.value, *voter.leader()))
+            self._answered(line, Joined(False, on, "" if on else how.value, *voter.leader()))
 
+        self.asked.add(line)
         voter.change(step, answered)
 
     def _remove(self, line: Line, frame: Remove) -> None:
@@ -269,6 +305,12 @@
         if left == members and self.voter.leads():
             line.put(Outcome(frame.token, How.UNFIT, 0, f"no member has the name {frame.name}".encode()))
             return
+        voting = [m for m in left if m.votes]
+        up = [m.name for m in voting if self.voter.near(m.id)]
+        if self.voter.leads() and len(up) <= len(voting) // 2:  # it would not even come to hold
+            why = f"without {frame.name} there is no majority: of {len(voting)} voters only {', '.join(up)} would be up"
+            line.put(Outcome(frame.token, How.UNFIT, 0, why.encode()))
+            return
         self.voter.change(left, self._outcome(line, frame.token))
 
     def _submit(self, line: Line, frame: Submit) -> None:
@@ -278,10 +320,18 @@
         else:
             self.voter.write(frame.order, self._outcome(line, frame.token))
 
+    def _answered(self, line: Line, frame: Frame) -> None:
+        if line in self.asked and line.task is not None:
+            self.asked.discard(line)
+            line.put(frame)
+            line.task.wake()
+
     def _outcome(self, line: Line, token: int) -> Callable[[How, int, AnyResult | None], None]:
+        self.asked.add(line)
+
         def answered(how: How, index: int, result: AnyResult | None) -> None:
             data = b"" if result is None else result_written(result)
-            line.put(Outcome(token, how, index, data, *self.voter.leader()))
+            self._answered(line, Outcome(token, how, index, data, *self.voter.leader()))
 
         return answered
 
@@ -290,16 +340,25 @@
             voter = self.voter
             value = msgspec.msgpack.encode(looked_up(voter, frame.query))
             sure = how is How.DONE
-            line.put(
-                Answer(frame.token, how, sure, voter.machine.index, 0 if sure else voter.age(), value, *voter.leader())
-            )
+            age, index = 0 if sure else voter.age(), voter.machine.index
+            self._answered(line, Answer(frame.token, how, sure, index, age, value, *voter.leader()))
 
+        self.asked.add(line)
         self.voter.read(answered)
 
     # ---- news -----------------------------------------------------------------------------------
 
     def _follow(self, line: Line, frame: Follow) -> None:
-        if frame.after < self.voter.machine.index or frame.wait <= 0:
+        voter = self.voter
+        if frame.after > voter.machine.index and voter.leads():
+            # The follower would let go of what it was told. One that was stopped, or hands over, may only believe that
+            # it leads.
+            def answered(how: How, *_: Any) -> None:
+                self._answered(line, voter.news(frame.after, how is How.DONE))
+
+            self.asked.add(line)
+            voter.read(answered)
+        elif frame.after < voter.machine.index or frame.wait <= 0:
             self._news(line, frame.after)
         else:
             self.parked[line] = frame.after, self.loop.now() + min(frame.wait, LONGEST_WAIT)
--- a/loftweir/replication/wire.py
+++ b/loftweir/replication/wire.py
@@ -91,6 +91,7 @@
     leader: str  # a name; empty: not known
     address: str  # of the leader, as the members have it
     members: tuple[Member, ...]
+    sure: bool = False  # it leads, and its members are committed: none of them may come back to what was before
 
 
 class Join(Value, frozen=True, tag="join"):
@@ -199,7 +200,7 @@
     after: int  # as it was asked
     index: int  # applied there; below `after`: this one is behind who asks
     age: int | None  # since it last knew a leader with a majority; None: never
-    leads: bool  # it leads with a majority: nothing that was promised is behind its index
+    leads: bool  # a majority has just said that it leads: nothing that was promised is behind its index
     leader: str  # a name
     members: tuple[str, ...]  # ids
     entries: tuple[Told, ...]  # from behind `after` without gap; empty where only the whole helps, or none is there
@@ -248,6 +249,11 @@
         self.at = 0
         self.first = True
 
+    @property
+    def more(self) -> bool:
+        """Whether there are bytes that are in no frame yet."""
+        return len(self.data) > self.at
+
     def feed(self, data: bytes) -> None:
         del self.data[: self.at]
         self.at = 0
