--- a/loftweir/emulator/sites.py
+++ b/loftweir/emulator/sites.py
@@ -24,7 +24,7 @@
 MS, SECOND = 1_000_000, 1_000_000_000
 TIMING = Timing(
     wait=2 * SECOND, silent_after=500 * MS, hold=4 * SECOND, gone=3 * SECOND, again=300 * MS, again_most=SECOND,
-    ramp_within=5 * SECOND, half=5 * SECOND, suppress=2500.0, damped_most=15 * SECOND,
+    ramp_within=5 * SECOND, half=10 * SECOND, suppress=2500.0, damped_most=15 * SECOND,
 )  # fmt: skip
 DELAY = 50 * MS  # of a message, at most
 TICK = 500 * MS  # between two looks at what each site uses
--- a/loftweir/partners/merge.py
+++ b/loftweir/partners/merge.py
@@ -58,7 +58,7 @@
 ORDER = {Role.DOWNSTREAM: 0, Role.NONE: 1, Role.PEER: 2, Role.UPSTREAM: 3}
 
 
-class Candidate(NamedTuple):
+class Candidate(msgspec.Struct, frozen=True, gc=False):
     partner: str
     route: Route
     held: Held
@@ -78,7 +78,7 @@
     Rule("role", lambda one, policy: ORDER[policy.roles.get(one.partner, Role.NONE)]),
     Rule("shorter path", lambda one, policy: len(one.route.path)),  # 9.1.2.2 a
     Rule("greater share", lambda one, policy: -(one.route.share or 1.0)),
-    Rule("name", lambda one, policy: one.partner),  # 9.1.2.2 f: so that there is always one best
+    Rule("name", lambda one, policy: one.partner),  # 9.1.2.2 f; it has to be last: no two are alike
 )
 
 
@@ -151,9 +151,13 @@
 
 def ends(one: Candidate, policy: Policy) -> tuple[int, Reason]:
     """When this route ends as things stand, Unix time in ns, and why."""
-    until = min(one.held.confirmed_at + one.route.valid_for, one.route.terms.until)
-    stale = one.held.since + policy.gone_after if one.held.standing is Standing.STALE else FOREVER
-    return (stale, Reason.STALE) if stale < until else (until, Reason.EXPIRED)
+    held, route = one.held, one.route
+    until, told = held.confirmed_at + route.valid_for, route.terms.until
+    if told < until:
+        until = told
+    if held.standing is Standing.STALE and held.since + policy.gone_after < until:
+        return held.since + policy.gone_after, Reason.STALE
+    return until, Reason.EXPIRED
 
 
 def refused(one: Candidate, policy: Policy, now: int) -> Left | None:
@@ -166,7 +170,7 @@
         return Left(Reason.UNKNOWN, ", ".join(sorted(terms.unknown)))
     if policy.site in route.path:  # RFC 4271, section 9.1.2
         return Left(Reason.LOOP)
-    by = leaked(terms, route.path, policy.site) or _past_role(one, policy)
+    by = leaked(terms, route.path, policy.site) or (_past_role(one, policy) if route.marked else "")
     if by:
         return Left(Reason.LEAKED, by)
     if len(route.path) > policy.limits.path:
@@ -177,8 +181,8 @@
 
 def _past_role(one: Candidate, policy: Policy) -> str:
     """RFC 9234, section 5, on the way in: marked by somebody, and yet shown upwards or sidewards."""
-    role, marked = policy.roles.get(one.partner, Role.NONE), one.route.marked
-    if marked and (role is Role.DOWNSTREAM or (role is Role.PEER and marked != one.partner)):
+    role = policy.roles.get(one.partner, Role.NONE)
+    if role is Role.DOWNSTREAM or (role is Role.PEER and one.route.marked != one.partner):
         return one.partner
     return ""
 
@@ -192,11 +196,14 @@
         why = refused(one, policy, now)
         if why is None:
             fit.append(one)
-            until = min(until, ends(one, policy)[0])
+            end = ends(one, policy)[0]
+            until = end if end < until else until
         else:
             left[one.partner] = why
+    keys: dict[str, list[Any]] = {}
     if len(fit) > 1:
-        fit.sort(key=lambda one: [rule.key(one, policy) for rule in policy.rules])
+        keys = {one.partner: [rule.key(one, policy) for rule in policy.rules] for one in fit}
+        fit.sort(key=lambda one: keys[one.partner])
     best: Candidate | None = None
     for one in fit:
         if not one.route.terms.may_use(policy.site, now):
@@ -204,7 +211,8 @@
         elif best is None:
             best = one
         else:
-            left[one.partner] = Left(Reason.WORSE, best.partner, _decided(best, one, policy))
+            two = zip(policy.rules, keys[best.partner], keys[one.partner], strict=True)
+            left[one.partner] = Left(Reason.WORSE, best.partner, next(rule.name for rule, a, b in two if a != b))
     own = policy.offers.get(service)
     shown: dict[str, Route] = {}
     if own is not None:
@@ -217,10 +225,6 @@
     return Decision(Used(best.partner, best.route) if best else None, left, shown, until)
 
 
-def _decided(best: Candidate, other: Candidate, policy: Policy) -> str:
-    return next((rule.name for rule in policy.rules if rule.key(best, policy) != rule.key(other, policy)), "")
-
-
 def _pass(one: Candidate, policy: Policy, now: int, shown: dict[str, Route]) -> int:
     """Passes a route on to each neighbour that has no better one yet; until when that holds, at the longest."""
     route, passed = one.route, len(one.route.path)
@@ -245,11 +249,10 @@
     """Adds the route for each neighbour that may be shown it and has none yet. RFC 9234, section 5, on the way out:
     what is marked goes to nobody above or beside, and what goes beside or below is marked."""
     forms: dict[str, Route] = {}
-    for to, role in policy.roles.items():
+    for to in terms.shown_to(policy.roles, now, passed):
+        role = policy.roles[to]
         if to in shown or (marked and role in ABOVE) or (passed and to in route.path):
             continue
-        if not terms.may_show(to, now, passed):
-            continue
         mark = marked or (policy.site if role in BESIDE_OR_BELOW else "")
         if mark not in forms:
             path = (policy.site, *route.path) if passed else route.path
@@ -358,9 +361,8 @@
         for service in list(services):
             routes = self.by_service.get(service, {})
             found = decide(service, [Candidate(p, route, helds[p]) for p, route in routes.items()], self.policy, now)
-            if merged.used.get(service) != found.used:
+            if merged.used.pop(service, None) != found.used:
                 changed.used.add(service)
-            merged.used.pop(service, None)
             for partner in merged.left.pop(service, {}):
                 self.lapsed.get(partner, set()).discard(service)
             for partner, why in found.left.items():
--- a/loftweir/partners/session.py
+++ b/loftweir/partners/session.py
@@ -99,7 +99,7 @@
     ramp_from: float = 0.05  # of what may be sent to one that comes back
     ramp_within: int = 30 * SECOND
     half: int = 60 * SECOND  # the penalty is half of it after this time
-    suppress: float = 4000.0  # at this penalty a partner is damped (RFC 7196, section 4, asks for no less than 6000 of
+    suppress: float = 4000.0  # at this penalty a partner is damped (RFC 7196, section 6, asks for no less than 6000 of
     # a route's; here a flap is of all of a partner's routes, and has to last longer than `hold`)
     reuse: float = 1000.0
     damped_most: int = 300 * SECOND  # bounds the penalty (RFC 2439, section 4.2)
@@ -140,6 +140,16 @@
     return timing.ramp_from + (1 - timing.ramp_from) * max(0, now - held.back_at) / timing.ramp_within
 
 
+def aged(held: Held, now: int, timing: Timing = TIMING) -> Held:
+    """What the copies last said of a partner, as it stands now for one that follows them. It may be cut off from them:
+    then what it holds ends by itself, as it would with the one that keeps the session."""
+    if held.standing is Standing.FRESH and now >= held.confirmed_at + timing.hold:
+        held = msgspec.structs.replace(held, standing=Standing.STALE, since=held.confirmed_at + timing.hold)
+    if held.standing is Standing.STALE and now >= held.since + timing.gone:
+        held = msgspec.structs.replace(held, standing=Standing.GONE, since=held.since + timing.gone)
+    return held
+
+
 # ---- actions, in order --------------------------------------------------------------------------
 
 
--- a/loftweir/partners/table.py
+++ b/loftweir/partners/table.py
@@ -85,7 +85,7 @@
     )
 
 
-class Provider(msgspec.Struct, frozen=True, rename={"kind": "type", "cell": "group"}):
+class Provider(msgspec.Struct, frozen=True, gc=False, rename={"kind": "type", "cell": "group"}):
     """A border provider, in the words of discovery's list."""
 
     name: Name
@@ -98,7 +98,7 @@
     since_ms: Number = 0
 
 
-class Route(msgspec.Struct, frozen=True):
+class Route(msgspec.Struct, frozen=True, gc=False):
     """Names are in small letters. Equal routes say the same."""
 
     service: str
@@ -136,10 +136,10 @@
 
     service: Service
     path: Annotated[tuple[Label, ...], Meta(min_length=1)]
-    providers: tuple[Provider, ...]
+    providers: msgspec.Raw
     classes: Annotated[tuple[Label, ...], Meta(min_length=1)]
     valid_for: Annotated[int, Meta(ge=1, le=86_400_000_000_000)]
-    terms: Any = None
+    terms: msgspec.Raw = msgspec.Raw(b"null")
     share: Annotated[float, Meta(gt=0, le=1)] | None = None
     rate: Above | None = None
     marked: Label | Literal[""] = ""
@@ -172,6 +172,7 @@
 
 
 _ANSWER, _ROUTE = msgspec.json.Decoder(_Answer), msgspec.json.Decoder(_Route)
+_PROVIDERS = msgspec.json.Decoder(tuple[Provider, ...])
 _AT = re.compile(r"(.*) - at `\$(.*)`", re.DOTALL)
 
 
@@ -202,9 +203,10 @@
     routes: dict[str, Route] = {}
     sums: dict[str, int] = {}
     withdrawn = tuple(name.lower() for name in answer.withdrawn)
+    known: dict[bytes, Any] = {}  # most routes of a partner have one border and few kinds of terms: read once
     for number, raw in enumerate(answer.routes):
         try:
-            route = _route(_ROUTE.decode(raw), partner, limits)
+            route = _route(_ROUTE.decode(raw), partner, limits, known)
             if route.service in routes or route.service in withdrawn:
                 raise ValueError("one word on each service - at `$.service`")
         except (msgspec.MsgspecError, ValueError, RecursionError) as error:
@@ -227,40 +229,56 @@
     return Fault(".".join(filter(None, (place, at))), found[1])
 
 
-def _route(found: _Route, partner: str, limits: Limits) -> Route:
+def _route(found: _Route, partner: str, limits: Limits, known: dict[bytes, Any]) -> Route:
     """The kept form; a ValueError says what is wrong and where, in msgspec's way."""
     path = tuple(map(str.lower, found.path))
     if path[0] != partner:  # RFC 4271, section 6.3; RFC 7454, section 9
         raise ValueError(f"{partner} as its first - at `$.path`")
     if len(set(path)) < len(path) or len(path) > limits.path:
         raise ValueError(f"at most {limits.path} sites, each once - at `$.path`")
-    for name, most in (("providers", limits.providers), ("classes", limits.names)):
-        if len(getattr(found, name)) > most:
-            raise ValueError(f"at most {most} - at `$.{name}`")
+    if len(found.classes) > limits.names:
+        raise ValueError(f"at most {limits.names} - at `$.classes`")
     if found.share is None and found.rate is None:
         raise ValueError("share, rate or both - at `$.share`")
-    names = set()
-    for number, provider in enumerate(found.providers):
-        names.add(provider.name.lower())
-        if len(names) <= number:
-            raise ValueError(f"each name once - at `$.providers[{number}].name`")
-        try:
-            host_and_port(provider.address)
-        except ValueError:
-            raise ValueError(f"an address as host:port - at `$.providers[{number}].address`") from None
+    written, terms = bytes(found.providers), bytes(found.terms)
+    if written not in known:
+        known[written] = _providers(written, limits)
+    if terms not in known:
+        known[terms] = read_terms(msgspec.json.decode(terms))
     return Route(
         found.service.lower(),
         path,
-        tuple([p if p.name.islower() else msgspec.structs.replace(p, name=p.name.lower()) for p in found.providers]),
+        known[written],
         tuple(map(str.lower, found.classes)),
         found.share,
         found.rate,
         found.valid_for,
-        read_terms(found.terms),
+        known[terms],
         found.marked.lower(),
     )
 
 
+def _providers(raw: bytes, limits: Limits) -> tuple[Provider, ...]:
+    try:
+        providers = _PROVIDERS.decode(raw)
+    except msgspec.MsgspecError as error:
+        what, _, at = str(error).partition(" - at `$")
+        raise ValueError(f"{what} - at `$.providers{at or '`'}") from None
+    if len(providers) > limits.providers:
+        raise ValueError(f"at most {limits.providers} - at `$.providers`")
+    found: dict[str, Provider] = {}
+    for number, provider in enumerate(providers):
+        name = provider.name.lower()
+        if name in found:
+            raise ValueError(f"each name once - at `$.providers[{number}].name`")
+        found[name] = msgspec.structs.replace(provider, name=name)
+        try:
+            host_and_port(provider.address)
+        except ValueError:
+            raise ValueError(f"an address as host:port - at `$.providers[{number}].address`") from None
+    return tuple(found.values())
+
+
 def taken(held: Table | None, told: Told, limits: Limits = LIMITS) -> Table:
     """The table that holds after an answer. `OldTable`: it was said before, or follows another than the one held;
     `BadTable`: its sum or its size is not as it must be. Either way `held` goes on to hold."""
--- a/loftweir/partners/terms.py
+++ b/loftweir/partners/terms.py
@@ -22,7 +22,7 @@
 FIELDS = ("use", "show", "passes", "until")
 
 
-class Sites(msgspec.Struct, frozen=True):
+class Sites(msgspec.Struct, frozen=True, gc=False):
     """Those that are named, or all `but` those. Closed under `meet`, both being finite to write down."""
 
     names: frozenset[str] = frozenset()
@@ -47,7 +47,7 @@
 ALL, NOBODY = Sites(but=True), Sites()
 
 
-class Terms(msgspec.Struct, frozen=True):
+class Terms(msgspec.Struct, frozen=True, gc=False):
     use: Sites  # who may send to its providers
     show: Sites  # who may be told of it
     passes: int  # how many sites may pass it on, one after another; 0: nobody does
@@ -69,7 +69,14 @@
 
     def may_show(self, to: str, now: int, passed: int = 0) -> bool:
         """`passed`: by how many sites it would then have been passed on; 0: its own site shows it."""
-        return not self.unknown and now < self.until and passed <= self.passes and self.show.has(to)
+        return bool(self.shown_to((to,), now, passed))
+
+    def shown_to(self, sites: Iterable[str], now: int, passed: int = 0) -> list[str]:
+        """Those of the sites to which it may be shown, as `may_show` has it."""
+        if self.unknown or now >= self.until or passed > self.passes:
+            return []
+        names, but = self.show.names, self.show.but
+        return [site for site in sites if (site in names) is not but]
 
     def passed(self, by: str, word: Terms | None = None, path: Iterable[str] = ()) -> Terms:
         """As `by` shows it on: tightened by its own `word` about whoever comes next. Those it came by, `path` and `by`
