--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from loftweir.config.model import MIB, Options
 from loftweir.config.platform import Platform
@@ -35,9 +36,17 @@
 )
 from loftweir.telemetry.log import say
 
+if TYPE_CHECKING:
+    from loftweir.replication.part import Part
+
+OBEYED = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 TICK = SECOND  # how often the log is asked for what it owes
 LEAVES_FOR = SECOND  # from a drain on, until connections that rest are closed
 SWEEP_EVERY = 50 * MS
+# From a reload's end to the next one's beginning. A reload holds the loop for some 14 ms, longer where the file lists
+# many providers: signals without end so take an eighth of the processor. Far below the 4 s after which news of a new
+# discovery counts.
+RELOADS_APART = 100 * MS
 HALF_FOR = 2 * SECOND  # from SIGTERM on, that half a request is waited for
 LONGEST_COUNTED = 3 * SECOND  # of a deadline, before SIGKILL
 ENDS_BEFORE = 600 * MS  # the end, that the last answer is due: SIGKILL may come 0.3 s before the end
@@ -59,6 +68,13 @@
         self.discovery.drain_grace = platform.settings.safety.drain_grace
         shared = max(int(platform.sockets * limits.consumers_of_sockets), 1)
         others = limits.other_sockets + (DESCRIPTORS if platform.operator else 0)
+        self.fleet: Part | None = None
+        if options.replication.members:
+            # Here: a sidecar whose operator names no members has no use for it, and does not pay for it.
+            from loftweir.replication import part
+
+            self.fleet = self.desk.fleet = part.Part(loop, platform.name, options.replication, self.desk.fleet_said)
+            others += part.descriptors(platform.name, options.replication)
         most_calls = max(platform.sockets - shared - others, 1)
         self.back = Back(loop, platform.settings, options, most_calls, int(memory * limits.answers_of_memory))
         self.host = Host(loop, platform.settings, platform.seed, self.back, self.discovery)
@@ -110,10 +126,20 @@
         woken.setblocking(False)
         wakes.setblocking(False)
         signal.set_wakeup_fd(wakes.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            signal.signal(number, lambda *_: None)
+        came: set[int] = set()
+
+        def note(number: int, _: object) -> None:
+            # Blocked, it is kept by the kernel as one, however often it comes: a script that sends it without end
+            # would leave this process no time between two of them.
+            signal.pthread_sigmask(signal.SIG_BLOCK, {number})
+            came.add(number)
+
+        for number in OBEYED:
+            signal.signal(number, note)
         if platform.operator:
             self.desk.begin(os.environ.get("TMPDIR"))
+        if self.fleet is not None:
+            self.fleet.recall()
         self.desk.listed(known, addresses)
         if platform.listen_fd is None:
             self.front.listen(platform.listen)
@@ -127,7 +153,9 @@
             # News bind soon after this process says that it is ready, and there is one of it: no crowd to spread.
             self.discovery.watch(True)
         self.discovery.push(platform.settings.discovery_pushes)
-        self.loop.spawn(self._obey(woken, wakes, reload))
+        if self.fleet is not None:
+            self.fleet.start()
+        self.loop.spawn(self._obey(woken, wakes, came, reload))
         self.loop.spawn(self._keep_log())
 
     def _remembered(
@@ -164,16 +192,31 @@
         except OSError as error:
             say(STATE_FAILED, file=str(self.disk.path), why=error.strerror or str(error))
 
-    def _obey(self, woken: socket.socket, wakes: socket.socket, reload: Callable[[], None]) -> Coroutine[None]:
-        """Reads the numbers of the signals that came. One that sets off nothing is no reason to stop."""
+    def _obey(
+        self, woken: socket.socket, wakes: socket.socket, came: set[int], reload: Callable[[], None]
+    ) -> Coroutine[None]:
+        """Works off the signals in `came`; what is read from `woken` says only that there may be some.
+
+        SIGHUPs that come before a reload begins are that one reload, of the files as they are then; those that come
+        from then on, until `RELOADS_APART` after its end, are one more. SIGTERM and SIGINT never wait for it. They
+        stay blocked: nothing leads back from the end.
+        """
+        hears_from: int | None = None  # when SIGHUP is heard again; None while it is
         while True:
-            yield Wait(woken, READABLE, None)
-            for number in woken.recv(4096):
-                if number == signal.SIGHUP:
-                    reload()
-                elif number in (signal.SIGTERM, signal.SIGINT) and self.life.step(Step.END):
+            if (yield Wait(woken, READABLE, hears_from)):
+                woken.recv(4096)
+            for number in came - {signal.SIGHUP}:
+                came.discard(number)
+                if self.life.step(Step.END):
                     say(STOP_BEGUN, signal=signal.Signals(number).name, open=len(self.host.invocations))
                     self.loop.spawn(self._stop(wakes))
+            if hears_from is not None and self.loop.now() >= hears_from:
+                hears_from = None
+                signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that waits is noted in this call
+            if hears_from is None and signal.SIGHUP in came:
+                came.discard(signal.SIGHUP)
+                reload()
+                hears_from = self.loop.now() + RELOADS_APART
 
     def _keep_log(self) -> Coroutine[None]:
         """Gives the log its turns: lines that wait for their reader, and numbers of those left out."""
@@ -218,6 +261,8 @@
         front, limits = self.front, self.options.limits
         if self.writes:
             self._write()  # a change still waiting for `state.write_apart` is not lost with this process
+        if self.fleet is not None:
+            self.fleet.leave()
         now = self.loop.now()
         longest = max(c.deadline for c in self.host.settings.classes.values())
         last = now + min(longest, LONGEST_COUNTED) + SECOND
@@ -230,6 +275,10 @@
         while front.consumers and self.loop.now() < last:
             front.send_away(half=self.loop.now() > now + HALF_FOR)
             yield Wait(None, 0, self.loop.now() + 5 * MS)
+        for number in OBEYED:  # Python's own end takes its handlers away: one that comes then would be the exit code
+            signal.signal(number, signal.SIG_IGN)
         say(STOP_DONE, left=len(front.consumers))
+        if self.fleet is not None:
+            self.fleet.close()
         wakes.close()
         self.loop.stopped = True
--- /dev/null
+++ b/tests/test_replication.py
@@ -0,0 +1,225 @@
+"""The copies on real processes: founding, words to the fleet, a leader lost, members replaced, no majority, off."""
+
+import json
+import socket
+import time
+
+from fleet_scene import FleetScene, Sidecar
+from scene import SECOND, eventually
+from test_replication_wire import run
+
+from loftweir.config.model import Replication
+from loftweir.net.loop import Loop
+from loftweir.replication import remembered, wire
+from loftweir.replication.caller import Caller
+from loftweir.replication.machine import Acquire, Ok
+from loftweir.replication.wire import LeaseOf
+
+
+class FleetTest(FleetScene):
+    def remembered(self, name):
+        """The words that the sidecar's next process would begin with."""
+        found = remembered.load(self.folder / name / "tmp", "loftweir")
+        return found.words if found else {}
+
+    def test_a_word_at_a_follower_holds_at_every_sidecar_within_a_second(self):
+        sidecars = self.fleet()
+        self.keys = self.keys | {"follow_wait": "30s"}  # news that only came when the wait is over would come late
+        self.begin()
+        self.assertEqual({s.invoke() for s in sidecars.values() for _ in range(4)}, {200})
+        self.assertTrue(all(party.seen for party in self.providers), "both are in use")
+        answer = sidecars["f0"].call("FLEET-DISABLE s0")
+        self.assertRegex(answer, "^OK disabled, at index [0-9]+$")
+        said_at = time.monotonic()
+        for sidecar in sidecars.values():
+            self.wait(lambda sidecar=sidecar: sidecar.stands()["out"] == "s0", 1)
+        self.assertLess(time.monotonic() - said_at, 1)
+        before = len(self.providers[0].seen)
+        self.assertEqual({s.invoke() for s in sidecars.values() for _ in range(4)}, {200})
+        self.assertEqual(len(self.providers[0].seen), before)
+        index = int(answer.split()[-1])
+        self.assertTrue(all(int(s.stands()["index"]) >= index for s in sidecars.values()))
+        # Unknown here may be known elsewhere; and called back it serves again.
+        self.assertRegex(sidecars["n1"].call("FLEET-DISABLE s9"), "^OK")
+        self.assertRegex(sidecars["f1"].call("FLEET-ENABLE s7"), "^ERR no such upstream")
+        self.assertRegex(sidecars["f1"].call("FLEET-ENABLE s0"), "^OK enabled")
+        self.wait(lambda: sidecars["f0"].invoke() == 200 and len(self.providers[0].seen) > before, 10)
+        self.assertRegex(sidecars["f1"].call("FLEET-REMOVE n9"), "^ERR NotTaken")
+        # A process that starts while nobody can be asked holds by what the one before it knew.
+        self.wait(lambda: {n for n, (_, out) in self.remembered("n2").items() if out} == {"s9"})
+        for sidecar in sidecars.values():
+            sidecar.kill()
+        alone = sidecars["n2"].start()
+        self.wait(alone.ready)
+        stands = alone.stands()
+        self.assertEqual((stands["out"], stands["leader"]), ("s9", "-"))
+        self.assertGreater(int(stands["age_ms"]), 0)
+
+    def test_writes_go_on_without_the_leader_and_what_was_promised_stays(self):
+        sidecars = self.fleet(followers=1)
+        self.begin()
+        self.assertRegex(sidecars["f0"].call("FLEET-DISABLE s0"), "^OK")
+        leader = self.leader()
+        leader.kill()
+        self.assertRegex(sidecars["f0"].call("FLEET-DISABLE s1"), "^OK")
+        left = [s for s in sidecars.values() if s is not leader]
+        for sidecar in left:
+            self.wait(lambda sidecar=sidecar: sidecar.stands()["out"] == "s0,s1")
+        # Its disk is lost: it comes back as another member in its seat, with all that was said.
+        before = leader.logged("replication.opened")[0]["id"]
+        leader.wipe()
+        leader.start()
+        self.wait(lambda: leader.logged("replication.joined"), 20)
+        self.assertNotEqual(leader.logged("replication.joined")[0]["id"], before)
+        self.wait(lambda: leader.stands()["out"] == "s0,s1" and leader.stands()["role"] == "follower")
+        # It counts: with it and one other there is a majority.
+        self.leader().kill()
+        self.assertRegex(sidecars["f0"].call("FLEET-ENABLE s1"), "^OK")
+        # Told to end, a leader hands over, and ends with 0.
+        handing = self.leader()
+        other = [s for s in sidecars.values() if s.program is None][0]
+        other.start()
+        self.wait(lambda: other.ready() and other.stands()["out"] == "s0" and other.stands()["role"] == "follower")
+        handing.signal(15)
+        self.wait(lambda: handing.stands().get("role") == "follows")
+        next_one = self.leader()
+        self.assertEqual(handing.terminate(), 0)
+        roles = [record["role"] for record in next_one.logged("replication.role")]
+        last = len(roles) - roles[::-1].index("candidate")
+        self.assertEqual(roles[last - 2 : last + 1], ["follower", "candidate", "leader"], "asked nobody first")
+
+    def test_without_a_majority_it_says_how_old_its_knowledge_is_and_promises_nothing(self):
+        sidecars = self.fleet(followers=1)
+        self.begin()
+        self.assertRegex(sidecars["f0"].call("FLEET-DISABLE s0"), "^OK")
+        stopped, killed = [s for n, s in sidecars.items() if n[0] == "n" and s is not self.leader()]
+        leader = self.leader()
+        killed.kill()
+        stopped.stop()
+        for sidecar in (leader, sidecars["f0"]):
+            began = time.monotonic()
+            answer = sidecar.call("FLEET-DISABLE s1")
+            self.assertRegex(answer, "^ERR (OutcomeUnknown|NoMajority): .*")
+            self.assertLess(time.monotonic() - began, 3)
+        age = int(leader.stands()["age_ms"])
+        self.assertGreater(age, 1000)
+        self.assertEqual(leader.stands()["out"], "s0")
+        self.wait(lambda: int(leader.stands()["age_ms"]) > age and int(sidecars["f0"].stands()["age_ms"]) > age)
+        stopped.go_on()
+        self.wait(lambda: sidecars["f0"].call("FLEET-DISABLE s1").startswith("OK"))
+        # Taken out, a member that lives becomes a follower.
+        self.assertRegex(sidecars["f0"].call(f"FLEET-REMOVE {killed.name}"), "^OK removed")
+        self.assertRegex(sidecars["f0"].call(f"FLEET-REMOVE {leader.name}"), "^OK removed")
+        self.wait(lambda: leader.stands()["role"] == "follows" and leader.stands()["leader"] == stopped.name)
+        self.assertEqual(leader.logged("replication.ended")[0]["why"].split(":")[0], leader.name)
+        self.assertRegex(leader.call("FLEET-ENABLE s1"), "^OK")
+
+    def test_a_failing_disk_and_a_foreign_sidecar_cost_no_more_than_their_part(self):
+        sidecars = self.fleet(followers=1)
+        sidecars["n1"].fault = (
+            "import os\nreal = os.fdatasync\n"
+            "def sync(fd):\n"
+            "    if os.path.exists('full'): raise OSError(28, 'No space left on device')\n"
+            "    return real(fd)\n"
+            "os.fdatasync = sync\n"
+        )
+        self.begin()
+        (sidecars["n1"].folder / "full").touch()
+        self.assertRegex(sidecars["f0"].call("FLEET-DISABLE s0"), "^OK")
+        self.wait(lambda: sidecars["n1"].stands()["role"] == "follows" and sidecars["n1"].stands()["out"] == "s0")
+        self.assertIn("No space left", sidecars["n1"].logged("replication.ended")[0]["why"])
+        self.assertEqual(sidecars["n1"].invoke(), 200)
+        # Its files changed beneath it: they are set aside, and it is taken in as another.
+        sidecars["n1"].kill()
+        (sidecars["n1"].folder / "full").unlink()
+        segment = max(sidecars["n1"].copies.glob("segment-*"))
+        data = bytearray(segment.read_bytes())
+        data[len(data) // 2] ^= 1
+        segment.write_bytes(data)
+        sidecars["n1"].start()
+        self.wait(lambda: sidecars["n1"].logged("replication.joined"), 20)
+        self.assertIn("segment", sidecars["n1"].logged("replication.damaged")[0]["why"])
+        # Who names another cluster, or speaks something else, is told why.
+        foreign = sidecars["f1"] = Sidecar(self, "f1")
+        foreign.start(cluster="other")
+        self.wait(lambda: foreign.logged("replication.lost"))
+        self.wait(lambda: any("another cluster" in r["why"] for r in foreign.logged("replication.lost")))
+        self.assertIn("another cluster", foreign.call("FLEET-DISABLE s1"))
+        # A second one of a name, while the first lives, gets no seat.
+        double = sidecars["double"] = Sidecar(self, "double")
+        double.name, self.reach["n2", "n2"] = "n2", self.free()
+        double.start()
+        self.wait(lambda: any("heard from just now" in r["why"] for r in double.logged("replication.waits")))
+        self.assertIn(sidecars["n2"].stands()["role"], ("leader", "follower"))
+        host, port = self.seats["n0"].split(":")
+        for said in (b"GET / HTTP/1.1\r\n\r\n", wire.written(wire.Follow(0, 0)), wire.written(hello(version=99))):
+            with socket.create_connection((host, int(port)), timeout=5) as sock:
+                sock.sendall(said)
+                reader = wire.Reader()
+                reader.feed(b"".join(iter(lambda sock=sock: sock.recv(4096), b"")))
+                self.assertIsInstance(reader.next(), wire.Turned)
+
+
+class LeaseTest(FleetScene):
+    def test_a_lease_that_is_not_renewed_ends_under_this_leader_and_the_next(self):
+        self.fleet(followers=0)
+        self.begin()
+        loop = Loop()
+        calls = Caller(loop, "f", "id-f", Replication(), self.seats, lambda: 0)
+        self.addCleanup(calls.close)
+
+        def acquire(holder):
+            return run(loop, calls.write(Acquire("d", holder, SECOND), 5 * SECOND))
+
+        for number in range(2):
+            token = self.wait(lambda number=number: isinstance(ok := acquire(f"a{number}"), Ok) and ok.value)
+            began = time.monotonic()
+            self.assertEqual(acquire("b").token, token)
+            if number:
+                self.leader().kill()  # the next one counts it anew, in full
+            reading = run(loop, calls.read(LeaseOf("d"), 5 * SECOND))
+            self.assertEqual((reading.sure, reading.value[:2]), (True, [f"a{number}", token]))
+            self.wait(lambda: run(loop, calls.read(LeaseOf("d"), 5 * SECOND)).value is None)
+            self.assertGreater(time.monotonic() - began, 0.9)
+
+
+def hello(version=wire.VERSION, name="x"):
+    return wire.Hello(version, "loftweir", f"id-{name}", name, wire.Kind.FOLLOWER)
+
+
+class OffTest(FleetScene):
+    on = False
+
+    def test_off_nothing_of_it_is_imported_and_the_calls_say_so(self):
+        (sidecar,) = self.fleet(voters=0, followers=1).values()
+        sidecar.fault = (
+            "import atexit, json, sys\n"
+            "atexit.register(lambda: open('modules', 'w').write(json.dumps(sorted(sys.modules))))\n"
+        )
+        sidecar.start()
+        self.wait(sidecar.ready)
+        for call in ("FLEET", "FLEET-DISABLE s0", "FLEET-ENABLE s0", "FLEET-REMOVE n0"):
+            self.assertRegex(sidecar.call(call), "^ERR replication is off")
+        self.assertEqual(sidecar.terminate(), 0)
+        modules = json.loads((sidecar.folder / "modules").read_text())
+        self.assertIn("loftweir.sidecar", modules)
+        self.assertEqual([m for m in modules if m.startswith(("loftweir.replication", "loftweir.lease"))], [])
+
+
+class UpgradeTest(FleetScene):
+    def test_a_new_process_takes_the_part_of_the_old_one_over(self):
+        sidecars = self.fleet(followers=0)
+        self.begin()
+        self.assertRegex(sidecars["n0"].call("FLEET-DISABLE s0"), "^OK")
+        leader = self.leader()
+        old, leader.desk, leader.listen = leader.program, self.free(), self.free()
+        self.addCleanup(old.wait, 10)
+        self.addCleanup(old.kill)
+        leader.start()  # beside the one before it, on the same folder and for the same address
+        self.wait(leader.ready)
+        self.wait(lambda: (leader.stands()["role"], leader.stands()["out"]) == ("follows", "s0"))
+        old.terminate()
+        self.wait(lambda: leader.stands()["role"] == "follower")
+        self.assertEqual(old.wait(10), 0)
+        self.assertEqual(len({record["id"] for record in leader.logged("replication.opened")}), 1)
+        self.assertTrue(eventually(lambda: leader.call("FLEET-ENABLE s0").startswith("OK")))
--- /dev/null
+++ b/tests/test_replication_disk.py
@@ -0,0 +1,379 @@
+"""The stable storage of one voter: what was stable outlives any failure, and what can't be trusted is found out."""
+
+import errno
+import os
+import random
+import select
+import shutil
+import subprocess
+import sys
+from contextlib import suppress
+from functools import partial
+from pathlib import Path
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from scene import ROOT
+
+from loftweir.replication import journal
+from loftweir.replication.api import Broken, Entry, Hard, Keep, Kept, Kind, Member, Snapshot, Stable
+from loftweir.replication.disk import open_disk
+from loftweir.replication.folder import Folder, FolderInUse, StorageDamaged, StorageFailed
+from loftweir.replication.reading import read
+from loftweir.state.sealed import opened, sealed
+
+OPEN, WRITE, KIND = os.open, os.write, journal.COPY
+MEMBERS = (Member("0" * 32, "m1", "127.0.0.1:1"),)
+COPY, (FIRST, SECOND, THIRD, LAST) = "snapshot-0000000001", [f"segment-000000000{n}" for n in range(1, 5)]
+
+
+def entries(start, count, term=1, size=20):
+    return tuple(Entry(i, term, Kind.WRITE, bytes([i % 256]) * size) for i in range(start, start + count))
+
+
+def snapshot(index, data=b"machine"):
+    return Snapshot(index, 1, MEMBERS, data)
+
+
+def states(keeps, stable, kept=Kept()):  # noqa: B008
+    """All that a disk may hold once batch `stable` is, by a plain model; the last: once all are."""
+    found = [kept]
+    for keep in keeps:
+        hard, left, copy = keep.hard or kept.hard, kept.entries, keep.snapshot or kept.snapshot
+        found.append(Kept(hard, kept.snapshot, left))
+        left = tuple(e for e in left if keep.cut is None or e.index < keep.cut)
+        found.append(Kept(hard, kept.snapshot, left))
+        if keep.snapshot:
+            left = tuple(e for e in left if e.index > copy.index and not keep.all_gone)
+        found += [Kept(hard, copy, left + keep.entries[:n]) for n in range(len(keep.entries) + 1)]
+        kept = found[-1]
+        found = [kept] if keep.batch <= stable else found
+    return found
+
+
+def told(disk, batch, seconds=20):
+    """The reports, once the last of them is of this batch or the storage broke."""
+    reports = []
+    while not reports or (reports[-1] != Stable(batch) and not isinstance(reports[-1], Broken)):
+        assert select.select([disk], [], [], seconds)[0], "nothing was told"
+        reports += disk.taken()
+    return reports
+
+
+def kept_by(disk, *keeps):
+    """Each stable before the next is asked for."""
+    for keep in keeps:
+        disk.keep(keep)
+        assert told(disk, keep.batch)[-1] == Stable(keep.batch)
+    return disk
+
+
+def reopened(path, cluster="c"):
+    disk, kept, report = open_disk(path, cluster)
+    disk.close()
+    return kept, report
+
+
+SCRIPT = (
+    Keep(1, hard=Hard(1, "a"), entries=entries(1, 9)),
+    Keep(2, entries=entries(10, 9)),
+    Keep(3, hard=Hard(2), cut=15, entries=entries(15, 8, term=2)),
+    Keep(4, snapshot=snapshot(3), entries=entries(23, 9, term=2)),
+)
+
+
+@pytest.fixture
+def folder(tmp_path):
+    """Four segments, all needed, and a snapshot."""
+    kept_by(open_disk(tmp_path / "m", "c", 300)[0], *SCRIPT).close()
+    return tmp_path / "m"
+
+
+def test_what_was_stable_is_there_at_the_next_start_and_nobody_else_opens_it(folder):
+    disk, _, _ = open_disk(folder, "c")
+    with pytest.raises(FolderInUse):
+        open_disk(folder, "c")
+    disk.close()
+    kept, report = reopened(folder)
+    assert kept == Kept(Hard(2), snapshot(3), entries(4, 11) + entries(15, 17, term=2))
+    assert not report.begun and report.damage is None and report.torn == 0
+    assert sorted(os.listdir(folder))[2:] == [FIRST, SECOND, THIRD, LAST, COPY]
+
+
+def ends(data):
+    """The byte behind each record."""
+    return [end for _, _, _, end in journal.scanned(data)]
+
+
+def forged(data, size=20):
+    """Another last record, with a checksum to match."""
+    *_, (_, _, seed, at), (_, last, _, _) = journal.scanned(data)
+    return data[:at] + journal.framed(msgspec.structs.replace(last, data=b"z" * size), seed)[0]
+
+
+SPOILS = {  # the file, what it is then (a text: copied from there; None: gone), the file where it is found, why
+    "cut before the mark": (LAST, lambda d: d[:-1], LAST, "a record of"),
+    "cut between records": (LAST, lambda d: d[: ends(d)[-2]], LAST, "were stable"),
+    "cut to nothing": (LAST, lambda d: b"", LAST, "cut short in its first line"),
+    "cut identity": ("identity", lambda d: d[:-1], "identity", "cut short"),
+    "another record": (LAST, forged, LAST, "another record than the mark names"),
+    "a longer record": (LAST, lambda d: forged(d, 21), "mark", "no record ends"),
+    "another record before": (SECOND, forged, THIRD, "does not follow"),
+    "a record left out": (SECOND, lambda d: d[: ends(d)[0]] + d[ends(d)[1] :], SECOND, "checksum is another"),
+    "another snapshot": (COPY, lambda d: sealed(KIND, 1, opened(KIND, 1, d)[:-1] + b"!"), COPY, "not the snapshot"),
+    "foreign version": (LAST, lambda d: d.replace(b"log 1\n", b"log 2\n"), LAST, "version 2, this one reads 1"),
+    "foreign identity": ("identity", lambda d: d.replace(b" 1 ", b" 2 "), "identity", "version 2"),
+    "another cluster's": (LAST, f"../d/{LAST}", LAST, "another cluster, 'd'"),
+    "another member's": (LAST, f"../c/{LAST}", LAST, "another member"),
+    "another's mark": ("mark", "../c/mark", "mark", "another member"),
+    "another's snapshot": (COPY, f"../c/{COPY}", COPY, "another member"),
+    "another's identity": ("identity", "../c/identity", "mark", "another member"),
+    "swapped": (SECOND, THIRD, SECOND, "segment 3 in the place of 2"),
+    "no first": (FIRST, None, SECOND, "entries 4 to 9 are missing"),
+    **{f"no {name}": (name, None, name, "missing") for name in (SECOND, LAST, COPY, "mark", "identity")},
+}
+
+
+@pytest.mark.parametrize("file, how, name, why", SPOILS.values(), ids=SPOILS)
+def test_damage_is_named_and_the_disk_begun_anew_under_another_id(folder, file, how, name, why):
+    own = journal.identity_read((folder / "identity").read_bytes()).member
+    if how is None:
+        (folder / file).unlink()
+    elif isinstance(how, str):
+        if how.startswith(".."):
+            kept_by(open_disk((folder / how).parent, how[3], 300)[0], *SCRIPT).close()
+        shutil.copy(folder / how, folder / file)
+    else:
+        (folder / file).write_bytes(how((folder / file).read_bytes()))
+    before = {f.name: f.read_bytes() for f in folder.iterdir()}
+    kept, report = reopened(folder)
+    assert report.damage.file == folder / name and why in report.damage.what, report.damage
+    assert kept == Kept() and report.begun and report.member != report.before
+    assert report.before == own or how == "../c/identity"
+    assert {f.name: f.read_bytes() for f in report.aside.iterdir()} == before
+    assert reopened(folder)[1] == (report.member, False, 0, None, "", None)
+
+
+def test_no_changed_byte_is_taken_for_what_was_written(folder):
+    held, seeded = Folder(folder), random.Random(7)
+    for file in sorted(folder.iterdir()):
+        whole = file.read_bytes()
+        for at in range(seeded.randrange(3), len(whole), 3):
+            file.write_bytes(whole[:at] + bytes([whole[at] ^ 1 << seeded.randrange(8)]) + whole[at + 1 :])
+            with pytest.raises(StorageDamaged) as caught:
+                read(held, "c")
+            assert caught.value.file == file and 0 <= caught.value.at <= len(whole)
+        file.write_bytes(whole)
+    assert read(held, "c").kept.hard == Hard(2)
+    held.close()
+
+
+def test_of_what_was_set_aside_the_last_three_are_kept_and_another_cluster_is_no_heir(folder):
+    reports = [reopened(folder, f"c{n}")[1] for n in range(5)]
+    assert [r.aside.name for r in reports] == [f"damaged-{n}" for n in range(1, 6)]
+    assert sorted(f.name for f in folder.glob("damaged-*")) == ["damaged-3", "damaged-4", "damaged-5"]
+
+
+@pytest.mark.parametrize("left", [1, 7, 8, 9, 30])
+def test_a_torn_record_behind_the_mark_is_cut_off_and_whole_ones_are_taken(folder, left):
+    """As after a loss of power, which may leave an older mark, and the end of a write that was never synced."""
+    mark = (folder / "mark").read_bytes()
+    disk, kept, _ = open_disk(folder, "c")
+    kept_by(disk, Keep(1, entries=entries(32, 2, term=2))).close()
+    os.truncate(folder / LAST, ends((folder / LAST).read_bytes())[-2] + left)
+    (folder / "mark").write_bytes(mark)
+    again, report = reopened(folder)
+    assert again.entries == kept.entries + entries(32, 1, term=2) and report.torn == left and not report.damage
+    assert reopened(folder) == (again, report._replace(torn=0))
+
+
+@pytest.mark.parametrize("data", [b"", journal.LINE[:7], journal.LINE, journal.LINE + b"\x40\0\0\0\0"])
+def test_a_segment_without_its_head_behind_the_mark_is_cut_off(folder, data):
+    kept, report = reopened(folder)
+    (folder / "segment-0000000005").write_bytes(data)
+    assert reopened(folder) == (kept, report._replace(torn=len(data)))
+    kept_by(open_disk(folder, "c", 300)[0], Keep(1, entries=entries(32, 1)), Keep(2, entries=entries(33, 1))).close()
+    assert reopened(folder)[0].entries == kept.entries + entries(32, 2)
+
+
+class Failing:
+    """The calls that change files; the one of a number, and all after it, fail; a write gets half of it done first."""
+
+    def __init__(self, patch, number, code=errno.ENOSPC):
+        self.left, self.code = number, code
+        for name in ("open", "write", "pwrite", "fsync", "fdatasync", "rename", "unlink", "mkdir"):
+            patch.setattr(os, name, partial(self.call, getattr(os, name)))
+
+    def call(self, real, first, *words, **more):
+        self.left -= real is not OPEN or bool(words[0] & os.O_CREAT)
+        if self.left == 0 and real is WRITE:
+            return real(first, words[0][: len(words[0]) // 2])
+        if self.left <= 0:
+            raise OSError(self.code, os.strerror(self.code))
+        return real(first, *words, **more)
+
+
+MORE = (*SCRIPT, Keep(5, snapshot=snapshot(30)), Keep(6, entries=entries(32, 2, 2)), Keep(7, cut=33, hard=Hard(3, "b")))
+
+
+@pytest.mark.parametrize("first", range(1, 81, 10))
+def test_after_a_failure_of_any_call_one_broken_is_told_and_what_was_stable_is_there(tmp_path, monkeypatch, first):
+    for number in range(first, first + 10):
+        path, reports = tmp_path / str(number), []
+        with monkeypatch.context() as patch:
+            failing = Failing(patch, number, random.Random(number).choice([errno.ENOSPC, errno.EIO, errno.EDQUOT]))
+            try:
+                disk, _, _ = open_disk(path, "c", 300)
+                for keep in MORE:
+                    if not disk.failure:
+                        disk.keep(keep)
+                        reports += told(disk, keep.batch)
+                calls, _ = failing.left, disk.keep(MORE[0]) if disk.failure else None
+                reports, failure = reports + disk.close(), disk.failure
+                assert [r for r in reports if isinstance(r, Broken)] == [Broken(str(failure))] * bool(failure)
+                assert calls == failing.left and reports[-1] == (Broken(str(failure)) if failure else Stable(7))
+            except StorageFailed as failed:
+                failure = failed
+        assert bool(failure) == (failing.left <= 0) and (number > 60 or failure) and (number < 80 or not failure)
+        assert not failure or (os.strerror(failing.code) in failure.what and str(path) in failure.where)
+        stable = max((r.batch for r in reports if isinstance(r, Stable)), default=0)
+        kept, report = reopened(path)
+        assert report.damage is None and kept in states(MORE, stable), (number, stable)
+        assert not [*path.glob("*.new"), *list(path.glob("snapshot-*"))[1:]]
+
+
+def test_a_loss_of_power_leaves_every_batch_that_was_called_stable(tmp_path, monkeypatch):
+    """Of each file and of the folder only what was synced is left, and of the mark so what was written at the start."""
+    contents, listing, real = {}, {}, os.fsync
+
+    def sync(descriptor):
+        real(descriptor)
+        if os.path.isdir(path := f"/proc/self/fd/{descriptor}"):
+            listing[os.readlink(path)] = {f.name: f.stat().st_ino for f in os.scandir(path)}
+        else:
+            contents[os.fstat(descriptor).st_ino] = Path(path).read_bytes()
+
+    monkeypatch.setattr(os, "fsync", sync)
+    monkeypatch.setattr(os, "fdatasync", sync)
+    monkeypatch.setattr(os, "write", lambda descriptor, data: WRITE(descriptor, data[:100]))
+    disk, _, _ = open_disk(tmp_path / "m", "c", 200)
+    for keep in MORE:
+        kept_by(disk, keep)
+        (left := tmp_path / f"left-{keep.batch}").mkdir()
+        for name, inode in dict(listing[str(tmp_path / "m")]).items():
+            (left / name).write_bytes(contents.get(inode, b""))
+        spoilt = shutil.copytree(left, tmp_path / f"spoilt-{keep.batch}")
+        kept, report = reopened(left)
+        assert report.damage is None and kept == states(MORE, keep.batch)[0], keep.batch
+        if keep.batch == 3:
+            os.truncate(spoilt / SECOND, (spoilt / SECOND).stat().st_size - 1)  # behind the old mark, not at the end
+            assert reopened(spoilt)[1].damage.file == spoilt / SECOND
+    disk.close()
+    assert "m" in listing[str(tmp_path)]
+
+
+def test_a_write_whose_sync_failed_is_written_anew_into_another_file(folder, monkeypatch):
+    """The pages of the first are in memory and look written: a later sync of that file would prove nothing."""
+    disk, _, _ = open_disk(folder, "c")
+    monkeypatch.setattr(os, "fdatasync", lambda descriptor: (_ for _ in ()).throw(OSError(errno.EIO, "failed")))
+    disk.keep(Keep(1, entries=entries(32, 1, term=2)))
+    assert [type(report) for report in told(disk, 1)] == [Broken] and disk.failure.where == str(folder / LAST)
+    disk.close()
+    inode = (folder / LAST).stat().st_ino
+    assert reopened(folder)[0].entries[-1].index == 32 and (folder / LAST).stat().st_ino != inode
+
+
+def test_a_set_aside_that_fails_midway_leaves_nothing_that_is_taken_for_a_whole(folder, monkeypatch):
+    os.truncate(folder / LAST, 100)
+    old = journal.identity_read((folder / "identity").read_bytes()).member
+    for number in range(1, 20):
+        with monkeypatch.context() as patch:
+            Failing(patch, number)
+            with suppress(StorageFailed):
+                open_disk(folder, "c")[0].close()
+                break
+    kept, report = reopened(folder)
+    assert number > 9 and kept == Kept() and report.member != old
+
+
+def test_what_cant_follow_is_not_written(folder):
+    kept, _ = reopened(folder)
+    for wrong in (entries(33, 1), entries(31, 1), 3, snapshot(2), Hard(1, "a")):
+        name = {tuple: "entries", int: "cut", Snapshot: "snapshot", Hard: "hard"}[type(wrong)]
+        disk, _, _ = open_disk(folder, "c")
+        disk.keep(Keep(1, **{name: wrong}))
+        assert "can't follow" in told(disk, 1)[-1].why
+        disk.close()
+        assert reopened(folder)[0] == kept
+
+
+CHILD = """
+import select, sys
+from pathlib import Path
+from loftweir.replication.api import Entry, Keep, Kind, Snapshot
+from loftweir.replication.disk import open_disk
+disk, kept, report = open_disk(Path(sys.argv[1]), "c", 4000)
+first = kept.entries[-1].index + 1 if kept.entries else 1
+for batch in range(1, 100_000):
+    at = first + 5 * batch - 5
+    copy = Snapshot(at - 10, 1, (), b"machine") if batch % 7 == 0 else None
+    disk.keep(Keep(batch, entries=[Entry(i, 1, Kind.WRITE, b"x" * 40) for i in range(at, at + 5)], snapshot=copy))
+    if batch % 3 == 0:
+        select.select([disk], [], [])
+        print(first - 1 + 5 * disk.taken()[-1].batch, flush=True)
+"""
+
+
+def test_a_killed_process_leaves_every_batch_that_it_called_stable(tmp_path):
+    for lines in (1, 20, 61, 130):
+        words = [sys.executable, "-c", CHILD, str(tmp_path / "m")]
+        with subprocess.Popen(words, cwd=ROOT, stdout=subprocess.PIPE, text=True) as process:
+            said = [process.stdout.readline() for _ in range(lines)]
+            process.kill()
+            said += process.stdout.read().splitlines()
+        kept, report = reopened(tmp_path / "m")
+        assert report.damage is None and kept.entries[-1].index >= int(said[-1])
+        assert [e.index for e in kept.entries] == list(range(kept.entries[0].index, kept.entries[-1].index + 1))
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(st.lists(st.tuples(st.sampled_from("eeeecchsgr"), st.integers(0, 12)), max_size=40))
+def test_any_batches_come_back_as_a_plain_model_holds_them(tmp_path_factory, steps):
+    path, kept = tmp_path_factory.mktemp("model") / "m", Kept()
+    disk, _, _ = open_disk(path, "c", 200)
+    for batch, (what, number) in enumerate(steps, 1):
+        first = kept.snapshot.index + 1 if kept.snapshot else 1
+        end = first + len(kept.entries)
+        at = max(first, end - number) if what == "c" else end
+        keep = {
+            "e": Keep(batch, cut=end + number, entries=entries(end, number, kept.hard.term, size=number)),
+            "c": Keep(batch, hard=Hard(kept.hard.term + 2), cut=at, entries=entries(at, number)),
+            "h": Keep(batch, hard=Hard(kept.hard.term + 1, "x" * number)),
+            "s": Keep(batch, snapshot=snapshot(first - 1 + number, bytes(number))),
+            "g": Keep(batch, snapshot=snapshot(first - 1 + number), all_gone=True, entries=entries(first + number, 2)),
+            "r": Keep(batch),
+        }[what]
+        disk.keep(keep)
+        kept = states([keep], batch, kept)[0]
+        if what == "r":
+            disk.close()
+            disk, found, report = open_disk(path, "c", 200)
+            assert (found, report.damage, report.torn) == (kept, None, 0)
+    disk.close()
+    assert reopened(path)[0] == kept
+
+
+def test_what_is_not_needed_goes_and_room_on_the_disk_is_bounded(tmp_path):
+    batches = Keep(1, entries=entries(1, 4)), Keep(2, entries=entries(5, 40)), Keep(3, cut=5, entries=entries(5, 4, 2))
+    disk = kept_by(open_disk(tmp_path / "m", "c", 200)[0], *batches, Keep(4, snapshot=snapshot(6)))
+    disk.close()  # what has been tidied up by then
+    assert sorted(f.name for f in (tmp_path / "m").glob("segment-*")) == [THIRD, LAST]
+    assert reopened(tmp_path / "m")[0] == Kept(Hard(), snapshot(6), entries(7, 2, 2))
+    disk, _, _ = open_disk(tmp_path / "m", "c", 2000)
+    for at in range(9, 2009, 50):
+        kept_by(disk, Keep(at, entries=entries(at, 50), snapshot=snapshot(at - 1)))
+    disk.close()
+    sizes = {file.name: file.stat().st_size for file in (tmp_path / "m").iterdir()}
+    assert len(sizes) < 6 and sum(sizes.values()) < 50 * 70 + 2 * (2000 + 50 * 70) + 1000, sizes
