--- /dev/null
+++ b/benchmarks/catalog_lookup.py
@@ -0,0 +1,94 @@
+"""What the catalog costs: a lookup, the build, its memory, one change, one service's providers.
+
+    python -m benchmarks.catalog_lookup [--services 10000] [--meshes 20] [--rounds 5]
+
+Each service is of one mesh, three of four short names are of one mesh alone, and every fourth is claimed by two.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import random
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import msgspec
+
+from loftweir.catalog.build import Catalog, Service, Site, State
+from loftweir.catalog.claims import Claim, Declared
+from loftweir.catalog.contract import clause
+from loftweir.interface import Effect
+from loftweir.partners.merge import Used
+from loftweir.partners.table import Provider, Route
+from loftweir.partners.terms import OPEN
+
+SECOND = 1_000_000_000
+
+
+def state(services: int, meshes: int) -> State:
+    used, claims = {}, {}
+    for number in range(services):
+        mesh = f"mesh-{number % meshes}"
+        name = f"service-{number - 1 if number % 4 == 3 else number}@{mesh}"
+        border = tuple(Provider(f"b{n}", f"10.0.{number % 250}.{n}:8443", "a", "plain") for n in range(3))
+        route = Route(name, (mesh,), border, ("read", "write"), 0.1, None, 60 * SECOND, OPEN)
+        contract = {"read": clause(Effect.REPEATABLE), "write": clause(Effect.ONCE)}
+        used[name], claims[name] = Used(mesh, route), Claim(number + 1, Declared(contract))
+    return State({}, used, {}, claims, {})
+
+
+def timed(action: Callable[[], object]) -> float:
+    """Microseconds of processor time: others' work on the machine is not in it."""
+    begun = time.process_time_ns()
+    action()
+    return (time.process_time_ns() - begun) / 1e3
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--services", type=int, default=10_000)
+    parser.add_argument("--meshes", type=int, default=20)
+    parser.add_argument("--rounds", type=int, default=5)
+    words = parser.parse_args()
+    held, site, dice = state(words.services, words.meshes), Site("here", "a"), random.Random(1)
+    builds = []
+    for _ in range(words.rounds):
+        gc.collect()
+        builds.append(timed(lambda: Catalog(site, held)))
+    tracemalloc.start()
+    catalog = Catalog(site, held)
+    memory = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    print(f"{words.services} services of {words.meshes} meshes, {len(catalog.collisions)} collisions")
+    print(f"  build {statistics.median(builds) / 1000:.0f} ms, {memory:.1f} MB beside what it is made of")
+    names = dice.sample(list(held.used), min(words.services, 5000))
+    forms: dict[str, list[str]] = {
+        "global": names,
+        "short": [name.partition("@")[0] for name in names],
+        "short, port, capitals": [name.partition("@")[0].title() + ":8080" for name in names],
+        "service.mesh:port": [name.replace("@", ".").upper() + ":8080" for name in names],
+        "not known": [f"no-{name}:80" for name in names],
+    }
+    for form, hosts in forms.items():
+        found = [timed(lambda hosts=hosts: [catalog.find(host) for host in hosts]) for _ in range(words.rounds)]  # type: ignore[misc]
+        print(f"  lookup, {form}: {statistics.median(found) / len(hosts):.2f} us")
+    ones, sets = [], []
+    for name in names[:1000]:
+        was = held.used[name]
+        assert was is not None
+        route = msgspec.structs.replace(was.route, share=0.2)
+        ones.append(timed(lambda name=name, route=route: catalog.change(State(used={name: Used(was.partner, route)}))))
+        service = catalog.find(name)
+        assert isinstance(service, Service)
+        sets.append(timed(lambda service=service: catalog.providers(service)))
+    print(f"  one change: median {statistics.median(ones):.0f} us, worst {max(ones):.0f} us")
+    print(f"  one service's providers: median {statistics.median(sets):.0f} us")
+    state_now = State(catalog.own, catalog.used, catalog.left, catalog.claims, catalog.pins)
+    assert Catalog(site, state_now).entries == catalog.entries
+
+
+if __name__ == "__main__":
+    main()
--- a/loftweir/catalog/build.py
+++ b/loftweir/catalog/build.py
@@ -94,6 +94,9 @@
     pins: Mapping[str, str | None] = {}  # short name to global
 
 
+NOTHING = State()
+
+
 class Changed(NamedTuple):
     keys: frozenset[str]  # services whose providers or contract may be others
     ended: frozenset[str]  # that are no more: all their providers drain (`EMPTY`)
@@ -108,7 +111,7 @@
 
 
 class Catalog:
-    def __init__(self, site: Site, state: State = State(), rules: tuple[Rule, ...] = RULES) -> None:
+    def __init__(self, site: Site, state: State = NOTHING, rules: tuple[Rule, ...] = RULES) -> None:
         """Raises `BadName` for names of the own site, and of pins."""
         mesh_name(site.mesh, "mesh")
         self.site, self.rules = site, rules
@@ -150,8 +153,14 @@
         a partner's costs it that route alone (`refused`)."""
         self._check(state)
         touched: dict[str, set[str]] = {short: set() for short in state.pins}
-        for into, part in zip((self.own, self.used, self.left, self.claims), state[:4], strict=True):
-            for name, value in part.items():  # type: ignore[attr-defined]
+        held: tuple[tuple[dict[str, Any], Mapping[str, Any]], ...] = (
+            (self.own, state.own),
+            (self.used, state.used),
+            (self.left, state.left),
+            (self.claims, state.claims),
+        )
+        for into, part in held:
+            for name, value in part.items():
                 _put(into, name, value)
                 if self._fit(name):
                     touched.setdefault(parts(name)[0], set()).add(name)
@@ -238,7 +247,7 @@
         contract = strictest(contract for one in members for contract in self._contracts(one))
         if len({parts(one)[1] for one in members}) > 1:
             contract = apart(contract)
-        return Service("+".join(members), members, contract)
+        return Service(key_of(members), members, contract)
 
     def _contracts(self, name: str) -> list[Mapping[str, Clause]]:
         """All that is declared of it: while one of them is being told anew, the strictest holds."""
@@ -272,6 +281,10 @@
         return Unknown(Why.STALE, name, f"nobody offers {', '.join(members)} now, and the name is kept")
 
 
+def key_of(members: tuple[str, ...]) -> str:
+    return "+".join(members)
+
+
 def _key(entry: Service | Unknown | None) -> str:
     return entry.key if isinstance(entry, Service) else ""
 
--- a/loftweir/catalog/collisions.py
+++ b/loftweir/catalog/collisions.py
@@ -84,7 +84,8 @@
     """At least one contender, of different names. The result does not go with their order."""
     keyed = sorted(((tuple(rule.key(c, view) for rule in rules), c) for c in contenders), key=lambda pair: pair[0])
     best, leader = keyed[0]
-    joined, lost = [], []
+    joined: list[Contender] = []
+    lost: list[tuple[str, str]] = []
     for key, other in keyed[1:]:
         rule = next(rule for rule, a, b in zip(rules, best, key, strict=True) if a != b)
         if rule.joins and all(same(other, one) for one in (leader, *joined)):
