--- /dev/null
+++ b/tests/test_catalog.py
@@ -0,0 +1,366 @@
+"""The catalog without sockets: names, contracts, claims, collisions, provider sets, shares, a world of partitions."""
+
+import random
+from contextlib import ExitStack
+from dataclasses import replace
+from unittest import mock
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from loftweir.catalog import build, claims, collisions, contract, names, providers
+from loftweir.catalog.build import Catalog, Site, State, Why
+from loftweir.catalog.claims import Claim, Claims, Damping, Declared, Limits, Not, Put, Release, Seen, Taken, orders
+from loftweir.catalog.collisions import Contender, View, resolve
+from loftweir.catalog.contract import applied, clause, strictest
+from loftweir.catalog.names import BadName
+from loftweir.catalog.providers import EMPTY, Follower, gathered
+from loftweir.catalog.shares import Shared
+from loftweir.emulator import meshes
+from loftweir.emulator.meshes import HERE, World, used
+from loftweir.interface import Effect, Endpoint, Lifecycle, RequestClass, Scope, UpdateKind
+from loftweir.partners.merge import Left, Reason
+
+FEW = settings(derandomize=True, max_examples=60, deadline=None)
+CLAUSES = st.builds(clause, st.sampled_from(Effect), st.sampled_from(Scope), st.integers(0, 3), st.integers(1, 3))
+CONTRACTS = st.dictionaries(st.sampled_from(["read", "write", "pay"]), CLAUSES, max_size=3)
+SHARES = st.sampled_from([None, 0.1, 0.5, 1.0])
+ONCE, FREE = {"read": clause(Effect.ONCE)}, {"read": clause(Effect.REPEATABLE)}
+KEYED = {"read": clause(Effect.BY_KEY, Scope.ALL, 9)}
+
+
+def own(number=1, declared=FREE, **more):
+    return meshes.own(number, Declared(declared), **more)
+
+
+def claim(index, declared=FREE, same=()):
+    return Claim(index, Declared(declared, same))
+
+
+def why(catalog, host):
+    return getattr(catalog.find(host), "reason", None)
+
+
+# ---- names and lookup -------------------------------------------------------------------------------
+
+
+def test_a_host_names_the_service_in_every_form_and_what_is_not_there_says_why():
+    left = {"in@bb": {"bb": Left(Reason.EXCLUDED)}, "old@bb": {"bb": Left(Reason.STALE)}}
+    left["odd@bb"] = {"bb": Left(Reason.LEAKED, "cc")}
+    routes = {name: used(name) for name in ("shop@bb.example", "new@bb", "a.b@bb")}
+    routes["shop@bb.example"] = used("shop@bb.example", "site-b")
+    table = dict.fromkeys(("shop@bb.example", "old@bb", "in@bb", "odd@bb"), claim(1))
+    catalog = Catalog(Site("aa", "z1", {"site-b": "bb.example"}), State({"web@aa": own()}, routes, left, table))
+    for host in ("shop", "SHOP", "Shop:8080", "shop.", "shop@bb.example", "shop.BB.example:80", "shop.bb.example."):
+        assert catalog.find(host).key == "shop@bb.example", host
+    assert catalog.find("web").key == catalog.find("web.aa:1").key == "web@aa"
+    reasons = {"in": Why.EXCLUDED, "old": Why.STALE, "odd.bb": Why.UNFIT, "new": Why.UNHELD, "shop:x": Why.NAME}
+    for host, reason in {**reasons, **dict.fromkeys(("", "[::1]:80", "\u212aing", "b.a@bb"), Why.NAME)}.items():
+        assert why(catalog, host) is reason and build.REMEDY[reason] in catalog.find(host).text, host
+    assert catalog.find("new@bb").key == "new@bb" and set(catalog.refused) == {"a.b@bb"}
+    wrong = ["", "-a@bb", "a@", "a@b@c", "a_b@bb", "a" * 64 + "@bb", "a@bb\n", "\u212a@bb", 7, None]
+    for text in [*wrong, "a@" + "b." * 130]:
+        with pytest.raises(BadName, match="^here: ") as error:
+            names.global_name(text, "here")
+        assert error.value.where == "here"
+    for state in (State(pins={"web": "shop@bb"}), State(pins={"w b": "web@aa"}), State({"Web@aa": own()})):
+        with pytest.raises(BadName):
+            catalog.change(state)
+    assert catalog.find("web").key == "web@aa"
+
+
+# ---- contracts --------------------------------------------------------------------------------------
+
+
+@FEW
+@given(CLAUSES, CLAUSES, CLAUSES, st.permutations([0, 1, 2]), CONTRACTS, CONTRACTS)
+def test_contracts_meet_to_the_strictest_whatever_the_order(a, b, c, order, one, other):
+    three = (a, b, c)
+    assert a.meet(b) == b.meet(a) and a.meet(a) == a and a.meet(b.meet(c)) == a.meet(b).meet(c)
+    met = three[order[0]].meet(three[order[1]]).meet(three[order[2]])
+    assert met == a.meet(b).meet(c) == clause(met.effect, met.scope, met.window, met.deadline)  # in the one form
+    assert (met.effect is Effect.ONCE) == any(word.effect is Effect.ONCE for word in three)
+    assert (met.effect is Effect.REPEATABLE) == all(word.effect is Effect.REPEATABLE for word in three)
+    keyed = [word for word in three if word.effect is Effect.BY_KEY]
+    if met.effect is Effect.BY_KEY:
+        assert met.window == min(word.window for word in keyed)
+        assert (met.scope is Scope.ALL) == all(word.scope is Scope.ALL for word in keyed)
+    assert met.deadline == min(word.deadline for word in three)
+    both = strictest([one, other])
+    assert set(both) == set(one) & set(other) and list(both) == list(strictest([other, one]))
+    cls = RequestClass("read", Effect.BY_KEY, 1, 2, Scope.ALL, 5)
+    assert contract.of([applied(cls, a)])["read"] == contract.of([cls])["read"].meet(a)
+
+
+# ---- collisions -------------------------------------------------------------------------------------
+
+THREE = (("bb", 5), ("cc", 3), ("aa", 9))
+
+
+def contenders(*declared):
+    others = tuple(f"shop@{mesh}" for mesh, _ in THREE)
+    return [Contender(f"shop@{m}", age, Declared(d, others)) for (m, age), d in zip(THREE, declared, strict=True)]
+
+
+@pytest.mark.parametrize(
+    ("declared", "view", "leader", "joined", "lost"),
+    [
+        ((ONCE, FREE, KEYED), View("aa", "shop@bb"), "bb", "", {"aa": 0, "cc": 0}),
+        ((FREE, FREE, FREE), View("aa", "shop@bb"), "bb", "", {"aa": 0, "cc": 0}),
+        ((ONCE, FREE, KEYED), View("aa", ""), "aa", "", {"bb": 1, "cc": 1}),
+        ((ONCE, FREE, FREE), View("aa", ""), "aa", "c", {"bb": 1}),
+        ((FREE, FREE, FREE), View("aa", ""), "aa", "bc", {}),
+        ((ONCE, FREE, KEYED), View("zz", ""), "cc", "", {"aa": 2, "bb": 2}),
+    ],
+)
+def test_a_collision_is_decided_by_the_first_rule_that_tells_them_apart(declared, view, leader, joined, lost):
+    for number in range(6):
+        some = contenders(*declared)
+        random.Random(number).shuffle(some)
+        found = resolve("shop", some, view)
+        assert found.leader == f"shop@{leader}" and found.joined == tuple(f"shop@{c}{c}" for c in joined)
+        assert dict(found.lost) == {f"shop@{m}": collisions.RULES[n].name for m, n in lost.items()}
+        assert all(collisions.RULES[n].remedy in found.text for n in lost.values()) and "shop is shop@" in found.text
+    tie = resolve("shop", [one._replace(age=collisions.NEVER, declared=None) for one in some], View("zz", ""))
+    assert tie.leader == "shop@aa" and {rule for _, rule in tie.lost} == {"the mesh's name"}
+
+
+def hostile():
+    """A mesh that claims every short name, and offers others' services as its own."""
+    table, answers = Claims(Limits(of_mesh=100, all=250)), []
+    for n in range(10):
+        assert table.apply(n + 1, Put(f"s{n}@bb", Declared(FREE))) == Taken(n + 1)
+    for n in range(300):
+        answers.append(table.apply(100 + n, Put(f"s{n}@evil", Declared(FREE, (f"s{n}@bb", f"s{n}@aa")))))
+    assert [type(one) for one in answers] == [Taken] * 100 + [Not] * 200 and "let some" in answers[-1].text
+    routes = {f"s{n}@evil": used(f"s{n}@evil") for n in range(300)} | {f"s{n}@bb": used(f"s{n}@bb") for n in range(10)}
+    routes |= {"pay@aa": used("pay@aa", "evil"), "pay@bb": used("pay@bb", "evil")}
+    state = State({"s20@aa": own(), "pay@aa": own()}, routes, {}, table.table, {"s21": "s21@cc"})
+    catalog = Catalog(HERE, state)
+    assert all(catalog.find(f"s{n}").key == f"s{n}@bb" for n in range(10)) and catalog.find("s50").key == "s50@evil"
+    assert catalog.find("s20").key == "s20@aa" and why(catalog, "s21") is Why.STALE
+    assert catalog.find("s20.evil").key == "s20@evil" and why(catalog, "s200") is Why.UNHELD
+    assert not any("evil" in name for name in catalog.providers(catalog.find("pay")).endpoints)
+    assert why(catalog, "pay@bb") is Why.UNFIT
+    assert table.apply(999, Put("x@cc", Declared(FREE))) == Taken(999)  # a good one still gets in
+
+
+def contracts():
+    """Three meshes, three contracts for one service; then two of them agree, and one goes back on it."""
+    same = ("shop@bb", "shop@cc", "shop@dd")
+    table = {f"shop@{m}": claim(n, d, same) for n, (m, d) in enumerate([("bb", KEYED), ("cc", ONCE), ("dd", FREE)])}
+    catalog = Catalog(HERE, State({}, {name: used(name) for name in table}, {}, table))
+    assert catalog.find("shop").members == ("shop@bb",) and len(catalog.collisions["shop"].lost) == 2
+    changed = catalog.change(State(claims={"shop@cc": claim(1, KEYED, same)}))
+    shop = catalog.find("shop")
+    assert shop.members == ("shop@bb", "shop@cc") and changed.moved == {"shop": ("shop@bb", shop.key)}
+    assert shop.contract["read"].scope is Scope.ZONE and catalog.find("shop@bb").contract == KEYED
+    assert [event.joined for event in changed.events] == [("shop@cc",)]
+    assert len({one.zone for one in catalog.providers(shop).endpoints.values()}) == 2
+    changed = catalog.change(State(claims={"shop@cc": claim(1, ONCE, same)}))
+    assert changed.ended == {shop.key} and catalog.find("shop").key == "shop@bb"
+    assert changed.moved["shop"] == (shop.key, "shop@bb")
+
+
+def flap():
+    """A service that comes and goes every second: one entry in the log; the name stays, the loser is reachable."""
+    damping, table, writes = Damping(away=30, withdrawn=20, settle=5), Claims(), []
+    table.apply(1, Put("shop@bb", Declared(FREE)))
+    table.apply(2, Put("shop@cc", Declared(FREE)))
+    catalog = Catalog(HERE, State({}, {"shop@cc": used("shop@cc")}, {}, table.table))
+    for now in range(100):
+        there = now % 2 == 0
+        seen = {"shop@bb": Seen(Declared(FREE) if there else None, now, withdrawn=True)}
+        writes += orders(table.table, seen, now, damping)
+        for act in writes[:]:
+            table.apply(10 + now, act)
+        catalog.change(State(used={"shop@bb": used("shop@bb") if there else None}, claims=table.table))
+        found = catalog.find("shop")
+        assert found.key == "shop@bb" if there else found.reason is Why.STALE
+        assert catalog.find("shop.cc").key == "shop@cc"
+    assert not writes and table.table["shop@bb"].index == 1
+    away = {"shop@bb": Seen(None, 100, True)}
+    assert not orders(table.table, away, 119, damping) and orders(table.table, away, 120, damping)
+    other = {"shop@bb": Seen(Declared(ONCE), 100), "new@bb": Seen(Declared(ONCE), 104)}
+    assert [act.name for act in orders(table.table, other, 104, damping)] == ["new@bb"]
+    assert len(orders(table.table, other, 105, damping)) == 2
+
+
+def test_a_late_release_touches_no_later_claim_and_the_table_comes_back_from_its_dump():
+    table = Claims(Limits(2, 3))
+    assert table.apply(1, Put("a@bb", Declared(ONCE))) == table.apply(5, Put("a@bb", Declared(KEYED))) == Taken(1)
+    assert isinstance(table.apply(6, Release("a@bb", 5)), Not) and table.apply(7, Release("a@bb", 1)) == Taken(0)
+    table.apply(8, Put("a@bb", Declared(FREE, ("a@cc",))))
+    assert isinstance(table.apply(9, Release("a@bb", 1)), Not) and table.table["a@bb"].index == 8
+    wrong = ["A@bb", "a", "a@b b"], [("A@cc",), ("x" * 300,), ("a@cc",) * 33]
+    for act in [Put(n, Declared()) for n in wrong[0]] + [Put("b@bb", Declared({}, s)) for s in wrong[1]]:
+        assert isinstance(table.apply(10, act), Not), act
+    kept = msgspec.msgpack.decode(msgspec.msgpack.encode(table.dump()), type=list[tuple[str, Claim]])
+    again = Claims.load(kept, table.limits)
+    assert (again.table, again.counts) == (table.table, table.counts) == (dict(kept), {"bb": 1})
+
+
+def test_a_rename_keeps_both_names_until_the_old_claim_goes():
+    catalog = Catalog(HERE, State({}, {"old@bb": used("old@bb")}, {}, {"old@bb": claim(1)}))
+    changed = catalog.change(State(used={"old@bb": None, "new@bb": used("new@bb")}, claims={"new@bb": claim(2)}))
+    assert catalog.find("new").key == "new@bb" and catalog.find("old").reason is Why.STALE
+    assert changed.ended == {"old@bb"} and changed.keys == {"new@bb"} and not changed.events
+    catalog.change(State(claims={"old@bb": None}))
+    assert catalog.find("old").reason is Why.NAME and set(catalog.by_short) == {"new"}
+
+
+# ---- provider sets ----------------------------------------------------------------------------------
+
+
+def test_partners_come_in_only_where_the_own_site_has_none_ready_or_the_service_lives_there():
+    catalog = Catalog(HERE, State({"web@aa": own(2)}, {"web@aa": used("web@aa", "s2")}, {}, {}))
+    catalog.site = HERE._replace(meshes={"s2": "aa"})
+    web = catalog.find("web")
+    assert list(catalog.providers(web).endpoints) == ["p0", "p1"]
+    catalog.change(State({"web@aa": own(2, life=Lifecycle.DRAINING)}))
+    assert list(catalog.providers(catalog.find("web")).endpoints) == ["p0", "p1", "p0@s2", "p1@s2"]
+    routes = {"far@bb": used("far@bb", share=0.1)}
+    there = catalog.change(State({"far@bb": own(1, zone="z2")}, routes, {}, {"far@bb": claim(1)}))
+    found = catalog.providers(catalog.find("far"))
+    assert there.keys == {"far@bb"} and list(found.endpoints) == ["p0", "p0@bb", "p1@bb"] and found.part == 1.0
+    home, *abroad = (one.weight for one in found.endpoints.values())
+    assert sum(abroad) <= 0.1 * (home + sum(abroad)) and found.shares == {"bb": 0.1}
+    assert len({one.cell for one in found.endpoints.values()}) == 3 and found.endpoints["p0@bb"].zone == "z1@bb"
+
+
+@FEW
+@given(st.lists(st.tuples(st.sets(st.sampled_from("rwx"), min_size=1), SHARES), max_size=4), st.booleans())
+def test_whatever_is_sent_is_within_the_classes_and_shares_of_every_partner_in_the_set(partners, ready):
+    classes = frozenset("rw")
+    routes = [used(f"shop@m{n}", classes=tuple(sorted(c)), share=s, number=n + 1) for n, (c, s) in enumerate(partners)]
+    ends = [({"p": Endpoint("p", "z1", "plain", 1, Lifecycle.READY)}, {"p": "h:1"})] if ready else []
+    found = gathered(ends, routes, True, "z1", classes)
+    assert found == gathered(ends, routes[::-1], True, "z1", classes) and set(found.addresses) >= set(found.endpoints)
+    whole = sum(one.weight for one in found.endpoints.values())
+    for one in routes:
+        mine = [end.weight for end in found.endpoints.values() if end.address.endswith(f"@{one.partner}")]
+        assert not mine or found.classes <= set(one.route.classes) & classes
+        assert found.part * sum(mine) <= (one.route.share or 1.0) * whole + 1e-9
+    assert found.classes == classes if ready else found.classes or not any(c & classes for c, _ in partners)
+
+
+def test_changes_come_as_increments_and_who_leaves_drains_before_it_is_gone():
+    catalog = Catalog(HERE, State({"shop@aa": own(1)}, {"shop@bb": used("shop@bb")}, {}, {"shop@bb": claim(1)}))
+    follower, shop = Follower(10), catalog.find("shop")
+    first = follower.step(0, catalog.providers(shop))
+    assert first.update.kind is UpdateKind.FULL and first.addresses == {"p0": "10.0.0.1:80"} and not first.drains
+    assert follower.step(1, catalog.providers(shop)) is None and follower.next_at is None
+    changed = catalog.change(State(own={"shop@aa": None}))  # the winner withdrawn under load
+    assert changed.ended == {"shop@aa"} and changed.moved == {"shop": ("shop@aa", "shop@bb")}
+    step = follower.step(2, EMPTY)
+    assert step.drains == ("p0",) and step.update.endpoints[0].lifecycle is Lifecycle.DRAINING
+    assert step.update.kind is UpdateKind.CHANGES and follower.next_at == 12 and follower.step(11, EMPTY) is None
+    assert follower.step(12, EMPTY).update.endpoints[0].lifecycle is Lifecycle.GONE and not follower.told
+    back = follower.step(13, catalog.providers(catalog.find("shop")))
+    assert {end.address for end in back.update.endpoints} == {"p0@bb", "p1@bb"} and follower.step(14, EMPTY).drains
+    assert follower.step(15, catalog.providers(catalog.find("shop"))).update.endpoints and follower.next_at is None
+
+
+# ---- shares -----------------------------------------------------------------------------------------
+
+
+@FEW
+@given(st.lists(st.tuples(st.sampled_from("abcd"), st.integers(-9, 9)), max_size=60), st.integers(1, 40))
+def test_no_more_than_the_limit_is_held_and_idle_ones_cost_nothing(steps, total):
+    shared = Shared(total)
+    for who, count in steps:
+        if count > 0:
+            room = shared.room(who)
+            assert shared.take(who, count) == (count <= room)
+        elif count and shared.held.get(who, 0) >= -count:
+            shared.give(who, -count)
+        assert sum(shared.held.values()) + shared.free == total and shared.free >= 0 and 0 not in shared.held.values()
+    with pytest.raises(ValueError):
+        shared.give("e")
+
+
+def test_services_that_want_all_leave_room_for_the_next():
+    shared = Shared(1000)
+    for _ in range(1000):
+        for who in "abcd":
+            shared.take(who)
+    assert set(shared.held.values()) == {222} and shared.take("new") and shared.room("new") > 50
+    shared.resize(100)
+    assert not shared.take("late") and shared.free < 0
+
+
+# ---- a world of partitions, and what is broken on purpose ---------------------------------------------
+
+
+def worlds():
+    repeats = 0
+    for seed in range(12):
+        world = World(seed)
+        world.run(60)
+        assert not world.faults(), seed
+        repeats += world.oracle.repeats
+    return repeats
+
+
+def test_a_random_world_has_one_winner_everywhere_and_repeats_nothing_that_is_called_once():
+    assert worlds() > 1000
+
+
+def test_hard_cases():
+    for scene in (hostile, contracts, flap):
+        scene()
+
+
+RULES, ABROAD, PUT = collisions.RULES, providers.abroad, Claims._put
+
+
+def loosest(some):
+    return {"read": max((one["read"] for one in some), key=lambda one: contract.STRICTNESS[one.effect])}
+
+
+def younger(self, index, act):
+    PUT(self, index, act)
+    self.table[act.name] = Claim(index, act.declared)
+    return Taken(index)
+
+
+def unqualified(one):
+    ends, at = ABROAD(one)
+    return {name: replace(end, zone=end.zone.partition("@")[0]) for name, end in ends.items()}, at
+
+
+def by_rules(*rules):
+    return mock.patch.object(Catalog.__init__, "__defaults__", (State(), rules))
+
+
+def agree(one, other):
+    return one.declared is not None and other.declared is not None
+
+
+MUTANTS = {
+    "the loosest contract": ([(build, "strictest", loosest)], worlds),
+    "a partner's cell not its own": ([(providers, "_cell", lambda partner, cell: cell)], worlds),
+    "a key's scope over several meshes": ([(build, "apart", dict)], worlds),
+    "one key whatever the meshes": ([(build, "key_of", lambda members: members[0])], worlds),
+    "a new word makes a claim younger": ([(Claims, "_put", younger)], worlds),
+    "the same service with other contracts": ([(collisions, "same", agree)], contracts),
+    "a partner's zone not its own": ([(providers, "abroad", unqualified)], contracts),
+    "no limit of a mesh": ([(claims.LIMITS.__class__, "of_mesh", 10**9)], hostile),
+    "any site takes work for any mesh": ([(Catalog, "_route", lambda self, name: self.used.get(name))], hostile),
+    "no damping": ([(Damping, "withdrawn", 0)], flap),
+    "no rule of the own mesh": (by_rules(*RULES[:1], *RULES[2:]), hostile),
+    "no rule of pins": (by_rules(*RULES[1:]), hostile),
+    "no rule of age": (by_rules(*RULES[:2], RULES[3]._replace(key=lambda c, v: -c.age)), hostile),
+}
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_a_broken_rule_is_found(name):
+    how, scene = MUTANTS[name]
+    with ExitStack() as stack:
+        for patch in [how] if not isinstance(how, list) else [mock.patch.object(*one) for one in how]:
+            stack.enter_context(patch)
+        with pytest.raises(AssertionError):
+            scene()
