Several services behind one address: a request's Host names its service

Need: a sidecar served one service; the catalog was pure and nothing used it.

Change: [catalog] file names this site's own services; each service that is called has a balancer, lane of connections and settings of its own, with the strictest contract of its meshes. Names that can't be had are answered at once with why. Ids of requests are in one map over all services; descriptors are shared by threshold. Partners' routes feed the services in place of the standby. With it off a request takes the same steps as before (the host is read from the connection in place of the front), and nothing of it is imported.

--- /dev/null
+++ b/loftweir/catalog/hosts.py
@@ -0,0 +1,298 @@
+"""The services of one sidecar at work: by a request's Host the catalog's service, by that a balancer of its own.
+
+The one module of the catalog that `sidecar` imports, and only where the operator's file names one. The site's own
+list, the partners' routes and the file come in; what follows from them is the catalog's to say.
+"""
+
+from __future__ import annotations
+
+import copy
+from collections.abc import Mapping
+from dataclasses import replace
+from typing import Any
+from zlib import crc32
+
+from loftweir.catalog.build import Catalog, Changed, Service, Site, State, Unknown, Why
+from loftweir.catalog.contract import applied
+from loftweir.catalog.file import Mine, Services
+from loftweir.catalog.providers import EMPTY, Follower, ProviderSet
+from loftweir.catalog.shares import Shared
+from loftweir.core.host import Host
+from loftweir.core.invocation import Invocation
+from loftweir.http1.back import Back, Connection, Pool
+from loftweir.http1.front import COME_BACK, Malformed
+from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, Outcome, Settings, UpdateKind
+from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Wait
+from loftweir.net.stream import NotUp
+from loftweir.partners.merge import Merged
+from loftweir.telemetry.catalogue import CATALOG_COLLISION, CATALOG_MOVED
+from loftweir.telemetry.log import say
+
+STATUS = {Why.NAME: 404, Why.UNHELD: 404, Why.EXCLUDED: 403, Why.STALE: 503, Why.UNFIT: 503}
+SWEEP_EVERY = 60 * SECOND
+IDLE_FOR = 600 * SECOND  # a balancer that nobody asked is let go; above the longest body and deadline together
+PAST = SECOND  # beyond the longest deadline, that a provider drains
+BURST = 1.0  # seconds of a partner's rate that may be sent at once
+
+
+class Lane(Pool):
+    """One service's connections: its providers' names and addresses are its own, room for them is the sidecar's.
+
+    Invariant: the service holds one of `shared` for each connection that is open or coming up.
+    """
+
+    def __init__(self, whole: Pool, shared: Shared, key: str) -> None:
+        self.whole, self.shared, self.key = whole, shared, key
+        self.loop, self.most, self.resting = whole.loop, whole.most, whole.resting
+        self.addresses: dict[str, str] = {}
+        self.heard: dict[str, int] = {}
+        self.idle: dict[str, dict[Connection, None]] = {}
+
+    @property
+    def open(self) -> int:
+        return self.whole.open
+
+    @open.setter
+    def open(self, count: int) -> None:
+        self.whole.open = count
+
+    @property
+    def settings(self) -> Settings:  # type: ignore[override]
+        return self.whole.settings
+
+    @property
+    def options(self) -> Any:  # type: ignore[override]
+        return self.whole.options
+
+    def connect(self, name: str, until: int) -> Coroutine[Connection]:
+        while not self.shared.take(self.key):
+            oldest = min((c for idle in self.idle.values() for c in idle), key=lambda c: c.rested_at, default=None)
+            if oldest is None:
+                raise NotUp(Outcome.NOT_SENT)
+            self.take_out(oldest)
+            self.close(oldest)
+        try:
+            return (yield from super().connect(name, until))
+        except BaseException:
+            self.shared.give(self.key)
+            raise
+
+    def close(self, connection: Connection) -> None:
+        super().close(connection)
+        self.shared.give(self.key)
+
+
+class Desk:
+    """Discovery's side of a service's balancer: the sidecar's first one asks for them all."""
+
+    def watch(self, on: bool) -> None: ...
+
+    def fetch(self) -> None: ...
+
+
+class At:
+    """One service's balancer, and what it was told."""
+
+    def __init__(self, host: Host, follower: Follower, service: Service) -> None:
+        self.host, self.follower, self.service = host, follower, service
+        self.set: ProviderSet = EMPTY
+        self.used_at = 0
+        self.credit = 0.0  # of `part`: a request may go once it is 1
+        self.tokens, self.filled_at = 0.0, 0  # of the least of `rates`
+
+
+class Hosts:
+    """Invariants: `catalog` is what the file, the list and the routes make at this moment; each balancer in `ats` has
+    been told the providers of its key; all of them have the one map of ids that `first` has, so that the same id under
+    two names is never two copies."""
+
+    def __init__(self, loop: Loop, services: Services, first: Host, back: Back, seed: int) -> None:
+        self.loop, self.services = loop, services
+        self.first, self.back, self.seed = first, back, seed
+        self.known: dict[str, Endpoint] = {}
+        self.addresses: dict[str, str] = {}
+        self.merged: Merged | None = None
+        self.claims: Mapping[str, Any] = {}
+        self.shared = Shared(back.pool.most)
+        self.ats: dict[str, At] = {}  # by the service's key
+        self.catalog = self._made()
+        loop.spawn(self._sweep())
+
+    @property
+    def settings(self) -> Settings:
+        return self.first.settings
+
+    # ---- a request ------------------------------------------------------------------------------
+
+    def admit(self, name: str, invocation: Invocation) -> Host:
+        """The host of the service that a request names; its class becomes the service's. Raises `Malformed`."""
+        found = self.catalog.find(name)
+        if isinstance(found, Unknown):
+            raise self._no(found.text, STATUS[found.reason])
+        at = self.ats.get(found.key)
+        if at is None:
+            at = self._begin(found)
+        at.used_at = self.loop.time
+        cls = at.host.settings.classes.get(invocation.cls.name)
+        if cls is None or cls.name.lower() not in at.service.contract:
+            raise self._no(f"{found.key}: {invocation.cls.name} is not a class of this service", 400)
+        if at.set.endpoints and cls.name.lower() not in at.set.classes:
+            raise self._no(f"{found.key}: nobody who is there for it now takes {cls.name}; come back", 503)
+        self._within(at)
+        invocation.cls = cls
+        invocation.patience = min(invocation.patience, cls.deadline)
+        return at.host
+
+    def _no(self, text: str, status: int) -> Malformed:
+        after = min(COME_BACK, self.settings.max_retry_after)
+        if status == 503 and self.settings.retry_after and after >= MS:
+            return Malformed(text, status, ("retry-after", f"{after / SECOND:.3f}"))
+        return Malformed(text, status)
+
+    def _within(self, at: At) -> None:
+        """Holds the work sent by a partner's terms: `part` of the service's, and the least of the rates, of which each
+        sidecar of the site has its part."""
+        if at.set.rates:
+            now, rate = self.loop.time, min(at.set.rates.values()) / self.settings.balancers
+            filled = at.tokens + (now - at.filled_at) / SECOND * rate
+            at.tokens, at.filled_at = min(filled, max(1.0, rate * BURST)), now
+            if at.tokens < 1:
+                raise self._no(f"{at.service.key}: more than the partner's rate of {rate:g} a second here", 503)
+        if at.set.part < 1:
+            at.credit = min(at.credit + at.set.part, 2.0)
+            if at.credit < 1:
+                raise self._no(f"{at.service.key}: more than the partners' share of {at.set.part:g}", 503)
+            at.credit -= 1
+        if at.set.rates:
+            at.tokens -= 1
+
+    # ---- balancers ------------------------------------------------------------------------------
+
+    def _grace(self) -> int:
+        return max(c.deadline for c in self.settings.classes.values()) + PAST
+
+    def _fitted(self, service: Service) -> Settings:
+        """The platform's settings with the classes as the contract has them. One with none of them serves nothing,
+        and its balancer is never asked (`admit`)."""
+        classes = self.settings.classes
+        fitted = {name: applied(cls, service.contract[name.lower()]) for name, cls in _met(classes, service).items()}
+        return replace(self.settings, classes=fitted or classes)
+
+    def _begin(self, service: Service) -> At:
+        side = copy.copy(self.back)
+        side.pool = Lane(self.back.pool, self.shared, service.key)
+        host = Host(self.loop, self._fitted(service), self.seed ^ crc32(service.key.encode()), side, Desk())
+        host.invocations, host.overload = self.first.invocations, self.first.overload
+        side.ended = host.ended
+        at = self.ats[service.key] = At(host, Follower(self._grace()), service)
+        self._step(service.key, at)
+        return at
+
+    def _step(self, key: str, at: At) -> None:
+        """Tells one balancer what is another in its service's providers."""
+        if self.ats.get(key) is not at:
+            return
+        at.set = self._wanted(key, at)
+        at.follower.grace = self._grace()
+        step = at.follower.step(self.loop.now(), at.set)
+        if step is not None:
+            at.host.listed(step.update, step.addresses)
+        if at.follower.next_at is not None:
+            self.loop.after(max(MS, at.follower.next_at - self.loop.now()), self._step, key, at)
+
+    def _wanted(self, key: str, at: At) -> ProviderSet:
+        """None for one that is no more: its providers drain. Its members' names may still stand for others."""
+        entry = self.catalog.find(key.partition("+")[0])
+        found = entry if isinstance(entry, Service) and entry.key == key else None
+        if found is None:
+            short = self.catalog.find(key.partition("@")[0])
+            found = short if isinstance(short, Service) and short.key == key else None
+        if found is None:
+            return EMPTY
+        if found != at.service:
+            at.service = found
+            at.host.use(self._fitted(found))
+        return self.catalog.providers(found)
+
+    def _sweep(self) -> Coroutine[None]:
+        while True:
+            yield Wait(None, 0, self.loop.now() + SWEEP_EVERY)
+            due = self.loop.now() - IDLE_FOR
+            for key in [key for key, at in self.ats.items() if at.used_at < due]:
+                del self.ats[key]
+
+    # ---- what holds -----------------------------------------------------------------------------
+
+    def serves(self) -> bool:
+        return bool(self.catalog.entries)
+
+    def _own(self, names: Mapping[str, Mine]) -> dict[str, Any]:
+        classes = self.settings.classes.values()
+        return {name: one.own(self.known, self.addresses, classes) for name, one in names.items()}
+
+    def _made(self) -> Catalog:
+        of_file = self.services
+        used, left = (self.merged.used, self.merged.left) if self.merged is not None else ({}, {})
+        state = State(self._own(of_file.services), dict(used), dict(left), dict(self.claims), dict(of_file.pins))
+        return Catalog(Site(of_file.mesh, self.settings.zone, of_file.meshes), state)
+
+    def use(self, services: Services | None) -> None:
+        """Another file, or other settings: all of the catalog anew. What is under way goes on where it is."""
+        before, self.services = self.catalog, services or self.services
+        self.catalog = self._made()
+        for event in self.catalog.collisions.values():
+            if before.collisions.get(event.short) != event:
+                say(CATALOG_COLLISION, text=event.text)
+        for key, at in list(self.ats.items()):
+            at.host.use(self._fitted(at.service))
+            self._step(key, at)
+
+    def _changed(self, changed: Changed) -> None:
+        for short, (before, after) in changed.moved.items():
+            say(CATALOG_MOVED, name=short, before=before or "-", now=after or "-")
+        for event in changed.events:
+            say(CATALOG_COLLISION, text=event.text)
+        for key in changed.keys | changed.ended:
+            at = self.ats.get(key)
+            if at is not None:
+                self._step(key, at)
+
+    def listed(self, update: MembershipUpdate, addresses: dict[str, str]) -> None:
+        """Discovery's list, as the operators' words have left it."""
+        if update.kind is UpdateKind.FAILED:
+            return
+        if update.kind is not UpdateKind.CHANGES:
+            self.known, self.addresses = {}, {}
+        for one in update.endpoints:
+            if one.lifecycle is Lifecycle.GONE:
+                self.known.pop(one.address, None)
+                self.addresses.pop(one.address, None)
+            else:
+                self.known[one.address], self.addresses[one.address] = one, addresses[one.address]
+        now = self._own(self.services.services)
+        self._changed(self.catalog.change(State(own={n: o for n, o in now.items() if self.catalog.own.get(n) != o})))
+
+    def routed(self, merged: Merged) -> None:
+        """The partners' routes, as this site uses them."""
+        self.merged, held = merged, self.catalog
+        used = _differs(held.used, merged.used)
+        left = _differs(held.left, merged.left)
+        if used or left:
+            self._changed(held.change(State(used=used, left=left)))
+
+    def claimed(self, table: Mapping[str, Any]) -> None:
+        """The names that the copies hold for meshes."""
+        self.claims = dict(table)
+        claims = _differs(self.catalog.claims, table)
+        if claims:
+            self._changed(self.catalog.change(State(claims=claims)))
+
+
+def _met(classes: Mapping[str, Any], service: Service) -> dict[str, Any]:
+    return {name: cls for name, cls in classes.items() if name.lower() in service.contract}
+
+
+def _differs(held: Mapping[str, Any], wanted: Mapping[str, Any]) -> dict[str, Any]:
+    """What makes one of the other, as `State` has it."""
+    gone: dict[str, Any] = dict.fromkeys(held.keys() - wanted.keys())
+    return gone | {name: value for name, value in wanted.items() if held.get(name) != value}
--- a/loftweir/cli/config.py
+++ b/loftweir/cli/config.py
@@ -24,7 +24,7 @@
 @as_json
 def show(config: str | None, operator: str | None, as_json: bool) -> None:
     """Every key in force, its value and where it came from: default, file, environment or flag."""
-    of_platform, loaded, _ = read_or_end(where_from(config, operator))
+    of_platform, loaded, *_ = read_or_end(where_from(config, operator))
     rows: list[tuple[str, Any, str, str]] = []
     for pair in platform.flatten({k: v for k, v in platform.read_object(of_platform.file).items() if k != "known"}):
         path, _, value = pair.partition("=")
--- a/loftweir/cli/explain.py
+++ b/loftweir/cli/explain.py
@@ -75,7 +75,7 @@
     Example: three providers, one of which answers nothing
       loftweir explain --config c.json -n 50 --behaves s-3=silent --each
     """
-    of_platform, _, _ = read_or_end(where_from(config, operator))
+    of_platform, *_ = read_or_end(where_from(config, operator))
     classes = of_platform.settings.classes
     if class_name is not None and class_name not in classes:
         raise click.UsageError(f"--class: {class_name!r} is none of {', '.join(classes)}")
--- a/loftweir/config/model.py
+++ b/loftweir/config/model.py
@@ -352,6 +352,20 @@
     ] = 16
 
 
+class Catalog(Section, frozen=True, kw_only=True):
+    """Several services behind one address: a request's Host names its service; off without a file."""
+
+    file: Annotated[
+        str,
+        text(
+            "this site's own services, who of discovery's providers serves each, and the meshes' names, in TOML or "
+            "JSON; the same at every sidecar of the site. A reload reads it again; another path waits for the next "
+            "start. `partners.site` is needed; empty: off",
+            live=False,
+        ),
+    ] = ""
+
+
 class Options(Section, frozen=True, kw_only=True):
     """The operator's file as a whole."""
 
@@ -362,6 +376,7 @@
     state: State = State()
     replication: Replication = Replication()
     partners: Partners = Partners()
+    catalog: Catalog = Catalog()
 
 
 class Key(NamedTuple):
@@ -408,6 +423,8 @@
         yield "replication.election", "at least three times replication.beat: one sign of life may be lost"
     if options.partners.site:
         yield from _partners_contradict(options)
+    if options.catalog.file and not options.partners.site:
+        yield "catalog.file", "empty, or partners.site and replication.members named: names are the whole site's"
     waits = {"silent_after": discovery.wait, "answer_within": 0, "agent_silent_after": discovery.agent_wait}
     for name, wait in waits.items():
         most = longest_silence(wait)
--- a/loftweir/daemon.py
+++ b/loftweir/daemon.py
@@ -20,17 +20,19 @@
 from loftweir.telemetry.catalogue import RELOAD_DONE, RELOAD_FAULT, START_FAILED, START_FAULT, START_LISTENING, Event
 
 if TYPE_CHECKING:
+    from loftweir.catalog.file import Services
     from loftweir.partners.file import Sites
 
 UNUSABLE = 2  # the exit code where the configuration or the start failed
 
 
 class Configuration(NamedTuple):
-    """Both files, read and checked, and the one for the partners where the operator's names it."""
+    """Both files, read and checked, and those for the partners and services where the operator's names them."""
 
     platform: platform.Platform
     operator: operator.Loaded
     sites: Sites | None = None
+    services: Services | None = None
 
 
 class Origin(NamedTuple):
@@ -58,7 +60,7 @@
     """All of the configuration; a `Faulty` carries the faults of both files together. `required`: keys that the
     platform's file must have, though it could be read without some."""
     faults: list[Fault] = []
-    loaded, of_platform, sites = None, None, None
+    loaded, of_platform, sites, services = None, None, None, None
     try:
         loaded = operator.load(at.operator_file, at.environment, at.flags)
     except Faulty as error:
@@ -78,9 +80,16 @@
             sites = file.load(partners.file, partners.site.lower(), limits)
         except Faulty as error:
             faults += error.faults
+        if loaded.options.catalog.file:
+            from loftweir.catalog import file as catalog
+
+            try:
+                services = catalog.load(loaded.options.catalog.file, partners.site.lower())
+            except Faulty as error:
+                faults += error.faults
     if loaded is None or of_platform is None or faults:
         raise Faulty(faults)
-    return Configuration(of_platform, loaded, sites)
+    return Configuration(of_platform, loaded, sites, services)
 
 
 def say_faults(event: Event, error: Faulty) -> None:
@@ -114,14 +123,14 @@
         """Raises Faulty for the configuration, OSError for what can't be had at the start."""
         self.origin = at
         self.configuration = read(at)
-        of_platform, loaded, sites = self.configuration
+        of_platform, loaded, sites, services = self.configuration
         use_log(loaded.options)
         # The platform counts descriptors: running into a limit of its own, the sidecar can make room.
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         if of_platform.sockets < soft or soft == resource.RLIM_INFINITY:
             resource.setrlimit(resource.RLIMIT_NOFILE, (of_platform.sockets, hard))
         self.loop = Loop()
-        self.sidecar = Sidecar(self.loop, of_platform, loaded.options, sites)
+        self.sidecar = Sidecar(self.loop, of_platform, loaded.options, sites, services)
         self.sidecar.start(self.reload)
         log.say(
             START_LISTENING,
@@ -149,7 +158,9 @@
         self.configuration = new
         use_log(new.operator.options)
         settings = changed_settings(self.sidecar.host.settings, new.platform.settings)
-        self.sidecar.use(new.operator.options, new.platform.discovery, new.platform.settings, new.sites)
+        self.sidecar.use(
+            new.operator.options, new.platform.discovery, new.platform.settings, new.sites, new.services
+        )
         log.say(
             RELOAD_DONE,
             discovery=new.platform.discovery,
--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -131,8 +131,8 @@
         """Makes room: closes the connection that has been at rest for longest."""
         connection = next(iter(self.resting), None)
         if connection is not None:
-            self.take_out(connection)
-            self.close(connection)
+            connection.pool.take_out(connection)  # which may be a service's own
+            connection.pool.close(connection)
         return connection is not None
 
     def take_out(self, connection: Connection) -> None:
--- a/loftweir/http1/front.py
+++ b/loftweir/http1/front.py
@@ -180,10 +180,11 @@
     the connection itself (`ready`), which stands in the front's row of its stage.
     """
 
-    __slots__ = ("front", "sock", "task", "stage", "since", "free_at", "mask", "method", "old", "trace")
+    __slots__ = ("front", "host", "sock", "task", "stage", "since", "free_at", "mask", "method", "old", "trace")
 
     def __init__(self, front: Front, sock: socket.socket) -> None:
         self.front = front
+        self.host = front.host  # that its request is decided by
         self.sock = sock
         self.task: Task | None = None
         self.stage = Stage.SILENT
@@ -460,7 +461,7 @@
             raise Malformed("no such path", 404)
         if request.method not in (b"GET", b"POST"):
             raise Malformed("GET or POST", 405, ("allow", "GET, POST"))
-        return taken(request, front.host.settings, front.options.log.access != "off")
+        return taken(request, self.host.settings, front.options.log.access != "off")
 
     def _health(self) -> Answer:
         return plain(200, "ready") if self.front.ready() else plain(503, "not ready")
@@ -471,7 +472,7 @@
         """Takes an invocation, and waits for its answer or for the consumer to go. Only a hang-up is looked for:
         what a consumer sends ahead of its answer stays in the kernel."""
         front = self.front
-        host = front.host
+        host = self.host
         if invocation.id in host.invocations:
             # A second copy of something still out: neither sent (it could run twice) nor called a rejection.
             raise Malformed("Req-Id is in use")
@@ -520,6 +521,8 @@
     def __init__(self, loop: Loop, host: Host, life: Life, options: Options, sockets: int, room: int) -> None:
         self.loop = loop
         self.host = host
+        self.kind: type[Consumer] = Consumer  # of each connection
+        self.also: Callable[[], bool] = lambda: False  # others than the host's own providers are there to serve
         self.life = life
         self.options = options  # replaced whole by a reload
         limits = options.limits
@@ -544,7 +547,9 @@
         return self.life.traits.healthy and self.takes_clients()
 
     def takes_clients(self) -> bool:
-        return self.accepting is not None and not self.accepting.over and bool(self.host.balancer.servers)
+        return self.accepting is not None and not self.accepting.over and (
+            bool(self.host.balancer.servers) or self.also()
+        )
 
     def use(self, options: Options) -> None:
         self.options = options
@@ -670,7 +675,7 @@
     def _welcome(self, sock: socket.socket) -> None:
         try:
             prepare(sock)
-            consumer = Consumer(self, sock)
+            consumer = self.kind(self, sock)
             self.consumers.add(consumer)
             self.watch(consumer)
         except OSError:  # reset before it was looked at: no reason to stop accepting
--- a/loftweir/partners/part.py
+++ b/loftweir/partners/part.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from hashlib import blake2b
+from typing import Any, Protocol
 
 from loftweir.config.model import Options
 from loftweir.config.model import Partners as PartnersOptions
@@ -20,7 +21,7 @@
 from loftweir.partners.copies import HEAD, NotReadable, Shelf
 from loftweir.partners.file import Sites
 from loftweir.partners.link import Link, keys_of, limits, timing
-from loftweir.partners.merge import Changed, Merger, Policy, Reason, Standing
+from loftweir.partners.merge import Changed, Merged, Merger, Policy, Reason, Standing
 from loftweir.partners.offer import Listener
 from loftweir.partners.shown import DUTY as OFFERS
 from loftweir.partners.shown import Shown
@@ -52,6 +53,14 @@
     return OWN + 2 * (len(sites.neighbours) + SPARE) + listens
 
 
+class Catalog(Protocol):
+    """The services at work, where the operator's file names some: by their routes, in place of `standby`."""
+
+    def routed(self, merged: Merged) -> None: ...
+
+    def claimed(self, table: Mapping[str, Any]) -> None: ...
+
+
 class Partners:
     """Invariants: `merger` has been told what each shelf has at this moment; the balancer has been told what follows
     from it (`standby`), and the neighbours are shown what does (`shown`)."""
@@ -70,7 +79,8 @@
         self.name = name
         self.options = options.partners
         self.site = options.partners.site.lower()
-        self.service = options.partners.service.lower()
+        self.service = "" if options.catalog.file else options.partners.service.lower()
+        self.catalog: Catalog | None = None
         self.timing = timing(self.options, self.options.hold)
         self.sites = sites
         self.fleet = fleet
@@ -146,6 +156,8 @@
         self.shown.neighbours(sites.neighbours)
         self.shown.again(sites.neighbours)
         self._lay()
+        if self.catalog is not None:
+            self.catalog.routed(self.merger.merged)
         if self.fleet.machine is not None:
             self._heard(self.fleet.machine)
 
@@ -244,6 +256,8 @@
             self._lay()
         if changed.shown:
             self.shown.again(changed.shown)
+        if self.catalog is not None:  # why a route is left may be another though none is used
+            self.catalog.routed(self.merger.merged)
 
     def _run(self) -> Coroutine[None]:
         """Time runs on without news: what was not confirmed goes stale, then away; terms come to their end."""
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -37,6 +37,8 @@
 from loftweir.telemetry.log import say
 
 if TYPE_CHECKING:
+    from loftweir.catalog.file import Services
+    from loftweir.catalog.hosts import Hosts
     from loftweir.partners.file import Sites
     from loftweir.partners.part import Partners
     from loftweir.replication.part import Part
@@ -57,8 +59,15 @@
 class Sidecar:
     """Owns the parts and the order in which they begin and end."""
 
-    def __init__(self, loop: Loop, platform: Platform, options: Options, sites: Sites | None = None) -> None:
-        """`sites`: of the file that the operator's file names for the partners, if it does."""
+    def __init__(
+        self,
+        loop: Loop,
+        platform: Platform,
+        options: Options,
+        sites: Sites | None = None,
+        services: Services | None = None,
+    ) -> None:
+        """`sites` and `services`: of the files that the operator's names for the partners and the catalog, if any."""
         self.loop = loop
         self.options = options
         self.platform = platform
@@ -94,6 +103,14 @@
         bodies = int(memory * limits.requests_of_memory)
         self.front = Front(loop, self.host, self.life, options, platform.sockets, bodies)
         self.front.spare_descriptor = self.back.pool.spare
+        self.catalog: Hosts | None = None
+        self.services_file = options.catalog.file  # another one waits for the next start
+        if services is not None and self.partners is not None:
+            from loftweir.catalog import hosts
+            from loftweir.http1 import named
+
+            self.catalog = self.partners.catalog = hosts.Hosts(loop, services, self.host, self.back, platform.seed)
+            self.front.kind, self.front.also = named.kind(self.catalog), self.catalog.serves
         self.disk: Disk | None = None  # where the snapshot is kept, with `state.keep`
         self.holding: Holding | None = None
         self.written_at = 0  # when the last snapshot was written, by the loop's clock
@@ -111,6 +128,8 @@
             self.host.listed(update, addresses)
         else:
             self.host.listed(*self.partners.through(update, addresses))
+        if self.catalog is not None:
+            self.catalog.listed(update, addresses)
         if self.holding is not None and update.kind is not UpdateKind.FAILED:
             self.holding.told(update, addresses)
             if not self.writes:
@@ -125,9 +144,17 @@
             changes=len(update.endpoints),
         )
 
-    def use(self, options: Options, discovery: str, settings: Settings, sites: Sites | None = None) -> None:
+    def use(
+        self,
+        options: Options,
+        discovery: str,
+        settings: Settings,
+        sites: Sites | None = None,
+        services: Services | None = None,
+    ) -> None:
         """Other options and settings, whole, from now on; what was spent at the start waits for the next one."""
         same_site = options.partners.site == self.options.partners.site
+        same_catalog = options.catalog.file == self.services_file
         self.options = self.discovery.options = options
         self.front.use(options)
         self.back.use(options, settings)
@@ -136,6 +163,8 @@
         self.discovery.drain_grace = settings.safety.drain_grace
         if self.partners is not None and sites is not None and same_site:
             self.partners.use(sites)  # looks at the settings too
+        if self.catalog is not None:
+            self.catalog.use(services if same_site and same_catalog else None)
         self.discovery.move(discovery)
         self.discovery.push(settings.discovery_pushes)
 
--- a/loftweir/telemetry/catalogue.py
+++ b/loftweir/telemetry/catalogue.py
@@ -432,6 +432,21 @@
     "`after_ms`, its beginning; `why`: all, failed, slow, sample",
     told_apart_by=None,
 )
+CATALOG_MOVED = Event(
+    "catalog.moved",
+    INFO,
+    ("name", "before", "now"),
+    "a short name stands for another service from now on, -: for none; what is under way ends where it began",
+    told_apart_by=("name",),
+)
+CATALOG_COLLISION = Event(
+    "catalog.collision",
+    WARNING,
+    ("text",),
+    "several meshes have a service of one short name: who has it, by which rule, and what can be done",
+    "as the line says: pin the name, or call the others by their global names",
+    ("text",),
+)
 LOG_DROPPED = Event(
     "log.dropped",
     WARNING,
--- /dev/null
+++ b/tests/test_catalog_serves.py
@@ -0,0 +1,203 @@
+"""Several services behind one address, on real processes: by Host to their own providers, and to partners'."""
+
+import json
+import os
+import socket
+import threading
+import time
+import unittest
+
+from partner_scene import Site, Toy, row
+from scene import KEYED, ONCE, READ, Party, entry, ok, reply
+
+
+def called(sidecar, host, kind=READ, timeout=8, request_id=None):
+    """One request: the status, the body, and its head's text."""
+    name, port = sidecar.listen.split(":")
+    method = "GET" if kind == READ else "POST"
+    head = [f"{method} /api HTTP/1.1\r\nHost: {host}\r\nReq-Id: {request_id or os.urandom(8).hex()}"]
+    head += [f"Req-Kind: {kind}", "Idempotency-Key: " + os.urandom(8).hex(), "Content-Length: 0"]
+    head += ["Req-Deadline-Ms: 2500", "Connection: close", "", ""]
+    with socket.create_connection((name, int(port)), timeout=timeout) as sock:
+        sock.sendall("\r\n".join(head).encode())
+        data = b"".join(iter(lambda: sock.recv(65536), b"")).decode()
+    head, _, body = data.partition("\r\n\r\n")
+    return int(head.split(" ", 2)[1]) if head else 0, body, head.lower()
+
+
+class Fails(Party):
+    """Runs what comes and loses its answer."""
+
+    def __init__(self):
+        super().__init__(lambda head, body: None)
+
+
+class CatalogTest(unittest.TestCase):
+    def site(self, services, partners=(), **shape):
+        site = Site.of(self, "oslo", **({"providers": 2} | shape))
+        site.options = site.options | {"service": ""}
+        for name, toy in partners:
+            site.knows(name, toy.address)
+        self.names = {"mesh": "oslo", "meshes": {"bergen": "shop"}, "services": services}
+        site.catalog.entries = [
+            entry(f"{chr(97 + n)}-0", p.address) | {"type": "ab"[n % 2]} for n, p in enumerate(site.providers)
+        ]
+        site.write_services = lambda: [
+            (s.folder / "services.json").write_text(json.dumps(self.names), encoding="utf-8")
+            for s in site.sidecars.values()
+        ]
+        site.write_services()
+        return site
+
+    def begin(self, site):
+        """The operator's file of each with the section of the catalog behind that of the partners."""
+        site.write()
+        for name, sidecar in site.sidecars.items():
+            keys = {"site": site.name, "file": "partners.json"} | site.options
+            if name in site.listens:
+                keys["listen"] = site.listens[name]
+            lines = ["[partners]", *(f"{k} = {json.dumps(v)}" for k, v in keys.items())]
+            sidecar.more = "\n".join([*lines, "[catalog]", 'file = "services.json"'])
+        super(Site, site).begin()
+        return site.sidecars["f0"]
+
+    def toy(self, site, *rows):
+        toy = Toy(site, *rows)
+        self.addCleanup(toy.close)
+        return toy
+
+    def party(self, answer=ok):
+        party = Party(answer)
+        self.addCleanup(party.close)
+        return party
+
+    def test_a_host_names_its_service_and_what_it_cannot_have_is_said(self):
+        gate, lost = self.party(), Fails()
+        self.addCleanup(lost.close)
+        rows = row("orders@shop", [gate.address]), row("stock@shop", [gate.address]), row("lost@shop", [lost.address])
+        bergen = self.toy("bergen", *rows, row("secret@shop", terms={"use": "nobody"}))
+        services = [{"name": "orders", "types": ["a"]}, {"name": "bills", "types": ["b"]}, {"name": "both"}]
+        site = self.site(services, [("bergen", bergen)])
+        f0 = self.begin(site)
+        a, b = site.providers
+        site.all(lambda s: site.standing(s, "bergen") == "fresh")
+
+        # Each by its own providers; by short name, global name, in any case, with a port.
+        for host, party in (("orders", a), ("Orders.OSLO:80", a), ("orders@oslo", a), ("bills", b)):
+            before = [len(p.seen) for p in (a, b)]
+            self.assertEqual(called(f0, host)[0], 200, host)
+            seen = [len(p.seen) - n for p, n in zip((a, b), before, strict=True)]
+            self.assertEqual(seen, [p is party for p in (a, b)], host)
+        # A short name that both have is the own one; the partner's is reached by its global name.
+        before = len(a.seen)
+        self.assertEqual([called(f0, "orders.shop")[0] for _ in range(3)], [200] * 3)
+        self.assertEqual((len(gate.seen), len(a.seen)), (3, before))
+        # What can't be had is answered at once, with why.
+        status, body, _ = called(f0, "nowhere")
+        self.assertEqual(status, 404)
+        self.assertIn("no service has this name", body)
+        status, body, _ = called(f0, "secret.shop")
+        self.assertEqual(status, 403)
+        self.assertIn("excluded", body)
+        # A partner that declares nothing has every class run once: neither what is lost is sent again, nor a repeat.
+        for kind in (READ, KEYED, ONCE):
+            lost.seen.clear()
+            self.assertEqual(called(f0, "lost.shop", kind)[0], 502)
+            self.assertEqual(len(lost.seen), 1, kind)
+        # ... while its own service, whose class may be repeated, gets another try.
+        a.answer = b.answer = lambda head, body: None if len(a.seen) + len(b.seen) == 1 else reply(200, b"x")
+        a.seen.clear()
+        b.seen.clear()
+        self.assertEqual(called(f0, "both")[0], 200)
+        self.assertEqual(len(a.seen) + len(b.seen), 2)
+        # One id under two names at a time is one request.
+        held = threading.Event()
+        a.answer = lambda head, body: held.wait(2) and ok(head, body)
+        first = threading.Thread(target=called, args=(f0, "orders", READ, 8, "one"))
+        a.seen.clear()
+        first.start()
+        site.wait(lambda: a.seen)
+        status, body, _ = called(f0, "bills", READ, 8, "one")
+        held.set()
+        first.join()
+        self.assertEqual((status, "in use" in body), (400, True))
+
+    def test_renamed_and_withdrawn_under_requests_no_answer_is_lost(self):
+        gate = self.party(lambda head, body: time.sleep(0.02) or ok(head, body))
+        bergen = self.toy("bergen", row("stock@shop", [gate.address]))
+        site = self.site([{"name": "orders", "types": ["a"]}], [("bergen", bergen)])
+        f0 = self.begin(site)
+        site.all(lambda s: site.standing(s, "bergen") == "fresh")
+        answers, over = [], threading.Event()
+
+        def ask(host):
+            while not over.is_set():
+                answers.append((host, called(f0, host)[0]))
+
+        asking = [threading.Thread(target=ask, args=(host,)) for host in ("orders", "stock.shop") * 2]
+        for one in asking:
+            one.start()
+        site.wait(lambda: {("orders", 200), ("stock.shop", 200)} <= set(answers))
+        # Renamed by the operators, withdrawn and offered again by the partner, and moved to another provider.
+        self.names["services"] = [{"name": "goods", "types": ["a"]}]
+        site.write_services()
+        site.reload()
+        site.wait(lambda: called(f0, "orders")[0] == 404 and called(f0, "goods")[0] == 200)
+        bergen.put()
+        site.wait(lambda: called(f0, "stock.shop")[0] == 404)
+        other = self.party()
+        bergen.put(row("stock@shop", [other.address]))
+        site.wait(lambda: called(f0, "stock.shop")[0] == 200 and other.seen)
+        # A file that can't be used changes nothing.
+        self.names["pins"] = {"goods": "orders@shop"}
+        site.write_services()
+        site.reload("f0")
+        site.wait(lambda: [r["path"] for r in f0.logged("reload.fault")] == ["pins.goods"])
+        self.assertEqual(called(f0, "goods")[0], 200)
+        over.set()
+        for one in asking:
+            one.join(20)
+        self.assertEqual({status for _, status in answers} - {200, 404}, set(), "an answer was lost")
+        # At its end all services' requests have their answers.
+        gate_open = threading.Event()
+        site.providers[0].answer = lambda head, body: gate_open.wait(5) and ok(head, body)
+        other.answer = site.providers[0].answer
+        ends = []
+        last = [threading.Thread(target=lambda h=h: ends.append(called(f0, h)[0])) for h in ("goods", "stock.shop")]
+        seen = len(site.providers[0].seen), len(other.seen)
+        for one in last:
+            one.start()
+        site.wait(lambda: len(site.providers[0].seen) > seen[0] and len(other.seen) > seen[1])
+        f0.signal(15)
+        gate_open.set()
+        for one in last:
+            one.join(10)
+        self.assertEqual(ends, [200, 200])
+
+    def test_all_begin_anew_with_the_partner_cut_off_and_names_keep_their_meaning(self):
+        gate = self.party()
+        bergen = self.toy("bergen", row("orders@shop", [gate.address]), row("stock@shop", [gate.address]))
+        site = self.site([{"name": "orders", "types": ["a"]}], [("bergen", bergen)])
+        f0 = self.begin(site)
+        site.all(lambda s: site.standing(s, "bergen") == "fresh")
+        self.assertEqual([called(f0, host)[0] for host in ("orders", "stock.shop")], [200, 200])
+        bergen.be_silent(True)
+        for sidecar in site.running():
+            sidecar.kill()
+        for sidecar in site.sidecars.values():
+            sidecar.start()
+        for sidecar in site.sidecars.values():
+            site.wait(lambda s=sidecar: s.ready() and site.knows_leader(s))
+        site.wait(lambda: called(f0, "stock.shop")[0] == 503)
+        before = len(gate.seen)
+        status, body, head = called(f0, "stock.shop")
+        self.assertIn("stale or away", body)
+        after = float(head.partition("retry-after: ")[2].partition("\r\n")[0])
+        self.assertTrue(0 < after <= 1.5)
+        self.assertEqual((called(f0, "orders")[0], len(gate.seen)), (200, before))
+        bergen.be_silent(False)
+        site.wait(lambda: called(f0, "stock.shop")[0] == 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -204,7 +204,8 @@
         self.assertEqual(sidecar.terminate(), 0)
         modules = json.loads((sidecar.folder / "modules").read_text())
         self.assertIn("loftweir.sidecar", modules)
-        off = ("loftweir.replication", "loftweir.lease", "loftweir.partners")
+        off = ("replication", "lease", "partners", "catalog", "http1.named")
+        off = tuple(f"loftweir.{name}" for name in off)
         self.assertEqual([m for m in modules if m.startswith(off)], [])
 
 
