Partners' names are claimed in the copies, by who has the lease of the session

Need: a short name of a partner's service was known to nobody, and would have moved with a link.

The sidecar that asks a partner claims its names and lets them go by the pure rules.

--- a/loftweir/catalog/claims.py
+++ b/loftweir/catalog/claims.py
@@ -73,6 +73,20 @@
 
 
 Table = dict[str, Claim]
+_acts = msgspec.msgpack.Decoder(Put | Release)
+_tables = msgspec.msgpack.Decoder(list[tuple[str, Claim]])
+written = msgspec.msgpack.Encoder().encode
+
+
+def read(data: bytes) -> Put | Release:
+    """What `written` made of it. Raises ValueError, of which msgspec's errors are kinds, and RecursionError."""
+    act: Put | Release = _acts.decode(data)
+    return act
+
+
+def read_table(data: msgspec.Raw) -> list[tuple[str, Claim]]:
+    """What `written` made of a dump. Raises as `read` does."""
+    return _tables.decode(data)
 
 
 class Claims:
@@ -82,8 +96,10 @@
         self.limits = limits
         self.table: Table = {}  # by global name
         self.counts: dict[str, int] = {}  # by mesh; none of 0
+        self.changes = 0  # of the table since it was made or loaded; not kept: for who follows it
 
     def apply(self, index: int, act: Put | Release) -> Taken | Not:
+        self.changes += 1
         return self._put(index, act) if isinstance(act, Put) else self._release(act)
 
     def _put(self, index: int, act: Put) -> Taken | Not:
--- a/loftweir/catalog/hosts.py
+++ b/loftweir/catalog/hosts.py
@@ -13,25 +13,34 @@
 from zlib import crc32
 
 from loftweir.catalog.build import Catalog, Changed, Service, Site, State, Unknown, Why
-from loftweir.catalog.contract import applied
+from loftweir.catalog.claims import Claims, Damping, Declared, Put, Seen, orders, written
+from loftweir.catalog.contract import applied, once
 from loftweir.catalog.file import Mine, Services
+from loftweir.catalog.names import parts
 from loftweir.catalog.providers import EMPTY, Follower, ProviderSet
 from loftweir.catalog.shares import Shared
 from loftweir.core.host import Host
 from loftweir.core.invocation import Invocation
+from loftweir.errors import Trouble
 from loftweir.http1.back import Back, Connection, Pool
 from loftweir.http1.front import COME_BACK, Malformed
 from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, Outcome, Settings, UpdateKind
+from loftweir.lease.duty import Duty
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Wait
 from loftweir.net.stream import NotUp
 from loftweir.partners.merge import Merged
-from loftweir.telemetry.catalogue import CATALOG_COLLISION, CATALOG_MOVED
+from loftweir.replication.machine import Ok
+from loftweir.telemetry.catalogue import CATALOG_CLAIMED, CATALOG_COLLISION, CATALOG_MOVED
 from loftweir.telemetry.log import say
 
 STATUS = {Why.NAME: 404, Why.UNHELD: 404, Why.EXCLUDED: 403, Why.STALE: 503, Why.UNFIT: 503}
 SWEEP_EVERY = 60 * SECOND
 IDLE_FOR = 600 * SECOND  # a balancer that nobody asked is let go; above the longest body and deadline together
 PAST = SECOND  # beyond the longest deadline, that a provider drains
+LOOK_EVERY = SECOND  # for what is to be claimed
+CLAIM_WITHIN = 3 * SECOND
+REFUSED_FOR = 60 * SECOND  # that a claim which was not taken is not tried
+DAMPING = Damping()
 BURST = 1.0  # seconds of a partner's rate that may be sent at once
 
 
@@ -113,10 +122,15 @@
         self.addresses: dict[str, str] = {}
         self.merged: Merged | None = None
         self.claims: Mapping[str, Any] = {}
+        self.claims_read: tuple[Claims | None, int] = (None, 0)
+        self.duties: Mapping[str, Duty] = {}  # by partner: who holds one claims its names
+        self.seen: dict[str, tuple[str, Seen]] = {}  # by global name: the partner by which it came, and since when
+        self.refused: dict[str, int] = {}  # by global name, until when
         self.shared = Shared(back.pool.most)
         self.ats: dict[str, At] = {}  # by the service's key
         self.catalog = self._made()
         loop.spawn(self._sweep())
+        loop.spawn(self._claim(), self._claim_crashed)
 
     @property
     def settings(self) -> Settings:
@@ -275,17 +289,70 @@
     def routed(self, merged: Merged) -> None:
         """The partners' routes, as this site uses them."""
         self.merged, held = merged, self.catalog
+        self._see(merged)
         used = _differs(held.used, merged.used)
         left = _differs(held.left, merged.left)
         if used or left:
             self._changed(held.change(State(used=used, left=left)))
 
-    def claimed(self, table: Mapping[str, Any]) -> None:
+    def claimed(self, claims: Claims | None) -> None:
         """The names that the copies hold for meshes."""
-        self.claims = dict(table)
-        claims = _differs(self.catalog.claims, table)
-        if claims:
-            self._changed(self.catalog.change(State(claims=claims)))
+        read = claims, claims.changes if claims is not None else 0
+        if read == self.claims_read:
+            return
+        self.claims_read = read
+        self.claims = dict(claims.table) if claims is not None else {}
+        others = _differs(self.catalog.claims, self.claims)
+        if others:
+            self._changed(self.catalog.change(State(claims=others)))
+
+    # ---- claims ---------------------------------------------------------------------------------
+
+    def _see(self, merged: Merged) -> None:
+        """What the partners offer by names that are theirs, and since when. A claim stays with its name through a link
+        that fails: until it was away for long, or the partner has withdrawn the service."""
+        now, meshes = self.loop.now(), self.services.meshes
+        for name, used in merged.used.items():
+            site = used.route.path[-1]
+            if meshes.get(site, site) != parts(name)[1] or name in self.catalog.refused:
+                continue
+            declared = Declared(once(used.route.classes))
+            known = self.seen.get(name)
+            if known is None or known[1].declared != declared or known[0] != used.partner:
+                self.seen[name] = used.partner, Seen(declared, now)
+        for name, (partner, one) in self.seen.items():
+            withdrawn = name not in merged.left
+            if name not in merged.used and (one.declared is not None or one.withdrawn is not withdrawn):
+                self.seen[name] = partner, Seen(None, now, withdrawn)
+
+    def _claim(self) -> Coroutine[None]:
+        """Says in the copies what is to be claimed, for the partners whose lease this sidecar has."""
+        while True:
+            yield Wait(None, 0, self.loop.now() + LOOK_EVERY)
+            for partner, duty in list(self.duties.items()):
+                now = self.loop.now()
+                if duty.may_act() is None or self.claims_read[0] is None and not self.seen:
+                    continue
+                seen = {n: one for n, (by, one) in self.seen.items() if by == partner and self.refused.get(n, 0) <= now}
+                for act in orders(self.claims, seen, now, DAMPING):
+                    try:
+                        result = yield from duty.claim(written(act), CLAIM_WITHIN)
+                    except Trouble:  # the lease or the majority is gone: whoever has it next, or the next look
+                        break
+                    if isinstance(result, Ok):
+                        self.refused.pop(act.name, None)
+                        if not isinstance(act, Put):
+                            self.seen.pop(act.name, None)
+                        say(CATALOG_CLAIMED, name=act.name, index=result.value, why="")
+                    else:
+                        self.refused[act.name] = self.loop.now() + REFUSED_FOR
+                        say(CATALOG_CLAIMED, name=act.name, index=0, why=result.text)
+
+    def _claim_crashed(self, _: Exception) -> None:
+        self.loop.after(LOOK_EVERY, self._claim_again)
+
+    def _claim_again(self) -> None:
+        self.loop.spawn(self._claim(), self._claim_crashed)
 
 
 def _met(classes: Mapping[str, Any], service: Service) -> dict[str, Any]:
--- a/loftweir/lease/duty.py
+++ b/loftweir/lease/duty.py
@@ -16,7 +16,18 @@
 from loftweir.lease.holder import Answer, Begin, Event, Holder, LetGo, Send, State, Tick, Want
 from loftweir.net.loop import MS, Coroutine, Loop, Task, Wait
 from loftweir.replication.caller import Caller
-from loftweir.replication.machine import Acquire, AnyResult, Fenced, Lease, Lower, Machine, NotHeld, Release, Renew
+from loftweir.replication.machine import (
+    Acquire,
+    AnyResult,
+    Fenced,
+    Lease,
+    Lower,
+    Machine,
+    Named,
+    NotHeld,
+    Release,
+    Renew,
+)
 
 LOOK_EVERY = 2 * MS  # for the turn of a fenced write behind another one
 AGAIN = 1000 * MS  # after a fault of the program's own
@@ -151,13 +162,20 @@
     def put(self, key: str, value: bytes, within: int) -> Coroutine[AnyResult]:
         """Writes under the token; the empty value takes the key away. What the copies made of it. Raises `NotActing`
         where the duty is not held, and what the caller raises where it is not known within that time (ns)."""
+        return (yield from self._act(lambda token: Fenced(self.duty, token, key, value), within))
+
+    def claim(self, act: bytes, within: int) -> Coroutine[AnyResult]:
+        """Says a word on a claim of a name (`catalog.claims.written`) under the token; else as `put`."""
+        return (yield from self._act(lambda token: Named(self.duty, token, act), within))
+
+    def _act(self, act: Callable[[int], Fenced | Named], within: int) -> Coroutine[AnyResult]:
         until = self.loop.now() + within
         while self.facts.writes.busy and self.loop.now() < until:
             yield Wait(None, 0, self.loop.now() + LOOK_EVERY)
         token = self.may_act()
         if token is None:
             raise NotActing("its lease is over", self.duty)
-        result = yield from self.facts.write(Fenced(self.duty, token, key, value), max(MS, until - self.loop.now()))
+        result = yield from self.facts.write(act(token), max(MS, until - self.loop.now()))
         if isinstance(result, Lower | NotHeld):
             self.fenced_off = token
             self.loop.after(0, self._end, token)  # not in the middle of what acts: its end may be to end that
--- a/loftweir/partners/part.py
+++ b/loftweir/partners/part.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from hashlib import blake2b
 from typing import Any, Protocol
 
@@ -58,7 +58,7 @@
 
     def routed(self, merged: Merged) -> None: ...
 
-    def claimed(self, table: Mapping[str, Any]) -> None: ...
+    def claimed(self, claims: Any) -> None: ...
 
 
 class Partners:
@@ -227,6 +227,8 @@
             except NotReadable as error:
                 say(PARTNERS_NOT_READ, partner=name, why=error)
             self._hold(name, now)
+        if self.catalog is not None:
+            self.catalog.claimed(machine.claims)
         if self.listener is not None:
             self.shown.heard(machine, self.shelves)
         for duty in self._all_duties():
--- a/loftweir/replication/machine.py
+++ b/loftweir/replication/machine.py
@@ -19,14 +19,18 @@
 
 import re
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
 
 from loftweir.errors import Trouble
 from loftweir.replication.api import Value
 
+if TYPE_CHECKING:
+    from loftweir.catalog.claims import Claims
+
 VERSION = 1  # of a snapshot
+WITH_CLAIMS = 2  # ... of one that has claims of names; without any it is written as before
 SECOND = 1_000_000_000
 MIB = 1024 * 1024
 
@@ -38,8 +42,10 @@
 SESSIONS = 4_096
 TTL_LEAST = SECOND
 TTL_MOST = 3_600 * SECOND
+CLAIM_SIZE = 64 * 1024  # of what is said of one name
 ORDER_SIZE = VALUE_SIZE + 16 * 1024  # of one order, in bytes of msgpack
 LARGEST = 2**63 - 1
+CLAIMS_FOR = "partner:"  # duties under which names are claimed begin so
 
 
 class Foreign(Trouble):
@@ -99,13 +105,22 @@
     value: bytes
 
 
+class Named(Value, frozen=True, tag="named"):
+    """A word on a claim of a service's name, under the token of a lease on a partner's session. That the name is one
+    that the partner may claim is for who says it to see: which mesh a site is of stands in the operators' file."""
+
+    duty: str
+    token: int
+    act: bytes  # as `catalog.claims` writes it: who has no catalog does not load what reads it
+
+
 class EndSession(Value, frozen=True, tag="end-session"):
     """No more orders of it are taken. What it held stays: leases are of holders, not of sessions."""
 
     session: str
 
 
-Act = Word | Acquire | Renew | Release | Expire | Fenced | EndSession
+Act = Word | Acquire | Renew | Release | Expire | Fenced | Named | EndSession
 
 
 class Order(Value, frozen=True):
@@ -305,11 +320,18 @@
     sessions: list[tuple[str, Session]]  # the longest unused first
 
 
+class _DumpWithClaims(_Dump, frozen=True):
+    claims: msgspec.Raw
+
+
 class _Version(msgspec.Struct):
     version: int
 
 
-_dumps = msgspec.msgpack.Decoder(_Dump)
+_dumps: dict[int, msgspec.msgpack.Decoder[_Dump] | msgspec.msgpack.Decoder[_DumpWithClaims]] = {
+    VERSION: msgspec.msgpack.Decoder(_Dump),
+    WITH_CLAIMS: msgspec.msgpack.Decoder(_DumpWithClaims),
+}
 _versions = msgspec.msgpack.Decoder(_Version)
 
 # Neither control characters nor breaks of lines. `str.isprintable` knows more, and other things in each version.
@@ -339,10 +361,12 @@
         return None
     if not fit(act.duty, 128):
         return Unfit(index, "a duty's name has 1 to 128 printable characters")
-    if not isinstance(act, Expire | Fenced) and not fit(act.holder, 128):
+    if not isinstance(act, Expire | Fenced | Named) and not fit(act.holder, 128):
         return Unfit(index, "a holder's name has 1 to 128 printable characters")
     if isinstance(act, Acquire) and not TTL_LEAST <= act.ttl <= TTL_MOST:
         return Unfit(index, f"a lease's time is {TTL_LEAST // SECOND} to {TTL_MOST // SECOND} s")
+    if isinstance(act, Named) and (not act.duty.startswith(CLAIMS_FOR) or len(act.act) > CLAIM_SIZE):
+        return Unfit(index, f"a claim is of a duty {CLAIMS_FOR}NAME, and has at most {CLAIM_SIZE} bytes")
     if isinstance(act, Fenced):
         if not fit(act.key, 256):
             return Unfit(index, "a key has 1 to 256 printable characters")
@@ -367,6 +391,7 @@
         self.facts: dict[tuple[str, str], Fact] = {}  # by duty and key
         self.facts_size = 0
         self.sessions: dict[str, Session] = {}
+        self.claims: Claims | None = None  # of names, once there was one
         self.thinned = 0  # the index at which a word went to make room
         self.horizon = 0  # the highest index at which a session that was let go began
         self.moved = ""  # the duty whose lease the last entry granted, renewed or ended; not kept: for the keeper
@@ -486,6 +511,21 @@
         self.facts_size = size
         return Ok(self.index, act.token)
 
+    def _named(self, act: Named) -> AnyResult:
+        from loftweir.catalog import claims  # here: copies that hold no names do without
+
+        refused = self._refused(act.duty, act.token)
+        if refused is not None:
+            return refused
+        try:
+            said = claims.read(act.act)
+        except (ValueError, RecursionError):
+            return Unfit(self.index, "not a claim in its form")
+        if self.claims is None:
+            self.claims = claims.Claims()
+        found = self.claims.apply(self.index, said)
+        return Unfit(self.index, found.text) if isinstance(found, claims.Not) else Ok(self.index, found.index)
+
     def _end_session(self, act: EndSession) -> AnyResult:
         """It stays as one that takes no more, until there is no room: a late copy of its orders finds it."""
         known = self.sessions.get(act.session)
@@ -512,21 +552,30 @@
         """The same bytes of equal machines."""
         facts = [(duty, key, fact) for (duty, key), fact in sorted(self.facts.items())]
         words, sessions, leases = list(self.words.items()), list(self.sessions.items()), sorted(self.leases.items())
-        return _encode(_Dump(VERSION, self.index, self.thinned, self.horizon, words, leases, facts, sessions))
+        kept = self.index, self.thinned, self.horizon, words, leases, facts, sessions
+        if self.claims is None or not self.claims.table:
+            return _encode(_Dump(VERSION, *kept))
+        return _encode(_DumpWithClaims(WITH_CLAIMS, *kept, msgspec.Raw(_encode(self.claims.dump()))))
 
     @classmethod
     def load(cls, data: bytes) -> Machine:
         """Raises `Foreign`."""
         try:
             version = _versions.decode(data).version
-            if version != VERSION:
-                raise Foreign(f"a snapshot of version {version}; this build reads {VERSION}")
-            kept = _dumps.decode(data)
+            if version not in _dumps:
+                raise Foreign(f"a snapshot of version {version}; this build reads {VERSION} and {WITH_CLAIMS}")
+            kept = _dumps[version].decode(data)
+            claimed = None
+            if isinstance(kept, _DumpWithClaims):
+                from loftweir.catalog import claims
+
+                claimed = claims.Claims.load(claims.read_table(kept.claims))
         except (ValueError, RecursionError) as error:
             raise Foreign(f"a snapshot that is not in its form: {error}") from None
         machine = cls()
         machine.index, machine.thinned, machine.horizon = kept.index, kept.thinned, kept.horizon
         machine.words, machine.leases, machine.sessions = dict(kept.words), dict(kept.leases), dict(kept.sessions)
+        machine.claims = claimed
         machine.facts = {(duty, key): fact for duty, key, fact in kept.facts}
         machine.facts_size = sum(len(duty) + len(key) + len(fact.value) for duty, key, fact in kept.facts)
         return machine
@@ -539,5 +588,6 @@
     Release: Machine._release,
     Expire: Machine._expire,
     Fenced: Machine._fenced,
+    Named: Machine._named,
     EndSession: Machine._end_session,
 }
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -110,6 +110,7 @@
             from loftweir.http1 import named
 
             self.catalog = self.partners.catalog = hosts.Hosts(loop, services, self.host, self.back, platform.seed)
+            self.catalog.duties = self.partners.duties
             self.front.kind, self.front.also = named.kind(self.catalog), self.catalog.serves
         self.disk: Disk | None = None  # where the snapshot is kept, with `state.keep`
         self.holding: Holding | None = None
--- a/loftweir/telemetry/catalogue.py
+++ b/loftweir/telemetry/catalogue.py
@@ -447,6 +447,15 @@
     "as the line says: pin the name, or call the others by their global names",
     ("text",),
 )
+CATALOG_CLAIMED = Event(
+    "catalog.claimed",
+    INFO,
+    ("name", "index", "why"),
+    "this sidecar, which has the lease of a partner, claimed a name of its in the copies, or let it go with `index` 0; "
+    "with `why`: it was not taken, and is tried again a minute later",
+    "with `why`: as it says",
+    ("name",),
+)
 LOG_DROPPED = Event(
     "log.dropped",
     WARNING,
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from loftweir.catalog import claims
 from loftweir.replication import machine as keeping
 from loftweir.replication.machine import (
     LEASES,
@@ -22,6 +23,7 @@
     Held,
     Lower,
     Machine,
+    Named,
     NotHeld,
     Ok,
     Order,
@@ -191,6 +193,27 @@
         assert not isinstance(result, Unfit | Unreadable)
 
 
+def test_names_are_claimed_under_a_partners_lease_and_kept_with_their_age():
+    machine = Machine()
+    put = claims.written(claims.Put("stock@mill", claims.Declared()))
+    assert isinstance(does(machine, Named("partner:mill", 1, put)), NotHeld)
+    token = does(machine, Acquire("partner:mill", "h", SECOND)).value
+    before = machine.dump()
+    assert does(machine, Named("partner:mill", token, put)) == Ok(3, 3) == Ok(machine.index, 3)
+    assert does(machine, Named("partner:mill", token, put)) == Ok(4, 3), "its age is that of its first entry"
+    assert isinstance(does(machine, Named("other", token, put)), Unfit)
+    for wrong in (b"", b"x" * keeping.CLAIM_SIZE, claims.written(claims.Put("Stock", claims.Declared()))):
+        assert isinstance(does(machine, Named("partner:mill", token, wrong)), Unfit)
+    assert isinstance(does(machine, Named("partner:mill", token - 1, put)), Lower)
+    # Of both versions, the one without claims being what builds before this one wrote.
+    assert Machine.load(before).claims is None and b"\xa7version\x01" in before
+    copy = Machine.load(machine.dump())
+    assert copy.claims.table == machine.claims.table and copy.dump() == machine.dump()
+    for one in (machine, copy):
+        assert does(one, Named("partner:mill", token, claims.written(claims.Release("stock@mill", 3)))).value == 0
+    assert copy.dump() == machine.dump() and b"\xa7version\x01" in copy.dump()
+
+
 def test_a_snapshot_that_is_not_this_builds_is_foreign():
     dump = Machine().dump()
     for data in (b"", dump[:-1], dump.replace(b"\xa7version\x01", b"\xa7version\x02"), dump + b"x", b"\x91" * 99_999):
