Work of the catalog by what changed: claims, own lists, one timer of a draining service

Need: each answer of a partner had all of its routes looked at, and a provider that comes and goes added timers.

Change: names whose claim is not settled are a set; a change of the list touches the services that it serves.

--- a/loftweir/catalog/hosts.py
+++ b/loftweir/catalog/hosts.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import copy
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import replace
 from typing import Any
 from zlib import crc32
@@ -106,6 +106,7 @@
         self.host, self.follower, self.service = host, follower, service
         self.set: ProviderSet = EMPTY
         self.used_at = 0
+        self.wakes_at = 0  # when `follower` has something to tell though nothing changes; 0: nobody waits for that
         self.credit = 0.0  # of `part`: a request may go once it is 1
         self.tokens, self.filled_at = 0.0, 0  # of the least of `rates`
 
@@ -126,6 +127,7 @@
         self.duties: Mapping[str, Duty] = {}  # by partner: who holds one claims its names
         self.seen: dict[str, tuple[str, Seen]] = {}  # by global name: the partner by which it came, and since when
         self.refused: dict[str, int] = {}  # by global name, until when
+        self.unsettled: set[str] = set()  # names whose claim may be another than what is seen says
         self.shared = Shared(back.pool.most)
         self.ats: dict[str, At] = {}  # by the service's key
         self.catalog = self._made()
@@ -211,8 +213,15 @@
         step = at.follower.step(self.loop.now(), at.set)
         if step is not None:
             at.host.listed(step.update, step.addresses)
-        if at.follower.next_at is not None:
-            self.loop.after(max(MS, at.follower.next_at - self.loop.now()), self._step, key, at)
+        due_at = at.follower.next_at
+        if due_at is not None and not 0 < at.wakes_at <= due_at:  # one is under way: it looks again
+            at.wakes_at = due_at
+            self.loop.after(max(MS, due_at - self.loop.now()), self._drained, key, at, due_at)
+
+    def _drained(self, key: str, at: At, due_at: int) -> None:
+        if at.wakes_at == due_at:
+            at.wakes_at = 0
+        self._step(key, at)
 
     def _wanted(self, key: str, at: At) -> ProviderSet:
         """None for one that is no more: its providers drain. Its members' names may still stand for others."""
@@ -252,8 +261,12 @@
 
     def use(self, services: Services | None) -> None:
         """Another file, or other settings: all of the catalog anew. What is under way goes on where it is."""
-        before, self.services = self.catalog, services or self.services
+        before, meshes = self.catalog, self.services.meshes
+        self.services = services or self.services
         self.catalog = self._made()
+        if self.services.meshes != meshes and self.merged is not None:
+            self.seen = {}  # a name may be another site's now
+            self._see(self.merged, self.merged.used.keys())
         for event in self.catalog.collisions.values():
             if before.collisions.get(event.short) != event:
                 say(CATALOG_COLLISION, text=event.text)
@@ -277,23 +290,27 @@
             return
         if update.kind is not UpdateKind.CHANGES:
             self.known, self.addresses = {}, {}
+        touched = dict(self.services.services)
+        if update.kind is UpdateKind.CHANGES:
+            changed = [*update.endpoints, *(self.known[e.address] for e in update.endpoints if e.address in self.known)]
+            touched = {name: mine for name, mine in touched.items() if any(map(mine.serves, changed))}
         for one in update.endpoints:
             if one.lifecycle is Lifecycle.GONE:
                 self.known.pop(one.address, None)
                 self.addresses.pop(one.address, None)
             else:
                 self.known[one.address], self.addresses[one.address] = one, addresses[one.address]
-        now = self._own(self.services.services)
+        now = self._own(touched)
         self._changed(self.catalog.change(State(own={n: o for n, o in now.items() if self.catalog.own.get(n) != o})))
 
     def routed(self, merged: Merged) -> None:
         """The partners' routes, as this site uses them."""
         self.merged, held = merged, self.catalog
-        self._see(merged)
         used = _differs(held.used, merged.used)
         left = _differs(held.left, merged.left)
         if used or left:
             self._changed(held.change(State(used=used, left=left)))
+            self._see(merged, used.keys() | left.keys())
 
     def claimed(self, claims: Claims | None) -> None:
         """The names that the copies hold for meshes."""
@@ -304,36 +321,45 @@
         self.claims = dict(claims.table) if claims is not None else {}
         others = _differs(self.catalog.claims, self.claims)
         if others:
+            self.unsettled |= others.keys() & self.seen.keys()
             self._changed(self.catalog.change(State(claims=others)))
 
     # ---- claims ---------------------------------------------------------------------------------
 
-    def _see(self, merged: Merged) -> None:
-        """What the partners offer by names that are theirs, and since when. A claim stays with its name through a link
-        that fails: until it was away for long, or the partner has withdrawn the service."""
+    def _see(self, merged: Merged, names: Collection[str]) -> None:
+        """What the partners offer by names that are theirs, and since when, of those that changed. A claim stays with
+        its name through a link that fails: until it was away for long, or the partner has withdrawn the service."""
         now, meshes = self.loop.now(), self.services.meshes
-        for name, used in merged.used.items():
+        for name in names:
+            used, known = merged.used.get(name), self.seen.get(name)
+            if used is None:
+                withdrawn = name not in merged.left
+                if known is not None and (known[1].declared is not None or known[1].withdrawn is not withdrawn):
+                    self.seen[name] = known[0], Seen(None, now, withdrawn)
+                    self.unsettled.add(name)
+                continue
             site = used.route.path[-1]
             if meshes.get(site, site) != parts(name)[1] or name in self.catalog.refused:
                 continue
             declared = Declared(once(used.route.classes))
-            known = self.seen.get(name)
             if known is None or known[1].declared != declared or known[0] != used.partner:
                 self.seen[name] = used.partner, Seen(declared, now)
-        for name, (partner, one) in self.seen.items():
-            withdrawn = name not in merged.left
-            if name not in merged.used and (one.declared is not None or one.withdrawn is not withdrawn):
-                self.seen[name] = partner, Seen(None, now, withdrawn)
+                self.unsettled.add(name)
 
     def _claim(self) -> Coroutine[None]:
         """Says in the copies what is to be claimed, for the partners whose lease this sidecar has."""
         while True:
             yield Wait(None, 0, self.loop.now() + LOOK_EVERY)
-            for partner, duty in list(self.duties.items()):
+            for partner, duty in list(self.duties.items()) if self.unsettled else ():
                 now = self.loop.now()
-                if duty.may_act() is None or self.claims_read[0] is None and not self.seen:
+                self.unsettled = {name for name in self.unsettled if not self._settled(name)}
+                if duty.may_act() is None:
                     continue
-                seen = {n: one for n, (by, one) in self.seen.items() if by == partner and self.refused.get(n, 0) <= now}
+                seen = {
+                    name: self.seen[name][1]
+                    for name in self.unsettled
+                    if self.seen[name][0] == partner and self.refused.get(name, 0) <= now
+                }
                 for act in orders(self.claims, seen, now, DAMPING):
                     try:
                         result = yield from duty.claim(written(act), CLAIM_WITHIN)
@@ -348,6 +374,13 @@
                         self.refused[act.name] = self.loop.now() + REFUSED_FOR
                         say(CATALOG_CLAIMED, name=act.name, index=0, why=result.text)
 
+    def _settled(self, name: str) -> bool:
+        """Whether the copies have what is seen of a name."""
+        if name not in self.seen:
+            return True
+        claim, declared = self.claims.get(name), self.seen[name][1].declared
+        return claim is None if declared is None else claim is not None and claim.declared == declared
+
     def _claim_crashed(self, _: Exception) -> None:
         self.loop.after(LOOK_EVERY, self._claim_again)
 
--- a/tests/test_catalog_serves.py
+++ b/tests/test_catalog_serves.py
@@ -8,7 +8,16 @@
 import unittest
 
 from partner_scene import Site, Toy, row
-from scene import KEYED, ONCE, READ, Party, entry, ok, reply
+from scene import KEYED, ONCE, READ, Party, address_of, entry, ok, reply
+from support import SECOND, settings
+
+from loftweir.catalog.hosts import Lane
+from loftweir.catalog.shares import Shared
+from loftweir.config.model import Options
+from loftweir.http1.back import Pool
+from loftweir.interface import Outcome
+from loftweir.net.loop import Loop
+from loftweir.net.stream import NotUp
 
 
 def called(sidecar, host, kind=READ, timeout=8, request_id=None):
@@ -75,6 +84,7 @@
         gate, lost = self.party(), Fails()
         self.addCleanup(lost.close)
         rows = row("orders@shop", [gate.address]), row("stock@shop", [gate.address]), row("lost@shop", [lost.address])
+        rows += row("slow@shop", [gate.address], rate=0.1), row("half@shop", [gate.address], share=0.5)
         bergen = self.toy("bergen", *rows, row("secret@shop", terms={"use": "nobody"}))
         services = [{"name": "orders", "types": ["a"]}, {"name": "bills", "types": ["b"]}, {"name": "both"}]
         site = self.site(services, [("bergen", bergen)])
@@ -99,6 +109,11 @@
         status, body, _ = called(f0, "secret.shop")
         self.assertEqual(status, 403)
         self.assertIn("excluded", body)
+        # A partner's rate and share are held to, by rejections.
+        slow = [called(f0, "slow.shop") for _ in range(4)]
+        self.assertEqual(sorted(status for status, *_ in slow)[-3:], [503] * 3)
+        self.assertIn("partner's rate", slow[-1][1])
+        self.assertEqual(sorted(called(f0, "half.shop")[0] for _ in range(6)), [200] * 3 + [503] * 3)
         # A partner that declares nothing has every class run once: neither what is lost is sent again, nor a repeat.
         for kind in (READ, KEYED, ONCE):
             lost.seen.clear()
@@ -214,5 +229,46 @@
         site.wait(lambda: called(f0, "stock.shop")[0] == 200)
 
 
+def test_one_services_connections_leave_room_for_the_next_and_are_counted_once():
+    loop = Loop()
+    whole = Pool(loop, settings(), Options(), 9)
+    shared = Shared(whole.most)
+    lanes = [Lane(whole, shared, key) for key in "ab"]
+    peer = socket.create_server(("127.0.0.1", 0), backlog=64)
+    made, refused = {"a": [], "b": []}, []
+
+    def fill(lane):
+        lane.addresses["p"] = address_of(peer)
+        try:
+            while True:
+                made[lane.key].append((yield from lane.connect("p", loop.time + 5 * SECOND)))
+        except NotUp as error:
+            refused.append((lane.key, error.outcome))
+
+    def run(coroutine):
+        task = loop.spawn(coroutine)
+        for _ in range(1000):
+            if task.over:
+                return
+            loop.after(0, setattr, loop, "stopped", True)
+            loop.stopped = False
+            loop.run()
+
+    run(fill(lanes[0]))
+    run(fill(lanes[1]))
+    assert refused == [("a", Outcome.NOT_SENT), ("b", Outcome.NOT_SENT)]
+    assert (len(made["a"]), whole.open) == (6, 6 + len(made["b"])) and made["b"] and shared.free >= 1
+    # One that rests makes room for its own service's next, and what is closed through the whole is given back.
+    lanes[1].rest(made["b"].pop())
+    run(fill(lanes[1]))
+    assert not whole.resting
+    for connection in [*made["a"], *made["b"]]:
+        connection.pool.rest(connection)
+    while whole.spare():
+        pass
+    assert (whole.open, shared.free, shared.held) == (0, 9, {})
+    peer.close()
+
+
 if __name__ == "__main__":
     unittest.main()
