A copy here does not speak for another mesh that has declared nothing

Need: until a partner's claim was in the copies, this site's words on its own copy of the service held for the partner's providers too: what they call once could have been repeated.

Change: a route of another mesh without a claim counts as once; names of the own mesh are not claimed for a partner.

Result: a test that fails without either.

--- a/loftweir/catalog/build.py
+++ b/loftweir/catalog/build.py
@@ -256,7 +256,9 @@
             if one is not None and one.declared.contract:
                 said.append(one.declared.contract)
         route = self._route(name)
-        if route is not None and not said:
+        # Another mesh's own word is its claim: until there is one, a copy that this site has does not speak for it.
+        silent = name not in self.claims and parts(name)[1] != self.site.mesh
+        if route is not None and (silent or not said):
             said.append(once(route.route.classes))
         return said or [{}]
 
--- a/loftweir/catalog/hosts.py
+++ b/loftweir/catalog/hosts.py
@@ -339,7 +339,8 @@
                     self.unsettled.add(name)
                 continue
             site = used.route.path[-1]
-            if meshes.get(site, site) != parts(name)[1] or name in self.catalog.refused:
+            mesh = parts(name)[1]  # the own one speaks in the file, and its names are its without a claim
+            if mesh == self.services.mesh or meshes.get(site, site) != mesh or name in self.catalog.refused:
                 continue
             declared = Declared(once(used.route.classes))
             if known is None or known[1].declared != declared or known[0] != used.partner:
--- a/tests/test_catalog_serves.py
+++ b/tests/test_catalog_serves.py
@@ -7,17 +7,23 @@
 import time
 import unittest
 
-from partner_scene import Site, Toy, row
+from partner_scene import CLASSES, Site, Toy, row
 from scene import KEYED, ONCE, READ, Party, address_of, entry, ok, reply
 from support import SECOND, settings
 
+from loftweir.catalog.build import Catalog, Own, State
+from loftweir.catalog.build import Site as Site_
+from loftweir.catalog.claims import Declared
+from loftweir.catalog.contract import clause
 from loftweir.catalog.hosts import Lane
 from loftweir.catalog.shares import Shared
 from loftweir.config.model import Options
 from loftweir.http1.back import Pool
-from loftweir.interface import Outcome
+from loftweir.interface import Effect, Outcome
 from loftweir.net.loop import Loop
 from loftweir.net.stream import NotUp
+from loftweir.partners.merge import Used
+from loftweir.partners.table import one_route
 
 
 def called(sidecar, host, kind=READ, timeout=8, request_id=None):
@@ -229,6 +235,15 @@
         site.wait(lambda: called(f0, "stock.shop")[0] == 200)
 
 
+def test_a_copy_here_does_not_speak_for_another_mesh_that_says_nothing():
+    declared = Declared({name: clause(Effect.REPEATABLE) for name in CLASSES})
+    for name, effect in (("orders@mill", Effect.ONCE), ("orders@oslo", Effect.REPEATABLE)):
+        used = Used("bergen", one_route({"path": ["bergen"], **row(name)}, "bergen"))
+        catalog = Catalog(Site_("oslo", "a", {"bergen": name.partition("@")[2]}))
+        catalog.change(State(own={name: Own(declared=declared)}, used={name: used}))
+        assert {one.effect for one in catalog.find(name).contract.values()} == {effect}, name
+
+
 def test_one_services_connections_leave_room_for_the_next_and_are_counted_once():
     loop = Loop()
     whole = Pool(loop, settings(), Options(), 9)
