--- a/loftweir/replication/caller.py
+++ b/loftweir/replication/caller.py
@@ -37,7 +37,7 @@
 )
 
 LOOK_EVERY = 5 * MS  # for the turn of a write behind another one
-LAST_TRY = 50 * MS  # before the end, after which none is begun: one that is cut short would leave its outcome open
+LAST_TRY = 100 * MS  # before the end, after which none is begun: one that is cut short would leave its outcome open
 APART = 20 * MS  # after a try that brought nothing; up to as long again at random
 
 
--- a/loftweir/replication/joining.py
+++ b/loftweir/replication/joining.py
@@ -34,6 +34,7 @@
         self.random = Random(f"{voter.me} joining")
         self.begun_at = loop.now()
         self.joins = False
+        self.gathers = False  # it waits for answers; woken in any other wait, it would take that for its end
         self.task: Task = loop.spawn(self._run(), self._crashed)
 
     def _crashed(self, _: Exception) -> None:
@@ -57,7 +58,7 @@
         """A member that votes, at the address that it has, with a leader or without one for a short time."""
         voter = self.voter
         own, age = voter.member(voter.me), voter.age()
-        if own is None or not own.votes or own.address != self.own.address:
+        if own is None or not own.votes or own.address != self.own.address or (self.joins and not voter.voted):
             return False
         if self.joins:
             self.joins = False
@@ -77,12 +78,13 @@
                 say(REPLICATION_BEGUN, id=voter.me, members=[m.name for m in members])
                 voter.found(members)
                 return True
-        for name, (_, am) in answers.items():
-            if am.leader == name and voter.voted and all(m.id != voter.me for m in am.members):
-                voter.end(Removed(f"{name} leads, and its members are without {voter.me}", voter.name))
-                return False
+        leads = [name for name, (_, am) in answers.items() if am.leader == name]
+        is_out = any(all(m.id != voter.me for m in answers[name][1].members) for name in leads)
+        if is_out and voter.voted:
+            voter.end(Removed(f"{leads[0]} leads, and its members are without {voter.me}", voter.name))
+            return False
         own = voter.member(voter.me)
-        if own is not None and own.votes and own.address == self.own.address:
+        if own is not None and own.votes and own.address == self.own.address and not is_out:
             return False
         leaders = {am.leader: am.address for _, am in answers.values() if am.leader not in ("", voter.name)}
         for name, address in leaders.items():
@@ -113,13 +115,16 @@
                     answers.pop(name, None)
             finally:
                 left -= 1
-                self.task.wake()
+                if self.gathers:
+                    self.task.wake()
 
         for name, address in others.items():
             self.loop.spawn(one(name, address))
         until = self.loop.now() + 2 * ANSWER_WITHIN
+        self.gathers = True
         while left and self.loop.now() < until:
             yield Wait(None, 0, until)
+        self.gathers = False
         return dict(answers)
 
     def _call(
--- a/loftweir/replication/member.py
+++ b/loftweir/replication/member.py
@@ -16,6 +16,7 @@
 from loftweir.lease.keeper import Keeper
 from loftweir.net.loop import READABLE, SECOND, Coroutine, Loop, Task, Wait
 from loftweir.replication.api import (
+    Append,
     Apply,
     Broken,
     Change,
@@ -23,6 +24,7 @@
     Done,
     Event,
     HandOver,
+    Heard,
     Keep,
     Kept,
     Kind,
@@ -104,7 +106,7 @@
         self.told_index = 0
         self.known_at = 0  # when it last knew a leader with a majority, itself or another; 0: never
         self.led = (0, 0)  # the term that it led last, and when it began to
-        self.voted = False  # it has been one of the voters, in the life of this process
+        self.voted = False  # in the life of this process it was a voter, by a log that had all that was committed then
         self.hello = Hello(VERSION, options.cluster, self.me, name, Who.MEMBER)
         self.ticker: Task = loop.spawn(self._tick(), self._crashed, urgent=True)
         self.reader: Task = loop.spawn(self._read_disk(), self._crashed, urgent=True)
@@ -124,8 +126,10 @@
         try:
             while self.pending and not self.over:
                 if self.founding is None or isinstance(self.pending[0], Broken):
-                    for action in self.core.step(self.loop.now(), self.pending.popleft()):
+                    taken = self.pending.popleft()
+                    for action in self.core.step(self.loop.now(), taken):
                         ACTIONS[type(action)](self, action)
+                    self.voted = self.voted or self._votes_now(taken)
                 else:  # nothing is heard, and nothing promised, until it is known what this member is
                     self._turn_away(self.pending.popleft())
         except Exception as error:  # a fault of the program's: whatever asked must not end for it, but this part must
@@ -140,6 +144,15 @@
         if not self.over and self._next_at() < (self.ticker.until or NEVER_MET):
             self.ticker.wake()
 
+    def _votes_now(self, event: Event) -> bool:
+        """Whether it is a voter for sure: its own log may be of a time before it was taken out."""
+        core = self.core
+        if self.me not in core.voters:
+            return False
+        if isinstance(event, Heard) and isinstance(event.message, Append):
+            return event.message.sender == core.leader and event.message.commit <= core.commit
+        return self.leads()
+
     def _turn_away(self, event: Event) -> None:
         if isinstance(event, Write | Read | Change):
             self._answer(event.token, How.NOT_LEADER, 0, None)
@@ -263,7 +276,6 @@
             self.keeper.lost()
         elif self.led[0] != action.term:
             self.led = action.term, self.loop.now()
-        own = next((m for m in action.members if m.id == self.me), None)
         say(
             REPLICATION_ROLE,
             role=action.role.value,
@@ -272,7 +284,6 @@
             members=[m.name if m.votes else f"{m.name} (learns)" for m in action.members],
             id=self.me,
         )
-        self.voted = self.voted or (own is not None and own.votes)
         known, now = {m.id for m in action.members}, self.loop.now()
         for id, link in list(self.links.items()):
             if id not in known and link.said_at < now - LINK_UNUSED:
@@ -339,6 +350,8 @@
 
     def age(self) -> int | None:
         """Since it last knew a leader with a majority, ns; None: never in the life of this process."""
+        if self.core.role is Role.LEADER and self.core.voters == {self.me}:
+            return 0  # alone it is the majority, and nothing makes the core's time go on
         known_at = max(self.known_at, self.core.quorum_heard_at)
         return max(0, self.loop.now() - known_at) if known_at else None
 
--- a/loftweir/replication/part.py
+++ b/loftweir/replication/part.py
@@ -41,7 +41,7 @@
 from loftweir.telemetry.log import say
 
 TRY_EVERY = 300 * MS  # for the folder and the address, that the process before this one may hold yet
-SAVE_WITHIN = 100 * MS  # from a change of what holds, until it is written where the next process finds it
+SAVE_APART = 100 * MS  # from one writing of what holds to the next, where the next process finds it
 FOLLOWERS_OWN = 6  # descriptors: a line for news, two for calls, and what is between one and the next
 
 
@@ -70,6 +70,7 @@
         self.members: frozenset[str] = frozenset()  # ids of the voters that it is of
         self.words: dict[str, Said] = {}
         self.saves = False  # a file is to be written
+        self.saved_at = 0
         self.voter: Voter | None = None
         self.reception: Reception | None = None
         self.follower: Follower | None = None
@@ -213,10 +214,10 @@
         self.told(said, whole or anew)
         if self.folder is not None and not self.saves:
             self.saves = True
-            self.loop.after(SAVE_WITHIN, self._save)
+            self.loop.after(max(0, self.saved_at + SAVE_APART - self.loop.now()), self._save)
 
     def _save(self) -> None:
-        self.saves = False
+        self.saves, self.saved_at = False, self.loop.now()
         if self.folder is None:
             return
         words = {name: (word.at, word.on) for name, word in self.words.items()}
--- a/loftweir/replication/seats.py
+++ b/loftweir/replication/seats.py
@@ -34,6 +34,8 @@
     silent = sorted(set(names) - {name, *answers})
     differ = sorted(n for n, (_, am) in answers.items() if not am.agrees)
     begun = sorted(n for n, (_, am) in answers.items() if am.agrees and not am.empty)
+    if any(am.leader == name for _, am in answers.values()):
+        return f"{name}: {Why.SEAT_HELD.value}, and leads: another process has this name"
     if differ:
         return f"replication.members is another at {', '.join(differ)}"
     if begun:
