--- a/loftweir/replication/joining.py
+++ b/loftweir/replication/joining.py
@@ -40,6 +40,7 @@
         self.begun_at = loop.now()
         self.joins = False
         self.voted = False  # it was found in its place, in the life of this process: the disk alone does not tell
+        self.gathers = False  # it waits for answers; woken in any other wait, it would take that for its end
         self.task: Task = loop.spawn(self._run(), self._crashed)
 
     def _crashed(self, _: Exception) -> None:
@@ -63,7 +64,7 @@
         """A member that votes, at the address that it has, with a leader or without one for a short time."""
         voter = self.voter
         own, age = voter.member(voter.me), voter.age()
-        if own is None or not own.votes or own.address != self.own.address:
+        if own is None or not own.votes or own.address != self.own.address or (self.joins and not voter.voted):
             return False
         if self.joins:
             self.joins = False
@@ -121,13 +122,16 @@
                     answers.pop(name, None)
             finally:
                 left -= 1
-                self.task.wake()
+                if self.gathers:
+                    self.task.wake()
 
         for name, address in others.items():
             self.loop.spawn(one(name, address))
         until = self.loop.now() + 2 * ANSWER_WITHIN
+        self.gathers = True
         while left and self.loop.now() < until:
             yield Wait(None, 0, until)
+        self.gathers = False
         return dict(answers)
 
     def _call(
