--- a/tests/test_replication_member.py
+++ b/tests/test_replication_member.py
@@ -537,6 +537,7 @@
     assert until(place.loop, lambda: any(isinstance(frame, wire.Join) for frame in asked))
     assert [f.address for f in asked if isinstance(f, wire.Join)][0] == place.address
     own = msgspec.structs.replace(own, address=place.address)
+    voter.voted = True  # by a log that had all that was committed
     place.rest(1300 * MS)
     asked.clear()
     place.rest(1300 * MS)
