--- a/benchmarks/faults/load.py
+++ b/benchmarks/faults/load.py
@@ -182,6 +182,7 @@
 
     def _viewer(self, _: str, random: Random) -> None:
         while not self.over.is_set():
+            self.fleet.members()
             for name in list(self.fleet.sidecars):
                 self.look(name, 0.5)
                 self.over.wait(0.005)
--- a/benchmarks/faults/schedule.py
+++ b/benchmarks/faults/schedule.py
@@ -70,7 +70,10 @@
                 case _:
                     who = KINDS[name].of
             at, lasts = n * random.uniform(0, 0.4), random.uniform(0.1, 1.6)
+            alone = who == "all"
             found.append(Fault(number, name, who, round(at, 3), round(lasts, 3), round(random.random(), 6)))
+            if alone:
+                break  # nobody is left for another
     return found
 
 
