--- a/examples/two-sites/run.py
+++ b/examples/two-sites/run.py
@@ -54,9 +54,17 @@
 """
 
 
+GIVEN = set()
+
+
 def free():
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return "{}:{}".format(*sock.getsockname())
+    """An address that nobody has, and that was not given before."""
+    while True:
+        with socket.create_server(("127.0.0.1", 0)) as sock:
+            address = "{}:{}".format(*sock.getsockname())
+        if address not in GIVEN:
+            GIVEN.add(address)
+            return address
 
 
 class Site:
