--- a/benchmarks/process_faults.py
+++ b/benchmarks/process_faults.py
@@ -52,7 +52,7 @@
             text = sidecar.log()
             if "Traceback" in text or "MemberBroken" in text:
                 problems.append(f"a fault of the program in the log of {name}")
-            if problems and logs:
+            if logs:
                 (logs / f"fleet{number}-{name}.log").write_text(text)
         gaps = oracle.unavailable()
         return {
@@ -116,7 +116,7 @@
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--fleet", type=int, help="this one alone")
     parser.add_argument("--play", type=Path, help="a file with the lines of a schedule")
-    parser.add_argument("--logs", default="", help="a folder for the logs of a fleet with violations")
+    parser.add_argument("--logs", default="", help="a folder for the logs of all sidecars")
     parser.add_argument("--verbose", action="store_true", help="what was played also where nothing was violated")
     parser.add_argument("--json", action="store_true", help="one line in JSON, for a program")
     wanted = parser.parse_args()
