--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -190,6 +190,7 @@
             self.assertRegex(self.sidecars[name].call("FLEET-DISABLE s1"), "^ERR (NoMajority|OutcomeUnknown): ")
             self.assertLess(time.monotonic() - began, 3)
         self.wait(lambda: min(int(s.stands()["age_ms"]) for s in self.sidecars.values()) > 1000)
+        self.wait(lambda: {self.sidecars[name].stands()["leader"] for name in self.voters} == {"-"})  # 2 elections
         for name in [*self.voters, "f0"]:
             stands = self.sidecars[name].stands()
             self.assertEqual((stands["out"], name == "f0" or stands["leader"]), ("s0", name == "f0" or "-"))
