--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -114,6 +114,7 @@
         half.sock.sendall(b"POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: h\r\nReq-Kind: place-confirm\r\n")
         half.sock.sendall(b"Idempotency-Key: k\r\nContent-Length: 2\r\n\r\n{")
         self.assertTrue(eventually(lambda: self.providers[0].seen))
+        time.sleep(0.5)  # nothing tells that the half request's head has been read
         self.reload(self.settings(profile(ONCE, "once")))
         self.assertTrue(eventually(lambda: self.logged("reload.done")), self.log())
         half.sock.sendall(b"}")
