--- a/tests/scene.py
+++ b/tests/scene.py
@@ -11,7 +11,7 @@
 import threading
 import time
 import unittest
-from contextlib import suppress
+from contextlib import contextmanager, suppress
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
@@ -267,6 +267,19 @@
             sock.sendall(data)
             return b"".join(iter(lambda: sock.recv(65536), b""))
 
+    @contextmanager
+    def held_still(self, program=None):
+        """The program gets no turn meanwhile: all that is done to it waits in the kernel, and is there at once when it
+        is let go. So a crossing is forced: both sides of it have happened before either is looked at."""
+        program = program or self.program
+        program.send_signal(signal.SIGSTOP)
+        state = Path(f"/proc/{program.pid}/stat")
+        self.assertTrue(eventually(lambda: state.read_text().rpartition(") ")[2][0] == "T"))
+        try:
+            yield
+        finally:
+            program.send_signal(signal.SIGCONT)
+
     def terminate(self):
         self.program.send_signal(signal.SIGTERM)
 
