--- a/loftweir/core/host.py
+++ b/loftweir/core/host.py
@@ -118,7 +118,7 @@
         self.tell(invocation.event(self.overload.read(now, unread)))
 
     def leave(self, invocation: Invocation) -> None:
-        """The consumer's side is done with it, answered or not. An invoker call still out runs on: giving it up
+        """The client's side is done with it, answered or not. An invoker call still out runs on: giving it up
         would stop no work, and read to its end its connection can be used again."""
         if invocation.open:
             invocation.close(None)
--- a/loftweir/core/invocation.py
+++ b/loftweir/core/invocation.py
@@ -51,7 +51,7 @@
     """Owes exactly one final answer while it is open.
 
     Invariants: `final` is set once, by `close`, and `open` is false from then on. `calls` holds every invoker call of
-    it, in their order, until the last has ended and the consumer's side is done with it.
+    it, in their order, until the last has ended and the client's side is done with it.
     """
 
     __slots__ = (
@@ -112,7 +112,7 @@
         )
 
     def close(self, final: Final | None) -> None:
-        """The final answer, or none where the consumer has gone."""
+        """The final answer, or none where the client has gone."""
         self.open = False
         self.final = final
         if self.traced:
--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -235,7 +235,7 @@
             body = call.invocation.payload.body
             if not call.invocation.open or getattr(body, "begun", False):
                 # Or its body has been sent on already, and can't be again.
-                reusable = True  # the consumer went while the connection came up: spare the provider
+                reusable = True  # the client went while the connection came up: spare the provider
                 outcome, answer = Outcome.NOT_SENT, None
             else:
                 outcome, answer, reusable = yield from self._exchange(call, connection)
@@ -355,7 +355,7 @@
         pool, limits = self.pool, self.pool.options.limits
 
         def give_back(reusable: bool) -> None:
-            # A slow consumer has the last of it long after its provider wrote it: from then on that counts it as idle.
+            # A slow client has the last of it long after its provider wrote it: from then on that counts it as idle.
             if reusable and waited(connection.sock) < pool.options.providers.idle_margin:
                 pool.rest(connection)
             else:
--- a/loftweir/http1/flow.py
+++ b/loftweir/http1/flow.py
@@ -1,4 +1,4 @@
-"""Long bodies, passed on as they come: of an answer from its provider, of a request from its consumer.
+"""Long bodies, passed on as they come: of an answer from its provider, of a request from its client.
 
 Whoever writes one on pulls the next piece when the last one is out: one piece of it is in memory, and a side that does
 not read stops the other. No deadline ends it while there is more to come.
@@ -95,7 +95,7 @@
 class Upload:
     """The body of a request that is greater than the room for it. It can be pulled once.
 
-    Invariant: until `over`, only `pull` waits on the consumer's socket."""
+    Invariant: until `over`, only `pull` waits on the client's socket."""
 
     def __init__(self, loop: Loop, sock: socket, held: Body, length: int, silent_for: int) -> None:
         self.loop = loop
@@ -107,7 +107,7 @@
         self.silent_for = silent_for
         self.begun = False
         self.over = False
-        self.broken: Exception | None = None  # the consumer's fault
+        self.broken: Exception | None = None  # the client's fault
         self.told: Callable[[], None] = lambda: None  # it is over, one way or the other
 
     def pull(self) -> Coroutine[bytes]:
@@ -126,7 +126,7 @@
                 self._end(error)
                 continue
             if not data:
-                self._end(ConnectionResetError("the consumer ended inside its body"))
+                self._end(ConnectionResetError("the client ended inside its body"))
                 continue
             self.left -= len(data)
             return data
--- a/loftweir/http1/front.py
+++ b/loftweir/http1/front.py
@@ -1,4 +1,4 @@
-"""The consumers' side: the listener, its connections, and the invocations that come over them.
+"""The clients' side: the listener, its connections, and the invocations that come over them.
 
 A connection that says nothing has no coroutine, no parser and no timer: the object is watched by the loop, and what
 comes begins a coroutine that ends with the answer. All that are silent, or rest between requests, have one time to
@@ -53,7 +53,7 @@
 
 
 class Stage(IntEnum):
-    """Where a consumer's connection stands. Where room is short, the lowest stage is closed first."""
+    """Where a client's connection stands. Where room is short, the lowest stage is closed first."""
 
     ENDING = -1  # its last answer is out, what comes is not looked at any more
     SILENT = 0  # nothing has come on it yet
@@ -148,7 +148,7 @@
             call["after_ms"] = round((call.pop("at") - self.taken_at) / MS, 3)
 
     def tell(self, options: Options, status: int, now: int) -> None:
-        """`status` 0: the consumer went before its answer was written."""
+        """`status` 0: the client went before its answer was written."""
         log = options.log
         ms = (now - self.began) / MS
         why = wanted(log.access, self.id, status, ms, log.access_slow / MS, log.access_sample)
@@ -173,7 +173,7 @@
 HOW = {0: "gone", 200: "served", 503: "rejected"}
 
 
-class Consumer:
+class Client:
     """One connection of the application: one request at a time, one whole answer each.
 
     Invariant: `task` runs while a request is being read, decided or answered; else it is None and the loop watches
@@ -201,7 +201,7 @@
         self.front.loop.fresh.append(self.begin)
 
     def begin(self) -> None:
-        """Something has come, or the consumer has gone."""
+        """Something has come, or the client has gone."""
         if self.sock.fileno() >= 0:
             self.front.row(self).pop(self, None)
             self.task = self.front.loop.task(self.serve())
@@ -242,7 +242,7 @@
                     if not data:
                         return
                 began = loop.time
-                # What a consumer owes: the first request on a new connection within a time from its opening on, a
+                # What a client owes: the first request on a new connection within a time from its opening on, a
                 # later one from its first byte on.
                 until = (self.since if self.stage is Stage.SILENT else began) + front.options.limits.request_within
                 self.stage, self.method, self.old = Stage.BEGUN, b"", False
@@ -325,7 +325,7 @@
         yield from send(self.sock, parts, front.loop.time + front.options.limits.write_within)
 
     def _pass_on(self, head: bytes, flow: Flow) -> Coroutine[None]:
-        """A long answer, a piece at a time. One that breaks ends in a reset: whatever its framing, the consumer can
+        """A long answer, a piece at a time. One that breaks ends in a reset: whatever its framing, the client can
         tell that it is not whole."""
         loop, limits = self.front.loop, self.front.options.limits
         chunked = flow.length is None and not self.old
@@ -469,8 +469,8 @@
     # ---- deciding -------------------------------------------------------------------------------
 
     def _decided(self, invocation: Invocation, began: int, upload: Upload | None = None) -> Coroutine[Answer]:
-        """Takes an invocation, and waits for its answer or for the consumer to go. Only a hang-up is looked for:
-        what a consumer sends ahead of its answer stays in the kernel."""
+        """Takes an invocation, and waits for its answer or for the client to go. Only a hang-up is looked for:
+        what a client sends ahead of its answer stays in the kernel."""
         front = self.front
         host = self.host
         if invocation.id in host.invocations:
@@ -491,7 +491,7 @@
                         upload.told = task.wake
                 event = WOKEN
                 while invocation.open and event == WOKEN:
-                    # The balancer answers by the deadline; should it ever fail to, the consumer still gets an answer.
+                    # The balancer answers by the deadline; should it ever fail to, the client still gets an answer.
                     last = invocation.deadline + host.settings.safety.answer_grace // 2
                     coming = upload is not None and not upload.over
                     event = yield Wait(None if coming else self.sock, HUNG_UP, last)
@@ -507,36 +507,36 @@
             if invocation.traced:
                 self.trace = Trace(invocation, began, front.loop.time)
         if final is None:
-            raise ConnectionResetError("the consumer has gone")
+            raise ConnectionResetError("the client has gone")
         return answered(final)
 
 
 class Front:
     """The listener and all connections to it.
 
-    Invariants: `consumers` has every connection; `silent` and `idle` those at rest, in the order in which their time
+    Invariants: `clients` has every connection; `silent` and `idle` those at rest, in the order in which their time
     ends; `ending` those whose last answer is out. Every other one has a coroutine and is in no row.
     """
 
     def __init__(self, loop: Loop, host: Host, life: Life, options: Options, sockets: int, room: int) -> None:
         self.loop = loop
         self.host = host
-        self.kind: type[Consumer] = Consumer  # of each connection
+        self.kind: type[Client] = Client  # of each connection
         self.also: Callable[[], bool] = lambda: False  # others than the host's own providers are there to serve
         self.life = life
         self.options = options  # replaced whole by a reload
         limits = options.limits
-        # Descriptors are shared out: however many connections consumers open, providers are reached, and the other
+        # Descriptors are shared out: however many connections clients open, providers are reached, and the other
         # way round. An invocation needs one of each kind.
-        self.most_consumers = max(int(sockets * limits.consumers_of_sockets), 1)
+        self.most_clients = max(int(sockets * limits.consumers_of_sockets), 1)
         # Clients hold connections up to a number of their own: idle ones that they don't use again, kept for long,
         # would leave them none for new requests.
         self.most_idle = max(int(sockets * limits.idle_of_sockets), 1)
         self.room = Room(room)
-        self.consumers: set[Consumer] = set()
-        self.silent: dict[Consumer, None] = {}
-        self.ending: dict[Consumer, None] = {}
-        self.idle: dict[Consumer, None] = {}
+        self.clients: set[Client] = set()
+        self.silent: dict[Client, None] = {}
+        self.ending: dict[Client, None] = {}
+        self.idle: dict[Client, None] = {}
         self.listener: socket.socket | None = None
         self.accepting: Task | None = None
         self.shared = False  # the listener: other processes take from it too
@@ -556,30 +556,30 @@
 
     # ---- connections at rest --------------------------------------------------------------------
 
-    def row(self, consumer: Consumer) -> dict[Consumer, None]:
-        return self.silent if consumer.stage is Stage.SILENT else self.idle
+    def row(self, client: Client) -> dict[Client, None]:
+        return self.silent if client.stage is Stage.SILENT else self.idle
 
-    def watch(self, consumer: Consumer) -> None:
-        self.row(consumer)[consumer] = None
-        self.loop.watch(consumer.sock.fileno(), consumer)
+    def watch(self, client: Client) -> None:
+        self.row(client)[client] = None
+        self.loop.watch(client.sock.fileno(), client)
 
-    def rests(self, consumer: Consumer) -> None:
-        """A consumer has its answer. Of too many that rest, the one unused for longest goes."""
-        if consumer.stage is not Stage.SILENT:
-            consumer.stage = Stage.IDLE
-            consumer.since = self.loop.time
-        self.watch(consumer)
+    def rests(self, client: Client) -> None:
+        """A client has its answer. Of too many that rest, the one unused for longest goes."""
+        if client.stage is not Stage.SILENT:
+            client.stage = Stage.IDLE
+            client.since = self.loop.time
+        self.watch(client)
         if len(self.idle) > self.most_idle:
-            oldest = next((c for c in self.idle if c is not consumer and c.quiet()), None)
+            oldest = next((c for c in self.idle if c is not client and c.quiet()), None)
             if oldest is not None:
                 oldest.close()
 
-    def forget(self, consumer: Consumer) -> None:
-        self.consumers.discard(consumer)
-        self.silent.pop(consumer, None)
-        self.ending.pop(consumer, None)
-        self.idle.pop(consumer, None)
-        self.loop.close(consumer.sock)
+    def forget(self, client: Client) -> None:
+        self.clients.discard(client)
+        self.silent.pop(client, None)
+        self.ending.pop(client, None)
+        self.idle.pop(client, None)
+        self.loop.close(client.sock)
 
     def keep(self) -> Coroutine[None]:
         """Closes those whose rest is over. One timer for all of them: the first in each row is the next one due."""
@@ -605,21 +605,21 @@
             yield Wait(None, 0, wake)
 
     def spare(self) -> bool:
-        """Makes room for a consumer: ends a connection whose last answer is out, else closes one that holds no whole
+        """Makes room for a client: ends a connection whose last answer is out, else closes one that holds no whole
         request. One that never said anything goes first, then one between requests, then half a request; in each,
         the one longest there. A new connection is given a moment to send what it is opened for."""
         settled = self.loop.time - self.options.limits.sends_within
         for row in (self.ending, self.silent, self.idle):
-            for consumer in islice(row, LOOKS_AT):
-                if row is self.silent and consumer.since > settled:
+            for client in islice(row, LOOKS_AT):
+                if row is self.silent and client.since > settled:
                     break
-                if consumer.quiet():
-                    consumer.close()
+                if client.quiet():
+                    client.close()
                     return True
-        begun = [c for c in self.consumers if c.stage in (Stage.SILENT, Stage.BEGUN)]
-        for consumer in sorted(begun, key=lambda c: c.since):
-            if consumer.quiet(Stage.BEGUN):
-                consumer.close()
+        begun = [c for c in self.clients if c.stage in (Stage.SILENT, Stage.BEGUN)]
+        for client in sorted(begun, key=lambda c: c.since):
+            if client.quiet(Stage.BEGUN):
+                client.close()
                 return True
         return False
 
@@ -668,16 +668,16 @@
         """Closes who holds no request; `half`: also who has sent a part of one. A new connection has a moment to
         send what it is opened for."""
         settled = self.loop.time - self.options.limits.sends_within
-        for consumer in [c for c in self.consumers if c.stage is not Stage.SILENT or half or c.since <= settled]:
-            if consumer.stage is not Stage.ENDING and consumer.quiet(Stage.BEGUN if half else Stage.IDLE):
-                consumer.close()
+        for client in [c for c in self.clients if c.stage is not Stage.SILENT or half or c.since <= settled]:
+            if client.stage is not Stage.ENDING and client.quiet(Stage.BEGUN if half else Stage.IDLE):
+                client.close()
 
     def _welcome(self, sock: socket.socket) -> None:
         try:
             prepare(sock)
-            consumer = self.kind(self, sock)
-            self.consumers.add(consumer)
-            self.watch(consumer)
+            client = self.kind(self, sock)
+            self.clients.add(client)
+            self.watch(client)
         except OSError:  # reset before it was looked at: no reason to stop accepting
             sock.close()
 
@@ -688,7 +688,7 @@
         ready = READABLE | (EXCLUSIVE if self.shared else 0)
         while True:
             try:
-                if len(self.consumers) < self.most_consumers:
+                if len(self.clients) < self.most_clients:
                     fault = None
                     sock, _ = listener.accept()
                 else:
@@ -712,6 +712,6 @@
             if fault:
                 say(ACCEPT_FAILED, why=fault)
             else:
-                say(ROOM_NONE, connections=len(self.consumers), most=self.most_consumers)
+                say(ROOM_NONE, connections=len(self.clients), most=self.most_clients)
             if not self.spare():
                 yield Wait(None, 0, self.loop.time + self.options.limits.retry_accept)
--- a/loftweir/http1/named.py
+++ b/loftweir/http1/named.py
@@ -1,21 +1,21 @@
-"""A consumer's connection where the catalog is on: each request goes to the host that its Host field names."""
+"""A client's connection where the catalog is on: each request goes to the host that its Host field names."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from loftweir.core.invocation import Invocation
-from loftweir.http1.front import Consumer, Malformed
+from loftweir.http1.front import Client, Malformed
 from loftweir.http1.message import Message
 
 if TYPE_CHECKING:
     from loftweir.catalog.hosts import Hosts
 
 
-def kind(hosts: Hosts) -> type[Consumer]:
+def kind(hosts: Hosts) -> type[Client]:
     """The connections of a front with these hosts."""
 
-    class Named(Consumer):
+    class Named(Client):
         """Invariant: `host` is, from a request's head to its answer, that of the service which it named at its head,
         whatever the name stands for by then."""
 
--- a/loftweir/http1/strict.py
+++ b/loftweir/http1/strict.py
@@ -13,7 +13,7 @@
 
 PARTS_A_TURN = 32  # a body in tiny chunks must not keep the loop from all else
 
-# Tells h11 that an answer is due: the head that goes out is written from the parts of the consumer's own.
+# Tells h11 that an answer is due: the head that goes out is written from the parts of the client's own.
 DUE = h11.Request(method="GET", target="/", headers=[("host", "provider")])
 
 
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -331,12 +331,12 @@
         yield Wait(None, 0, now + limits.accept_after_term)
         front.stop_accepting()
         self.life.step(Step.SHUT)
-        while front.consumers and self.loop.now() < last:
+        while front.clients and self.loop.now() < last:
             front.send_away(half=self.loop.now() > now + HALF_FOR)
             yield Wait(None, 0, self.loop.now() + 5 * MS)
         for number in OBEYED:  # Python's own end takes its handlers away: one that comes then would be the exit code
             signal.signal(number, signal.SIG_IGN)
-        say(STOP_DONE, left=len(front.consumers))
+        say(STOP_DONE, left=len(front.clients))
         if self.partners is not None:
             self.partners.close()
         if self.fleet is not None:
--- a/tests/test_consumer.py
+++ b/tests/test_client.py
@@ -11,7 +11,7 @@
 from scene import KEYED, ONCE, READ, Scene, eventually, held, ok, reply
 
 
-class ConsumerTest(Scene):
+class ClientTest(Scene):
     def test_an_invocation_is_passed_on_unchanged_and_its_answer_comes_back_whole(self):
         answer = os.urandom(64 * 1024)
         self.start(lambda head, body: reply(200, answer, "Content-Type: text/x"))
@@ -118,7 +118,7 @@
             sock.sendall(b"{}")
             self.assertTrue(sock.recv(4096).startswith(b"HTTP/1.1 200 "))
 
-    def test_when_the_consumer_goes_its_call_is_drained_and_the_connection_used_again(self):
+    def test_when_the_client_goes_its_call_is_drained_and_the_connection_used_again(self):
         gate = threading.Event()
         self.start(held(gate))
         client = self.client()
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -151,7 +151,7 @@
     def test_one_broken_part_is_logged_and_answered_and_the_process_lives(self):
         for fault, status in (
             ("http1.back import Back as part; name = 'message'", 502),
-            ("http1.front import Consumer as part; name = '_decided'", 500),
+            ("http1.front import Client as part; name = '_decided'", 500),
             ("balance import Balancer as part; name = '_request'", 500),
         ):
             with self.subTest(fault=fault):
@@ -187,7 +187,7 @@
         self.assertEqual({number for _, _, number in self.providers[0].seen}, {1}, "its connection stays")
         self.assertIsNone(self.program.poll())
 
-    def test_of_many_consumers_that_rest_those_unused_for_longest_are_closed(self):
+    def test_of_many_clients_that_rest_those_unused_for_longest_are_closed(self):
         self.start(ok, limits={"sockets": 64, "memory_mb": 192})  # 8 may rest
         self.assertTrue(eventually(lambda: self.health() == 200))
         clients = [self.client() for _ in range(20)]
@@ -198,7 +198,7 @@
 
     def test_more_invocations_than_connections_to_providers_are_answered_and_none_is_lost(self):
         gate = threading.Event()
-        self.start(held(gate), limits={"sockets": 40, "memory_mb": 192})  # 20 for consumers, 4 for providers
+        self.start(held(gate), limits={"sockets": 40, "memory_mb": 192})  # 20 for clients, 4 for providers
         self.assertTrue(eventually(lambda: self.health() == 200))
         clients = [self.client() for _ in range(8)]
         for number, client in enumerate(clients):
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -34,7 +34,7 @@
         return client, client.sock, HEAD % request_id
 
     def test_more_long_answers_than_memory_holds_are_all_passed_on(self):
-        """To consumers that read slowly, beside small requests: back-pressure reaches the providers."""
+        """To clients that read slowly, beside small requests: back-pressure reaches the providers."""
         answer = os.urandom(MIB) * 16
         self.small(lambda head, body: reply(200, answer if body == b"long" else b"small"))
         with ThreadPoolExecutor(12) as pool:
@@ -64,7 +64,7 @@
         self.assertEqual(response.read(), b"x" * 299000)
         self.assertEqual(self.invoke(client=client)[0], 200)  # and its connection goes on
 
-    def test_a_long_answer_that_breaks_is_cut_so_that_the_consumer_can_tell_and_is_not_tried_again(self):
+    def test_a_long_answer_that_breaks_is_cut_so_that_the_client_can_tell_and_is_not_tried_again(self):
         whole = b"y" * 300000
         framings = {
             "length": reply(200, whole)[:-9],
@@ -194,7 +194,7 @@
             self.assertEqual([call.result()[:2] for call in calls], [(200, b"whole")] * 5)
         self.assertLess(self.peak_mb(), 40)
 
-    def test_one_sent_on_whose_consumer_falls_silent_or_goes_never_ran_and_blames_nobody(self):
+    def test_one_sent_on_whose_client_falls_silent_or_goes_never_ran_and_blames_nobody(self):
         self.small(ok, memory_mb=16)
         for ends, times in (("silent", 1), ("goes", 4)):
             for n in range(times):
