A keyed repeat is written within its window: what counts is its writing, not its decision

Cause: Balancer._attempt looked at the window when a repeat was decided; Back.run then waited for the connection up to the request's deadline and wrote whatever the time was. The group was that of the first server as the list has it now, not as it was when it was sent to. Change: an Attempt carries send_by; connecting, waiting and writing end there, as NOT_SENT, which proves that nothing ran. A Try keeps its group.

--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -117,10 +117,11 @@
 class Try:
     """One attempt: where, when, and whether it is still out or is known never to have run."""
 
-    __slots__ = ("server", "cls", "sent_at", "place", "out", "never_ran", "late")
+    __slots__ = ("server", "group", "cls", "sent_at", "place", "out", "never_ran", "late")
 
     def __init__(self, server: Server, cls: RequestClass, sent_at: int) -> None:
         self.server = server
+        self.group = server.group(cls.scope)  # as it was then: a list may put its server into another one
         self.cls = cls
         self.sent_at = sent_at
         server.sent_at = sent_at
@@ -564,8 +565,7 @@
         for servers in (self.near.servers, self.far.servers):
             fit = [s for s in servers if s not in tried and s.out_until <= self.now]
             if ran is not None and call.cls.effect is Effect.BY_KEY:
-                group = ran.server.group(call.cls.scope)
-                fit = [s for s in fit if s.group(call.cls.scope) == group]
+                fit = [s for s in fit if s.group(call.cls.scope) == ran.group]
             # The repeats of a crowd would push cold ones over.
             fit = [s for s in fit if not self._frail(s) and self._has_room(s, call.cls)]
             fit = [s for s in fit if self._sound(s, call.cls)] or fit
@@ -614,18 +614,17 @@
             return False
         if len(tries) >= self.settings.max_attempts or (call.is_out() and not self.settings.second_copies):
             return False
-        ran = call.may_have_run()
-        if ran is not None:
-            if cls.effect is Effect.ONCE:
-                return False
-            if cls.effect is Effect.BY_KEY and (
-                ran.server.group(cls.scope) != server.group(cls.scope) or self.now >= ran.sent_at + cls.window
-            ):
+        ran, send_by = call.may_have_run(), call.deadline
+        if ran is not None and cls.effect is Effect.ONCE:
+            return False
+        if ran is not None and cls.effect is Effect.BY_KEY:
+            send_by = min(send_by, ran.sent_at + cls.window)
+            if ran.group != server.group(cls.scope) or self.now >= send_by:
                 return False
         self.held.pop(call.id, None)
         tries.append(Try(server, cls, self.now))
         self.tries[call.id, len(tries) - 1] = tries[-1]
-        self.actions.append(Attempt(call.id, server.address, call.deadline))
+        self.actions.append(Attempt(call.id, server.address, call.deadline, send_by))
         self.actions.append(Timer(cls.aim, f"{LATE_TAG}{len(tries) - 1}:{call.id}", call.id))
         return True
 
--- a/loftweir/core/host.py
+++ b/loftweir/core/host.py
@@ -157,7 +157,7 @@
 
     def _attempt(self, action: api.Attempt) -> None:
         invocation = self.invocations[action.request_id]
-        call = Call(invocation, action.server, action.give_up_at, self.loop.time)
+        call = Call(invocation, action.server, action.give_up_at, self.loop.time, action.send_by)
         invocation.calls.append(call)
         self.back.begin(call)
 
--- a/loftweir/core/invocation.py
+++ b/loftweir/core/invocation.py
@@ -136,6 +136,7 @@
         "number",
         "provider",
         "give_up_at",
+        "send_by",
         "started_at",
         "up_at",
         "sent_at",
@@ -144,11 +145,16 @@
         "running",
     )
 
-    def __init__(self, invocation: Invocation, provider: str, give_up_at: int, started_at: int) -> None:
+    def __init__(
+        self, invocation: Invocation, provider: str, give_up_at: int, started_at: int, send_by: int = 0
+    ) -> None:
         self.invocation = invocation
         self.number = len(invocation.calls)
         self.provider = provider
         self.give_up_at = min(give_up_at or invocation.deadline, invocation.deadline)
+        # A repeat is dropped by its servers for a while only: what counts is when it is written, not when it is
+        # decided, and a connection may take long to come up.
+        self.send_by = min(send_by or self.give_up_at, self.give_up_at)
         self.started_at = started_at
         # For the access line: when its connection was there, its last byte out, its outcome known; 0: not yet.
         self.up_at = self.sent_at = self.ended_at = 0
--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -216,11 +216,11 @@
             call.running = task
 
     def run(self, call: Call) -> Coroutine[None]:
-        pool, give_up_at = self.pool, call.give_up_at
+        pool = self.pool
         connection = pool.take(call.provider)
         try:
             if connection is None:
-                connection = yield from pool.connect(call.provider, give_up_at)
+                connection = yield from pool.connect(call.provider, call.send_by)
         except NotUp as error:
             self.ended(call, error.outcome, None)
             return
@@ -233,9 +233,10 @@
         reusable: bool | None = False
         try:
             body = call.invocation.payload.body
-            if not call.invocation.open or getattr(body, "begun", False):
-                # Or its body has been sent on already, and can't be again.
-                reusable = True  # the client went while the connection came up: spare the provider
+            if not call.invocation.open or getattr(body, "begun", False) or self.loop.now() >= call.send_by:
+                # The client went while the connection came up, the body has been sent on already and can't be again,
+                # or it came up too late: the provider is spared.
+                reusable = True
                 outcome, answer = Outcome.NOT_SENT, None
             else:
                 outcome, answer, reusable = yield from self._exchange(call, connection)
@@ -258,7 +259,7 @@
         sock, give_up_at = connection.sock, call.give_up_at
         body = call.invocation.payload.body
         try:
-            yield from send(sock, self.message(call), give_up_at)
+            yield from send(sock, self.message(call), call.send_by)
             if not isinstance(body, list):
                 give_up_at = yield from self._send_on(call, sock, body)
         except (TookTooLong, Unsent):
--- a/loftweir/interface.py
+++ b/loftweir/interface.py
@@ -170,6 +170,7 @@
     request_id: str
     server: str
     give_up_at: int
+    send_by: int = 0  # its last byte is written before then, or it is not sent; 0: by `give_up_at`
 
 
 @dataclass(slots=True)
