KNOWN-RED.txt: the tests named there have to fail, and any other form is an error of the run

The file may be absent. Its lines are `test id | cause | issue`, three at most. Just the tests named are expected failures: one that passes, is skipped, or breaks in its setup or teardown fails the run. Works for functions, parametrized ones, unittest.TestCase and subtests of both kinds. Over three lines, a line in another form, a test named twice or one that no collected file has end the run with pytest's usage error and the line. A run of one file misses nothing of others. What is named is printed at the end, with -q too.

--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,177 @@
+"""KNOWN-RED.txt: the tests named there have to fail, they are told, and any other file is an error of the run."""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+HERE = Path(__file__).parent
+SUITE = '''
+import unittest
+import pytest
+
+def test_green():
+    pass
+
+def test_red():
+    assert 1 == 2
+
+@pytest.mark.parametrize("n", [1, 2])
+def test_each(n):
+    assert n == 1
+
+@pytest.mark.skip(reason="off")
+def test_off():
+    pass
+
+@pytest.fixture
+def broken():
+    raise ValueError
+
+def test_broken(broken):
+    pass
+
+@pytest.fixture
+def ends_broken():
+    yield
+    raise ValueError
+
+def test_ends_broken(ends_broken):
+    assert 1 == 2
+
+def test_subtests(subtests):
+    for n in (1, 2, 3):
+        with subtests.test(n=n):
+            assert n != 2
+
+class UnitTest(unittest.TestCase):
+    def test_red(self):
+        self.fail()
+
+    def test_green(self):
+        pass
+
+    def test_parts(self):
+        for n in (1, 2, 3):
+            with self.subTest(n=n):
+                self.assertNotEqual(n, 2)
+
+    def test_green_parts(self):
+        for n in (1, 2):
+            with self.subTest(n=n):
+                pass
+
+    def test_off(self):
+        self.skipTest("off")
+
+    @unittest.expectedFailure
+    def test_expected(self):
+        self.fail()
+'''
+
+
+def play(folder, known, *words, suite=SUITE):
+    """pytest as CI calls it, in a folder of its own with one file of tests."""
+    (folder / "pytest.ini").write_text("[pytest]\ntestpaths = tests\n")
+    (folder / "tests").mkdir()
+    (folder / "tests" / "test_it.py").write_text(suite)
+    (folder / "tests" / "test_other.py").write_text("def test_other():\n    pass\n")
+    if known is not None:
+        (folder / "KNOWN-RED.txt").write_bytes(known if isinstance(known, bytes) else known.encode())
+    env = os.environ | {"PYTHONPATH": str(HERE), "PYTEST_DISABLE_PLUGIN_AUTOLOAD": "1"}
+    command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "-p", "known_red", *words]
+    done = subprocess.run(command, cwd=folder, env=env, capture_output=True, text=True)
+    return done.returncode, done.stdout + done.stderr
+
+
+def name(test):
+    return f"tests/test_it.py::{test}"
+
+
+RED = ("test_red", "test_each[2]", "test_subtests", "UnitTest::test_red", "UnitTest::test_parts")
+
+
+@pytest.mark.parametrize("test", RED)
+def test_a_test_that_is_named_has_to_fail_and_is_told_with_cause_and_issue(test, tmp_path):
+    code, printed = play(tmp_path, f"{name(test)} | it counts wrongly | issue 7\n", name(test))
+    assert code == 0 and " xfailed" in printed and "skipped" not in printed, printed
+    assert "known to fail, by KNOWN-RED.txt" in printed
+    assert f"{name(test)}: failed: it counts wrongly (issue 7)" in printed
+
+
+@pytest.mark.parametrize(
+    ("test", "came"),
+    [
+        ("test_green", "PASSED"),
+        ("test_each[1]", "PASSED"),
+        ("UnitTest::test_green", "PASSED"),
+        ("UnitTest::test_green_parts", "PASSED"),
+        ("test_off", "SKIPPED"),
+        ("UnitTest::test_off", "SKIPPED"),
+        ("UnitTest::test_expected", "SKIPPED"),
+        ("test_broken", "BROKE in its setup"),
+        ("test_ends_broken", "BROKE in its teardown"),
+    ],
+)
+def test_a_test_that_is_named_and_does_not_fail_by_itself_fails_the_run(test, came, tmp_path):
+    code, printed = play(tmp_path, f"{name(test)} | it counts wrongly | 7\n", name(test))
+    assert code == 1 and f"{name(test)}: {came}" in printed, printed
+
+
+def test_no_other_test_is_let_pass(tmp_path):
+    code, printed = play(tmp_path, f"{name('test_red')} | it counts wrongly | #7\n")
+    assert code == 1 and "FAILED tests/test_it.py::UnitTest::test_red" in printed, printed
+    assert "FAILED tests/test_it.py::test_each[2]" in printed and "FAILED tests/test_it.py::test_red" not in printed
+    assert " 2 xfailed" in printed, "the one with a mark of its own too"
+
+
+def test_without_a_file_nothing_is_said(tmp_path):
+    code, printed = play(tmp_path, None, name("test_green"))
+    assert code == 0 and "KNOWN-RED" not in printed
+
+
+@pytest.mark.parametrize(
+    ("known", "told"),
+    [
+        (f"{name('test_red')} | {'c'} | 7\n" * 4, "KNOWN-RED.txt:4: 3 lines at most, and it has 4"),
+        (f"{name('test_red')} | c | 7\n{name('test_red')} | d | 8\n", "KNOWN-RED.txt:2: tests/test_it.py::test_red is"),
+        (f"{name('test_red')} | c | 7\n\n", "KNOWN-RED.txt:2: a line is `test id | cause | issue`"),
+        ("# one by one\n", "KNOWN-RED.txt:1: a line is"),
+        (f"{name('test_red')}\n", "KNOWN-RED.txt:1: a line is"),
+        (f"{name('test_red')} | c\n", "KNOWN-RED.txt:1: a line is"),
+        (f"{name('test_red')} |  | 7\n", "KNOWN-RED.txt:1: a line is"),
+        (f"{name('test_red')} | c | soon\n", "KNOWN-RED.txt:1: a line is"),
+        (f"{name('test_red')} | c | 7 | 8\n", "KNOWN-RED.txt:1: a line is"),
+        ("tests/test_it.py | c | 7\n", "KNOWN-RED.txt:1: a line is"),
+        (b"\xff | c | 7\n", "KNOWN-RED.txt: it can't be read"),
+        (f"{name('test_rad')} | c | 7\n", "KNOWN-RED.txt:1: there is no test tests/test_it.py::test_rad"),
+        (f"{name('test_each')} | c | 7\n", "KNOWN-RED.txt:1: there is no test tests/test_it.py::test_each"),
+        ("tests/test_gone.py::test_it | c | 7\n", "KNOWN-RED.txt:1: there is no test tests/test_gone.py::test_it"),
+    ],
+)
+def test_a_file_in_another_form_is_an_error_of_the_whole_run(known, told, tmp_path):
+    code, printed = play(tmp_path, known)
+    assert code == pytest.ExitCode.USAGE_ERROR and f"ERROR: {told}" in printed, printed
+
+
+@pytest.mark.parametrize("words", [["tests/test_other.py"], [name("test_green")], ["--deselect", name("test_gone")]])
+def test_a_test_is_missed_only_where_its_whole_file_is_collected(words, tmp_path):
+    code, printed = play(tmp_path, f"{name('test_gone')} | c | 7\n", *words)
+    assert code != pytest.ExitCode.USAGE_ERROR and f"{name('test_gone')}: not run: c (issue 7)" in printed, printed
+
+
+@pytest.mark.parametrize("words", [["tests/test_it.py"], ["tests/"], ["."], ["-k", "other"]])
+def test_a_test_is_missed_wherever_its_whole_file_is_collected(words, tmp_path):
+    code, printed = play(tmp_path, f"{name('test_gone')} | c | 7\n", *words)
+    assert code == pytest.ExitCode.USAGE_ERROR and "there is no test" in printed, printed
+
+
+def test_a_file_of_tests_that_cannot_be_read_is_told_by_itself(tmp_path):
+    code, printed = play(tmp_path, f"{name('test_gone')} | c | 7\n", suite="import gone_away\n")
+    assert code == pytest.ExitCode.INTERRUPTED and "No module named 'gone_away'" in printed, printed
+
+
+def test_this_suite_reads_it(pytestconfig):
+    assert any(type(plugin).__name__ == "KnownRed" for plugin in pytestconfig.pluginmanager.get_plugins())
