A client's connection is half-closed and read off before it is closed, whatever crosses its end

Cause, seen in tests that put the crossing between two calls by hand: `Client.quiet` looks for bytes, `close` follows, and a request that comes between is a close over unread bytes. The client read its last answer and then a reset, for each place that ends a connection (`keep`, `rests`, `send_away`, `spare`); where its machine takes little at a time the answer was cut. `_linger` stopped reading after `linger_for` or `linger_bytes` and closed with an answer not taken yet: bytes behind it reset it. A wake-up with nothing to read ended it too. Two more in the same place: a whole request that waits for room for its body stood as BEGUN, so `spare` and `send_away` closed it as half of one; and half a request was closed in silence.

Change: `Client.end` half-closes a connection at rest and reads off what comes, bounded as a last answer is; nothing read from then on is sent on. `_linger` stays, within `write_within`, while the client's machine has not taken the answer (`stream.untaken`, TIOCOUTQ). `spare` needs its descriptor at once: `Client.close` half-closes, reads off what is there and closes, so that the end of the stream is ahead of any reset; connections that still carry an answer go last. Inside an answer (BUSY) there is no half-close: a reader without length would take it for the answer's end. Half a request is answered 503, which is true: nothing of it was sent on. Waiting for room is BUSY.

Ruled out: a request that is in the kernel before the look is always served; a 413 is read whole by a client that writes 60 MB first, once its machine has it. Left: bytes that come after `spare` has closed are reset, behind the end of the stream; an answer that the client's machine has not taken in `write_within` is cut, as a write is.

--- a/loftweir/http1/front.py
+++ b/loftweir/http1/front.py
@@ -10,6 +10,7 @@
 import socket
 import struct
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 from enum import IntEnum
 from functools import lru_cache
@@ -29,7 +30,19 @@
 from loftweir.http1.strict import Strict
 from loftweir.interface import Settings
 from loftweir.net.loop import EXCLUSIVE, HUNG_UP, MS, READABLE, SECOND, WOKEN, Coroutine, Loop, Task, Wait
-from loftweir.net.stream import READ_SIZE, Body, NoRoom, Room, TookTooLong, TooLarge, prepare, reserved, send, waited
+from loftweir.net.stream import (
+    READ_SIZE,
+    Body,
+    NoRoom,
+    Room,
+    TookTooLong,
+    TooLarge,
+    prepare,
+    reserved,
+    send,
+    untaken,
+    waited,
+)
 from loftweir.telemetry.access import wanted
 from loftweir.telemetry.catalogue import ACCEPT_FAILED, ACCESS, INVOCATION_BROKEN, OVERDUE, ROOM_NONE
 from loftweir.telemetry.log import say, where
@@ -40,7 +53,9 @@
 LONGEST_UPLOAD = 60 * SECOND  # that a body which is sent on while it comes may take
 ROOM_WITHIN = 1500 * MS  # that a long body waits for room: its request's time has not begun
 COME_BACK = 500 * MS  # where it had none
+LOOK_FOR_TAKEN = 20 * MS  # how often an ended connection's answer is looked after, past its time
 LOOKS_AT = 16  # connections that `spare` looks at in each row, the longest there first
+HALF_REFUSED = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
 class Malformed(Exception):
@@ -55,7 +70,7 @@
 class Stage(IntEnum):
     """Where a client's connection stands. Where room is short, the lowest stage is closed first."""
 
-    ENDING = -1  # its last answer is out, what comes is not looked at any more
+    ENDING = -1  # its last answer is out or it rested too long, what comes is not looked at any more
     SILENT = 0  # nothing has come on it yet
     IDLE = 1  # between requests
     BEGUN = 2  # part of a request has come
@@ -176,8 +191,8 @@
 class Client:
     """One connection of the application: one request at a time, one whole answer each.
 
-    Invariant: `task` runs while a request is being read, decided or answered; else it is None and the loop watches
-    the connection itself (`ready`), which stands in the front's row of its stage.
+    Invariant: `task` runs while a request is being read, decided or answered, and while the connection ends; else it is
+    None and the loop watches the connection itself (`ready`), which stands in the front's row of its stage.
     """
 
     __slots__ = ("front", "host", "sock", "task", "stage", "since", "free_at", "mask", "method", "old", "trace")
@@ -202,15 +217,16 @@
 
     def begin(self) -> None:
         """Something has come, or the client has gone."""
-        if self.sock.fileno() >= 0:
+        if self.sock.fileno() >= 0 and self.stage is not Stage.ENDING:
             self.front.row(self).pop(self, None)
             self.task = self.front.loop.task(self.serve())
             self.task.step()
 
     def quiet(self, most: Stage = Stage.IDLE) -> bool:
-        """Whether no whole request has come that is not answered: closing the connection loses none."""
+        """Whether no whole request has come that is not answered, and no answer is on its way: closing the connection
+        loses none."""
         if self.stage is Stage.ENDING:
-            return True
+            return not untaken(self.sock)
         if self.stage > most:
             return False
         try:
@@ -218,7 +234,34 @@
         except OSError:  # nothing there, or broken
             return True
 
+    def end(self) -> None:
+        """Ends a connection at rest, once nothing more can cross it: bytes may come after the last look. Whatever is
+        read from here on is never sent on, and the client, told of the end before anything else, sends it again."""
+        self.front.row(self).pop(self, None)
+        self.task = self.front.loop.task(self._end())
+        self.task.step()
+
+    def _end(self) -> Coroutine[None]:
+        try:
+            yield from self._linger(self.front.options.limits.linger_bytes)
+        except OSError:
+            pass
+        finally:
+            self.task = None
+            self.front.forget(self)
+
     def close(self) -> None:
+        """Ends it now: its descriptor is free when this returns. The client reads all that was written to it, a
+        refusal of the half request where there is one, and the end of the stream ahead of any reset. Inside an answer
+        there is no such end: it would be taken for the answer's own."""
+        if self.stage is not Stage.BUSY:
+            with suppress(OSError):  # gone, or nothing there
+                if self.stage is Stage.BEGUN:
+                    self.sock.send(HALF_REFUSED)
+                self.sock.shutdown(socket.SHUT_WR)
+                left = self.front.options.limits.linger_bytes
+                while left > 0 and (read := len(self.sock.recv(READ_SIZE))):
+                    left -= read
         if self.task is not None:
             self.task.cancel()
         self.front.forget(self)
@@ -353,15 +396,25 @@
 
     def _linger(self, left: int) -> Coroutine[None]:
         """Closing with something unread resets the connection, and the answer with it: read it off first, but not
-        without end."""
-        sock, limits, now = self.sock, self.front.options.limits, self.front.loop.time
-        sock.shutdown(socket.SHUT_WR)
-        self.stage, self.since = Stage.ENDING, now
+        without end. What the client has not taken of its answer keeps it open for as long as a write may wait."""
+        sock, limits, loop = self.sock, self.front.options.limits, self.front.loop
+        self.stage, self.since = Stage.ENDING, loop.time
         self.front.ending[self] = None
-        until = now + limits.linger_for
-        while left > 0 and (yield Wait(sock, READABLE, until)):
-            read = len(sock.recv(65536))
-            left = left - read if read else 0
+        sock.shutdown(socket.SHUT_WR)
+        until, latest = loop.time + limits.linger_for, loop.time + limits.write_within
+        while True:
+            if loop.time >= until or left <= 0:
+                if loop.time >= latest or not untaken(sock):
+                    return
+                until = min(latest, loop.time + LOOK_FOR_TAKEN)
+            if (yield Wait(sock if left > 0 else None, READABLE, until)) and left > 0:
+                try:
+                    read = len(sock.recv(READ_SIZE))
+                except BlockingIOError:  # nothing after all
+                    continue
+                if not read:
+                    return
+                left -= read
 
     # ---- reading a request ----------------------------------------------------------------------
 
@@ -376,7 +429,7 @@
             body.append(data[head.end : end])
             return (yield from self._sent_on(invocation, body, head.length, began)), None
         if head.length:
-            yield from reserved(self.front.loop, body, head.length, ROOM_WITHIN)
+            yield from self._room(body, head.length)
             body.append(data[head.end : end])
         rest = data[end:]
         due = self._body_due(until)
@@ -420,10 +473,10 @@
             self.sock.send(b"HTTP/1.1 100 Continue\r\n\r\n")
         front, body = self.front, Body(self.front.room)
         length = int(request.fields.get(b"content-length", 0))
-        yield from reserved(front.loop, body, length, ROOM_WITHIN)
+        yield from self._room(body, length)
 
         def keep(part: bytes) -> Coroutine[None]:
-            yield from reserved(front.loop, body, body.size + len(part), ROOM_WITHIN)
+            yield from self._room(body, body.size + len(part))
             body.append(part)
 
         yield from wire.body(self._body_due(until), front.options.limits.body, keep)
@@ -432,6 +485,13 @@
         invocation.payload = request._replace(body=body)
         return (yield from self._decided(invocation, began))
 
+    def _room(self, body: Body, size: int) -> Coroutine[None]:
+        """Waits for room. What is waited for is not the client, whose whole request may have come: it is not closed
+        as one that has sent half of it."""
+        self.stage = Stage.BUSY
+        yield from reserved(self.front.loop, body, size, ROOM_WITHIN)
+        self.stage = Stage.BEGUN
+
     def _body_due(self, until: int) -> Callable[[int], int]:
         """Until when more of a body is waited for, by how much has come: a slow one has the time that its bytes take
         at the least rate, one that falls silent has not."""
@@ -515,7 +575,7 @@
     """The listener and all connections to it.
 
     Invariants: `clients` has every connection; `silent` and `idle` those at rest, in the order in which their time
-    ends; `ending` those whose last answer is out. Every other one has a coroutine and is in no row.
+    ends; `ending` those that are half-closed and read off. Every other one has a coroutine and is in no row.
     """
 
     def __init__(self, loop: Loop, host: Host, life: Life, options: Options, sockets: int, room: int) -> None:
@@ -572,7 +632,7 @@
         if len(self.idle) > self.most_idle:
             oldest = next((c for c in self.idle if c is not client and c.quiet()), None)
             if oldest is not None:
-                oldest.close()
+                oldest.end()
 
     def forget(self, client: Client) -> None:
         self.clients.discard(client)
@@ -597,7 +657,7 @@
                         break
                     closed += 1
                     if first.quiet(Stage.IDLE):
-                        first.close()
+                        first.end()
                     else:  # its request has come, and the loop had no turn for it yet
                         del row[first]
                         row[first] = None
@@ -606,8 +666,9 @@
 
     def spare(self) -> bool:
         """Makes room for a client: ends a connection whose last answer is out, else closes one that holds no whole
-        request. One that never said anything goes first, then one between requests, then half a request; in each,
-        the one longest there. A new connection is given a moment to send what it is opened for."""
+        request. One that never said anything goes first, then one between requests, then half a request, then one
+        that is slow to take its last answer; in each, the one longest there. A new connection is given a moment to
+        send what it is opened for."""
         settled = self.loop.time - self.options.limits.sends_within
         for row in (self.ending, self.silent, self.idle):
             for client in islice(row, LOOKS_AT):
@@ -621,7 +682,10 @@
             if client.quiet(Stage.BEGUN):
                 client.close()
                 return True
-        return False
+        slow = next(iter(self.ending), None)
+        if slow is not None:
+            slow.close()
+        return slow is not None
 
     # ---- the listener ---------------------------------------------------------------------------
 
@@ -670,7 +734,10 @@
         settled = self.loop.time - self.options.limits.sends_within
         for client in [c for c in self.clients if c.stage is not Stage.SILENT or half or c.since <= settled]:
             if client.stage is not Stage.ENDING and client.quiet(Stage.BEGUN if half else Stage.IDLE):
-                client.close()
+                if client.task is None:
+                    client.end()
+                else:
+                    client.close()
 
     def _welcome(self, sock: socket.socket) -> None:
         try:
--- a/loftweir/net/stream.py
+++ b/loftweir/net/stream.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import socket
 import struct
+import termios
 from typing import Any
 
 from loftweir.config.units import host_and_port
@@ -128,6 +130,16 @@
     return int(ms) * MS
 
 
+def untaken(sock: socket.socket) -> bool:
+    """Whether the other side's machine has not taken all that was written: a reset would lose it. The end of the
+    stream itself may be still on its way."""
+    try:
+        (size,) = struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, b"\0\0\0\0"))
+    except (OSError, ValueError):
+        return False
+    return int(size) > 1
+
+
 def connect(loop: Loop, address: str, connect_timeout: int, until: int) -> Coroutine[socket.socket]:
     """A new connection, up within `connect_timeout`; else a `NotUp`."""
     try:
