Nothing a server says before it has a request's last byte is taken for the answer

Cause, seen by forcing each crossing on real sockets: - Back._exchange wrote on a new connection without a look at it, and took whatever was readable after a write for the answer. A second answer (or half a line, a 1xx) of the request before that came after Connection.sound and before the server had the next request was served as that one's answer, or, with Srv-Declined, proved that it never ran. - net.stream.send waited for room to write alone: a server that declined, answered or ended while a long request was being written was waited for up to the deadline, and the request was then turned away instead of sent elsewhere. The same for a body that is sent on while it comes, for 5 s.

Change: a new connection is looked at before its first write; while a request is written, anything to read ends the attempt (connect_failed, its last byte is not out: it never ran); an answer that is there while the server's machine has not acknowledged the whole request (SIOCOUTQ > 0, looked at after the read) is none: what answers acknowledges all that it has read, in the same segment or before. That is "reset": it may still run. A look for bytes right after the write was weighed and left: it proves nothing where the process loses its core between the two calls, and costs as much.

Without it the tests printed: OK with b"another's" for RESET; FULL for RESET; TIMED_OUT for RESET; OK, TIMED_OUT and RESET for CONNECT_FAILED on a new connection; 200 for 502 (answered before the request was acknowledged); 503 b'rejected' for 200 at the deadline (declines, answers, half a line, ends); 5.0 s not less than 1.5 s for a body that is sent on.

Ruled out by tests that stay: an event of a resting connection worked off once it is in use, closed or at rest again; an event of a closed socket handed to the next of its number; 45 answers broken off by FIN, RST or silence served as whole or told wrongly, and 9 of them once begun; a connection up only after its time used (SIGSTOP until both are due); ids, keys, bodies or fields of one request in another over reused connections while classes change (3,200 requests).

Not covered: a second answer that comes after the request has reached the server, and on one machine one that comes in the microseconds between look and write where the kernel acknowledges at once. A 1xx sent ahead of the body's end counts as broken.

--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -29,6 +29,7 @@
     TooLarge,
     connect,
     send,
+    unacknowledged,
     waited,
 )
 
@@ -121,7 +122,11 @@
         except BaseException:
             self.open -= 1
             raise
-        return Connection(self, sock, name, address)
+        connection = Connection(self, sock, name, address)
+        if not connection.sound():  # ended, or spoken on, before anything was asked: nothing ran
+            self.close(connection)
+            raise NotUp(Outcome.CONNECT_FAILED)
+        return connection
 
     def close(self, connection: Connection) -> None:
         self.open -= 1
@@ -258,9 +263,9 @@
         sock, give_up_at = connection.sock, call.give_up_at
         body = call.invocation.payload.body
         try:
-            yield from send(sock, self.message(call), give_up_at)
+            yield from send(sock, self.message(call), give_up_at, READABLE)
             if not isinstance(body, list):
-                give_up_at = yield from self._send_on(call, sock, body)
+                give_up_at = yield from self._send_on(call, connection, body)
         except (TookTooLong, Unsent):
             return Outcome.NOT_SENT, None, False
         except OSError:
@@ -273,6 +278,9 @@
                 data = sock.recv(READ_SIZE)
             except BlockingIOError:
                 return (yield from self._strictly(call, connection, None))
+            if unacknowledged(sock):
+                # What answers a request acknowledges all of it: this was on its way before, and is another's.
+                return Outcome.RESET, None, False
             head = grammar.answer(data)
             if head is None:
                 return (yield from self._strictly(call, connection, data))
@@ -380,11 +388,14 @@
         declined = status in (503, 504) and fields.get(b"srv-declined") == b"1"
         return Outcome.FULL if declined else Outcome.ERROR, None, reusable
 
-    def _send_on(self, call: Call, sock: socket.socket, body: Flow) -> Coroutine[int]:
+    def _send_on(self, call: Call, connection: Connection, body: Flow) -> Coroutine[int]:
         """A body that is sent on while it comes; the time that its call has from its last byte on."""
         try:
             while piece := (yield from body.pull()):
-                yield from send(sock, [piece], self.loop.time + self.pool.options.limits.silent_for)
+                if not connection.sound():
+                    raise ConnectionResetError("spoken on before the request was whole")
+                until = self.loop.time + self.pool.options.limits.silent_for
+                yield from send(connection.sock, [piece], until, READABLE)
         finally:
             body.close()
         invocation = call.invocation
--- a/loftweir/net/stream.py
+++ b/loftweir/net/stream.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import socket
 import struct
+import termios
 from typing import Any
 
 from loftweir.config.units import host_and_port
@@ -158,14 +160,27 @@
     return sock
 
 
-def send(sock: socket.socket, parts: list[Any], until: int | None) -> Coroutine[None]:
-    """Writes a whole message, gathered; takes the parts off the list as they go out."""
+def unacknowledged(sock: socket.socket) -> int:
+    """Bytes written that the other side's machine has not said to have; 0 where that isn't known."""
+    try:
+        (left,) = struct.unpack("=i", fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))
+    except OSError:
+        return 0
+    return int(left)
+
+
+def send(sock: socket.socket, parts: list[Any], until: int | None, breaks: int = 0) -> Coroutine[None]:
+    """Writes a whole message, gathered; takes the parts off the list as they go out. `breaks`: events that end it, as
+    a reset does, while it waits to write on."""
     while parts:
         try:
             written = sock.sendmsg(parts[:GATHER_LIMIT])
         except BlockingIOError:
-            if not (yield Wait(sock, WRITABLE, until)):
+            event = yield Wait(sock, WRITABLE | breaks, until)
+            if not event:
                 raise TookTooLong from None
+            if event & breaks:
+                raise ConnectionResetError("spoken on before the message was whole") from None
             continue
         # A short write leaves whole parts and perhaps the rest of one.
         whole = 0
--- /dev/null
+++ b/tests/test_crossings_servers.py
@@ -0,0 +1,500 @@
+"""Crossings on the servers' side: what comes on a connection between two lines of an attempt, answers that break off,
+connections that come up too late, and many requests over few connections while the settings change. Each is forced."""
+
+import http.client
+import itertools
+import json
+import os
+import select
+import socket
+import struct
+import threading
+import time
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+from scene import (
+    KEYED,
+    MS,
+    ONCE,
+    READ,
+    SETTINGS,
+    Party,
+    Scene,
+    address_of,
+    entry,
+    eventually,
+    listener,
+    ok,
+    profile,
+    reply,
+)
+from support import CLASSES, SECOND, settings
+
+from loftweir.config.model import Options
+from loftweir.core.invocation import Call, Invocation
+from loftweir.http1.back import Back
+from loftweir.http1.message import Message
+from loftweir.interface import Outcome
+from loftweir.net.loop import READABLE, Loop, Wait
+
+STALE = reply(200, b"another's")
+DECLINED = reply(503, b"", "Srv-Declined: 1")
+
+
+def reset(sock):
+    """Ends a connection at once, whoever else holds the object: no FIN, an RST."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    socket.close(sock.detach())
+
+
+def speaks(data):
+    return lambda sock: sock.sendall(data)
+
+
+def ends(sock):
+    sock.shutdown(socket.SHUT_WR)
+
+
+def stays_silent(sock):
+    pass
+
+
+# ---- the order of the loop, by hand ---------------------------------------------------------------
+
+
+class Side:
+    """The servers' side alone, its loop turned by hand, with one server that the test plays itself."""
+
+    def __init__(self):
+        self.loop = Loop()
+        self.back = Back(self.loop, settings(), Options(), 8, 1 << 20)
+        self.back.ended = self.ended
+        self.listener = listener()
+        self.back.pool.addresses["s"] = address_of(self.listener)
+        self.told = []
+
+    def ended(self, call, outcome, answer):
+        call.running = None
+        self.told.append((outcome, answer and b"".join(answer.body)))
+
+    def begin(self):
+        fields = {b"host": b"h", b"req-id": b"r%d" % len(self.told)}
+        message = Message(b"POST", b"/api", list(fields.items()), fields, [b"{}"])
+        invocation = Invocation("r", CLASSES[1], SECOND, message)
+        invocation.deadline = self.loop.now() + 2 * SECOND
+        self.back.begin(Call(invocation, "s", 0, self.loop.now()))
+
+    def turn(self, done):
+        def watch():
+            until = time.monotonic() + 5
+            while not done() and time.monotonic() < until:
+                yield Wait(None, 0, self.loop.now() + MS)
+            self.loop.stopped = True
+
+        self.loop.stopped = False
+        self.loop.spawn(watch())
+        self.loop.run()
+        assert done()
+
+    def used(self):
+        """The server's end of a connection over which one request has been answered, and which rests."""
+        self.begin()
+        peer, _ = self.listener.accept()
+        self.turn(lambda: select.select([peer], [], [], 0)[0])
+        assert peer.recv(9999).endswith(b"{}")
+        peer.sendall(reply(200, b"own"))
+        self.turn(lambda: self.told)
+        assert self.told == [(Outcome.OK, b"own")] and len(self.back.pool.resting) == 1
+        return peer
+
+
+@pytest.fixture
+def side():
+    side = Side()
+    yield side
+    side.listener.close()
+    side.loop.epoll.close()
+
+
+AHEAD = b"HTTP/1.1 102 X\r\n\r\n"
+LATE = {"a second answer": STALE, "one that declines": DECLINED, "half a line": b"HTTP/1.1 20", "1xx": AHEAD}
+
+
+@pytest.mark.parametrize("what", LATE)
+def test_what_comes_between_the_look_at_a_resting_connection_and_the_write_answers_nothing(side, what):
+    peer = side.used()
+    # As in any exchange of requests and answers: the server acknowledges with what it sends.
+    peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 0)
+    (connection,) = side.back.pool.resting
+    message = side.back.message
+
+    def crossed(call):
+        peer.sendall(LATE[what])
+        assert select.select([connection.sock], [], [], 5)[0]
+        return message(call)
+
+    side.back.message = crossed
+    side.begin()
+    side.turn(lambda: len(side.told) == 2)
+    assert side.told[1] == (Outcome.RESET, None)
+    assert peer.recv(9999).endswith(b"{}"), "it was written whole, and may run"
+    assert side.back.pool.open == 0
+
+
+@pytest.mark.parametrize("what", ["a second answer", "half a line", "its end", "a reset"])
+def test_a_new_connection_that_has_been_spoken_on_or_ended_before_the_request_is_not_used(side, what):
+    side.begin()
+    peer, _ = side.listener.accept()
+    (fd,) = side.loop.watchers
+    {"its end": ends, "a reset": reset}.get(what, speaks(LATE.get(what)))(peer)
+    assert select.select([fd], [], [], 5)[0], "it has come before the loop has its turn"
+    side.turn(lambda: side.told)
+    assert side.told == [(Outcome.CONNECT_FAILED, None)], "nothing was written: it never ran"
+    if what != "a reset":
+        with suppress(ConnectionResetError):
+            assert peer.recv(9999) == b""
+    assert side.back.pool.open == 0
+
+
+def handed_out(side):
+    """An event about the resting connection has been handed out by epoll, and has not been worked off."""
+    (connection,) = side.back.pool.resting
+    side.loop.watchers.pop(connection.sock.fileno()).ready(READABLE)
+    return connection
+
+
+def work_off(side):
+    while side.loop.due:
+        side.loop.due.popleft()()
+
+
+def test_an_event_of_a_connection_at_rest_that_is_worked_off_once_it_is_in_use_or_closed_ends_no_other(side):
+    pool = side.back.pool
+    peer = side.used()
+    connection = handed_out(side)
+    assert pool.take("s") is connection, "nothing had come after all"
+    work_off(side)
+    assert pool.open == 1 and connection.sock.fileno() >= 0, "in use it is not closed"
+    pool.rest(connection)
+    peer.sendall(b"noise")
+    assert select.select([connection.sock], [], [], 5)[0]
+    handed_out(side)
+    assert pool.take("s") is None and pool.open == 0, "with bytes on it, it is not taken"
+    work_off(side)
+    assert pool.open == 0 and not pool.resting and not pool.idle
+
+
+def test_a_connection_that_rests_again_before_an_earlier_event_is_worked_off_is_closed_once_at_most(side):
+    pool = side.back.pool
+    peer = side.used()
+    connection = handed_out(side)
+    pool.rest(pool.take("s"))
+    work_off(side)
+    assert (pool.open, list(pool.resting), pool.idle, side.loop.watchers) == (0, [], {}, {})
+    assert connection.sock.fileno() == -1 and peer.recv(1) == b""
+
+
+def test_an_event_of_a_closed_socket_is_not_handed_to_the_next_that_has_its_number():
+    loop, seen = Loop(), []
+    (near, far), (other, other_far) = socket.socketpair(), socket.socketpair()
+    fresh = []
+
+    def first():
+        yield Wait(near, READABLE, None)
+        number = other.fileno()
+        second.cancel()
+        loop.close(other)
+        fresh.extend(socket.socketpair())
+        assert fresh[0].fileno() == number
+        seen.append((yield Wait(fresh[0], READABLE, loop.now() + 20 * MS)))
+        fresh[1].send(b"x")
+        seen.append((yield Wait(fresh[0], READABLE, loop.now() + 5000 * MS)))
+        loop.stopped = True
+
+    def waits():
+        yield Wait(other, READABLE, None)
+        seen.append("the closed one's event")
+
+    loop.start(first())
+    second = loop.start(waits())
+    far.send(b"x")
+    other_far.send(b"x")  # both are in the kernel: one poll has both
+    loop.run()
+    assert seen == [0, READABLE]
+    for sock in (near, far, other_far, *fresh):
+        sock.close()
+
+
+# ---- answers ahead of the request's last byte -----------------------------------------------------
+
+
+class Early(Party):
+    """A server that reads the beginning of a request, does what the test says, and reads no more."""
+
+    def __init__(self, does):
+        self.does = does
+        super().__init__(ok)
+
+    def _accept(self):
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        super()._accept()
+
+    def _serve(self, sock, number):
+        with suppress(OSError):
+            if sock.recv(100, socket.MSG_PEEK):
+                self.seen.append(("", b"", number))
+                self.does(sock)
+
+
+class EarlyTest(Scene):
+    operator = '[log]\naccess = "all"\n'
+
+    def beside(self, does):
+        self.early = Early(does)
+        self.addCleanup(self.early.close)
+        self.start(ok)
+        self.catalog.change(entry("early", self.early.address))
+        self.assertTrue(eventually(lambda: len(self.catalog.seen) > 1))
+
+    def test_one_who_answers_or_ends_before_the_last_byte_is_out_never_ran_it_and_another_serves_it(self):
+        body = os.urandom(8 << 20)  # more than the kernel takes of it
+        for name, does in {
+            "declines": speaks(DECLINED),
+            "answers": speaks(STALE),
+            "half a line": speaks(b"HTTP/1.1 5"),
+            "ends": ends,
+            "resets": reset,
+        }.items():
+            with self.subTest(name):
+                self.beside(does)
+                for _ in range(30):
+                    began = time.monotonic()
+                    status, answer, _ = self.invoke(ONCE, 3000, body=body)
+                    self.assertEqual((status, answer == b"served " + body), (200, True), answer[:20])
+                    self.assertLess(time.monotonic() - began, 1.5)
+                    if self.early.seen:
+                        break
+                self.assertTrue(self.early.seen)
+
+    def test_one_whose_body_is_sent_on_while_it_comes_is_given_up_as_soon_as_it_is_answered(self):
+        early = Early(speaks(STALE))
+        self.addCleanup(early.close)
+        self.start(known=[entry("early", early.address)], limits={"sockets": 256, "memory_mb": 16})
+        self.assertTrue(eventually(lambda: self.health() == 200))
+        began = time.monotonic()
+        self.assertEqual(self.invoke(ONCE, 3000, body=b"x" * (5 << 20))[0], 503)
+        self.assertLess(time.monotonic() - began, 1.5)
+        self.assertEqual([c["outcome"] for c in self.logged("access")[-1]["calls"]][0], "connect_failed")
+
+    def test_an_answer_ahead_of_the_acknowledgement_of_its_request_is_not_served(self):
+        """All of it is written, but the server's machine has no room for it yet: it may run, later."""
+        early = Early(speaks(STALE))
+        self.addCleanup(early.close)
+        self.start(known=[entry("early", early.address)])
+        self.assertEqual(self.invoke(ONCE, body=b"x" * 10_000)[0], 502)
+        self.assertEqual([call["outcome"] for call in self.logged("access")[-1]["calls"]], ["reset"])
+
+
+# ---- answers that break off -----------------------------------------------------------------------
+
+LENGTH = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n"
+CHUNKED = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+NO_LENGTH = b"HTTP/1.1 200 X\r\n\r\n"
+OLD = b"HTTP/1.0 200 X\r\n\r\n"
+BROKEN = {  # what comes, and the status where its connection ends with a FIN then
+    "nothing": (b"", 502),
+    "half a line": (b"HTTP/1.1 20", 502),
+    "half a head": (NO_LENGTH[:-2], 502),
+    "a head with a length": (LENGTH % 9, 502),
+    "a length too short": (LENGTH % 9 + b"x" * 8, 502),
+    "a chunked head": (CHUNKED, 502),
+    "half a chunk": (CHUNKED + b"9\r\nxxx", 502),
+    "a chunk and no last": (CHUNKED + b"3\r\nxxx\r\n", 502),
+    "half a last chunk": (CHUNKED + b"3\r\nxxx\r\n0\r\n", 502),
+    "a head with no length": (NO_LENGTH, 200),
+    "no length": (NO_LENGTH + b"x" * 9, 200),
+    "no length, HTTP/1.0": (OLD + b"x" * 9, 200),
+    "1xx ahead": (AHEAD, 502),
+    "1xx ahead of a length too short": (AHEAD + LENGTH % 9 + b"x", 502),
+    "1xx ahead of no length": (AHEAD + NO_LENGTH + b"x" * 9, 200),
+}
+OUTCOMES = {200: "ok", 502: "reset", 504: "timed_out"}
+
+
+class BrokenTest(Scene):
+    operator = '[log]\naccess = "all"\n\n[limits]\nsilent_for = "300ms"\n'
+
+    def one(self, data, end, still=False):
+        """A server that says this much and ends so; with both in the kernel before the program has a turn, if it is
+        held still from the request on."""
+        begun, go = threading.Event(), threading.Event()
+
+        def answer(head, body):
+            begun.set()
+            go.wait(10)
+            sock = self.providers[0].sockets[-1]
+            if data:
+                sock.sendall(data)
+            end(sock)
+            said.set()
+            gate.wait(10)
+
+        said, gate = threading.Event(), threading.Event()
+        self.addCleanup(gate.set)
+        self.start(answer)
+        with ThreadPoolExecutor() as pool:
+            asked = pool.submit(self.raw_ask)
+            self.assertTrue(begun.wait(5))
+            if still:
+                with self.held_still():
+                    go.set()
+                    self.assertTrue(said.wait(5))
+            else:
+                go.set()
+            found = asked.result()
+        gate.set()
+        return found
+
+    def raw_ask(self):
+        """Status and body, None where the client can tell that it is not whole; the time it took; the outcome."""
+        began = time.monotonic()
+        client = self.client()
+        client.request("POST", "/api", b"{}", {"Req-Id": "r", "Req-Kind": ONCE, "Req-Deadline-Ms": "400"})
+        response = client.getresponse()
+        try:
+            body = response.read()
+        except (http.client.IncompleteRead, ConnectionResetError):
+            body = None
+        took = time.monotonic() - began
+        self.assertTrue(eventually(lambda: self.logged("access")))
+        (call,) = self.logged("access")[0]["calls"]
+        return response.status, body, took, call["outcome"]
+
+    def test_one_that_breaks_off_is_never_served_as_whole_and_may_have_run(self):
+        for (name, (data, at_fin)), end in itertools.product(BROKEN.items(), (ends, reset, stays_silent)):
+            with self.subTest(what=name, end=end.__name__):
+                status, body, took, outcome = self.one(data, end, still=end is not stays_silent)
+                expected = {ends: at_fin, reset: 502, stays_silent: 504}[end]
+                self.assertEqual((status, outcome), (expected, OUTCOMES[expected]))
+                if status == 200:
+                    self.assertEqual(body, data.partition(NO_LENGTH[8:])[2])
+                self.assertLess(took, 0.9)
+                self.assertEqual(len(self.providers[0].seen), 1)
+
+    def test_one_that_breaks_off_once_it_is_passed_on_has_failed_and_its_client_can_tell(self):
+        long = os.urandom(100_000)
+        framings = {
+            "length": LENGTH % 200_000 + long,
+            "chunked": CHUNKED + b"%x\r\n%s\r\n" % (len(long), long),
+            "no length": NO_LENGTH + long,
+        }
+        for (name, data), end in itertools.product(framings.items(), (ends, reset, stays_silent)):
+            with self.subTest(framing=name, end=end.__name__):
+                status, body, took, outcome = self.one(data, end)
+                whole = name == "no length" and end is ends
+                # The reset may come before anything was passed on.
+                self.assertIn((status, outcome), [(200, "ok")] + [(502, "reset")] * (end is reset))
+                self.assertTrue(body == (long if whole else None if status == 200 else b"failed\n"))
+                self.assertLess(took, 1.5)
+                self.assertEqual(len(self.providers[0].seen), 1)
+
+
+# ---- connections that come up late ----------------------------------------------------------------
+
+
+class LateTest(Scene):
+    def test_a_connection_that_is_up_only_when_its_time_is_over_is_closed_with_nothing_on_it(self):
+        """Both are there when the program has its next turn: the event that it is up, and the end of its time."""
+        full = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.addCleanup(full.close)
+        waiting = [socket.create_connection(full.getsockname())]  # the kernel drops what comes after it
+        self.addCleanup(waiting[0].close)
+        self.start(known=[entry("late", address_of(full))])
+        client = self.client()
+        client.request("POST", "/api", b"{}", {"Req-Id": "r", "Req-Kind": ONCE, "Req-Deadline-Ms": "3000"})
+        coming = f" 0100007F:{full.getsockname()[1]:04X} 02 "  # SYN-SENT
+        self.assertTrue(eventually(lambda: coming in Path("/proc/net/tcp").read_text()))
+        with self.held_still():
+            waiting.append(full.accept()[0])
+            full.settimeout(5)
+            late, _ = full.accept()  # as the kernel asks once more, after 1 s
+            self.addCleanup(late.close)
+        late.settimeout(5)
+        self.assertEqual(late.recv(1000), b"")
+        for sock in waiting:
+            sock.close()
+
+
+# ---- many requests over few connections -----------------------------------------------------------
+
+
+class OwnAnswerTest(Scene):
+    CLIENTS, EACH = 8, 400
+
+    def test_each_request_is_passed_on_as_its_own_and_gets_its_own_answer_while_the_settings_change(self):
+        def echo(head, body):
+            return reply(200, json.dumps([head, body.decode()]).encode())
+
+        self.start(echo, echo, echo)
+        over = threading.Event()
+        with ThreadPoolExecutor(self.CLIENTS + 1) as pool:
+            reloading = pool.submit(self.reload_until, over)
+            try:
+                for served in pool.map(self.ask_many, range(self.CLIENTS)):
+                    self.assertGreater(served, self.EACH * 0.9)
+            finally:
+                over.set()
+            self.assertGreater(reloading.result(), 3)
+        attempts = sum(len(party.seen) for party in self.providers)
+        connections = sum(len(party.sockets) for party in self.providers)
+        self.assertLess(connections, attempts / 20, "they are used again and again")
+
+    def reload_until(self, over):
+        """Every class with another effect, deadline and window, by turns; the effect fits how it is sent."""
+        both = [SETTINGS["profiles"]]
+        both.append([profile(READ, "once"), profile(ONCE, "repeatable"), profile(KEYED, "by_key")])
+        for p in both[1]:
+            p |= {"hardLimit": 900 * MS, "window": 200 * MS}
+        count = 0
+        while not over.wait(0.05):
+            self.reload(json.dumps(self.config | {"settings": SETTINGS | {"profiles": both[(count + 1) % 2]}}))
+            if not eventually(lambda n=count: len(self.logged("reload.done")) > n):
+                break
+            count += 1
+        return count
+
+    def ask_many(self, number):
+        client, served = self.client(), 0
+        for n in range(self.EACH):
+            own = f"c{number}n{n}"
+            kind = (READ, ONCE, KEYED)[(n + number) % 3]
+            fields = {"Req-Id": own, "Req-Kind": kind, "Req-Deadline-Ms": "2000"}
+            # Some have a field that others have not: one that stays with a connection would be seen.
+            fields |= {"Req-Key": own + "k"} if n % 2 else {}
+            fields |= {"Req-Extra": f"own={own}", "X-Tenant": own + "t"} if n % 5 == 0 else {}
+            fields |= {"Idempotency-Key": own + "i"} if kind == KEYED else {}
+            body = None if kind == READ else (own + "b" * (n % 700)).encode()
+            status, answer, _ = self.ask("GET" if kind == READ else "POST", f"/api?q={own}", fields, body, client)
+            self.assertIn(status, (200, 503))
+            if status == 200:
+                served += 1
+                head, seen = json.loads(answer)
+                self.assertEqual(seen, (body or b"").decode())
+                line, *lines = head.splitlines()
+                self.assertEqual(line.split()[1], f"/api?q={own}")
+                got = dict(field.split(": ", 1) for field in lines)
+                left = int(got.pop("Req-Deadline-Ms"))
+                self.assertTrue(0 < left <= 2000)
+                for name in ("Host", "Accept-Encoding", "Content-Length"):
+                    got.pop(name, None)
+                del fields["Req-Deadline-Ms"]
+                self.assertEqual(got, fields)
+        return served
+
+
+if __name__ == "__main__":
+    unittest.main()
