A long answer with a length beside its chunks is passed on in chunks, not by the length

Cause: Back._strictly took Content-Length as the length of what it passes on even where Transfer-Encoding frames the answer (RFC 9112, 6.3), so that a client read that many bytes as the whole answer and the rest as the next one's. Answers of up to 64 KiB are held and framed anew: ruled out there.

Change: the length counts only without Transfer-Encoding. Without it the test printed (chunks of 100,000 bytes beside a length of 70,000): the body cut at 70,000 bytes, status 200.

--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -333,7 +333,9 @@
             return Outcome.RESET, None, False
         pairs = list(head.headers.raw_items())
         fields = by_name(pairs)
-        known = int(fields[b"content-length"]) if b"content-length" in fields else None
+        # Transfer-Encoding goes before a length: passed on with that, what is over it would be the next answer.
+        told = b"content-length" in fields and b"transfer-encoding" not in fields
+        known = int(fields[b"content-length"]) if told else None
         if (known or 0) > options.limits.answer:
             return Outcome.ERROR, None, False
         body, held = Body(self.room), options.limits.held
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -402,6 +402,16 @@
                 self.assertLess(took, 1.5)
                 self.assertEqual(len(self.providers[0].seen), 1)
 
+    def test_a_length_beside_chunks_does_not_frame_what_is_passed_on(self):
+        """RFC 9112, 6.3: Transfer-Encoding goes before it. By the length, the rest would be the next answer."""
+        long = os.urandom(100_000)
+        head = CHUNKED[:-2] + b"Content-Length: 70000\r\n\r\n"
+        self.start(lambda head_, body: head + b"%x\r\n%s\r\n0\r\n\r\n" % (len(long), long))
+        client = self.client()
+        for _ in range(3):
+            status, body, _ = self.invoke(client=client)
+            self.assertEqual((status, len(body), body == long), (200, len(long), True))
+
 
 # ---- connections that come up late ----------------------------------------------------------------
 
