Let no older list bring a drained server back where answers cross

Seen on sockets, each forced: a stand-in that answers only once it has seen the earlier step.

- SIGHUP, and the first whole list of the new address was written before a change that the old watch has told meanwhile: the list told was older, the drained server was back (Discovery._watch told whatever came).
Printed: b'0' among the answers.
- SIGHUP, and the first call at the new address fails: the balancer's next asking took the version of the address left (watch() passed self.version).
Printed: 'after=' unexpectedly found in 'GET /catalog/members?after=41'.
- An address left and come back to: the old watch compared addresses, took itself for the new one and cancelled itself.
Printed: ValueError('generator already executing'), coroutine.broken, the change lost.
- Discovery restarted, its versions counted anew: changes past 41 of one that is at 3 never came.
Printed: no full list within 6 s.
- A fetch that a watch overtook (in virtual time; the program itself sends no fetch): told [42, 41].

Left as it is: a restarted discovery that has counted past our version looks like one that was not.

Ruled out, by tests that stay: two moves of which neither is answered; a change and the signal in the kernel together; a move while discovery is down; a connection to a server that leaves comes up after that was told (nothing is sent on it); a request half written then (finished, sent once). Between the look for a resting connection and the first byte on it there is no wait (Back.run), so no crossing.

--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -224,26 +224,30 @@
                 self._fail()
                 return
 
+    def _asked(self, place: int, version: int | None) -> Asked:
+        """Of a call now; `version` is where the watch of a place left has got to."""
+        return Asked(place, self.news, self.version if place == self.place else version)
+
     def _watch(self, place: int, address: str, version: int | None, quiet: bool, until: int) -> Coroutine[End]:
         """One call after another over one connection: the next starts at once, so that the watch goes on. It ends as
         a call fails. The first does not wait, so that it is soon known whether this one is silent, and has `until`."""
         answered, due, wait = False, until, 0
+        asked = self._asked(place, version)
         try:
             sock = yield from self._connect(address, until)
             try:
                 while True:
-                    asked, asked_at = Asked(place, self.news, version), self.loop.now()
-                    target = PATH if version is None else f"{PATH}?after={version}&wait_ms={wait // MS}"
+                    asked_at = self.loop.now()
+                    target = PATH if asked.version is None else f"{PATH}?after={asked.version}&wait_ms={wait // MS}"
                     update, addresses, again, heard_at = yield from self._call(sock, target, until)
                     # The first answer of a watch is told with or without news: the watch stands.
                     heard = self._hear(asked, update, addresses, not answered)
                     answered = answered or heard
-                    version = self.version if place == self.place else update.version if heard else None
                     # One that answers at once with no news would be called in a tight loop.
                     yield Wait(None, 0, asked_at + self.options.discovery.calls_apart)
                     # From the last answer on, not from the asking: what was new since then is what would be missed.
-                    clock = self._clock()
-                    until = heard_at + (clock.silent if answered and version is not None else clock.first)
+                    asked, clock = self._asked(place, update.version if heard else None), self._clock()
+                    until = heard_at + (clock.silent if answered and asked.version is not None else clock.first)
                     if not again:
                         self.loop.close(sock)
                         sock = yield from self._connect(address, until)
