A short answer begun and fallen silent is ended soon after its deadline, not 5 s later

Cause, seen on sockets: an answer of no length whose parts come slowly is begun after 200 ms (Back._strictly, HELD_FOR), and from then on Passing._next waited limits.silent_for, 5 s, for each further part. An answer of up to 64 KiB is timed at its last byte and counts as lost half a second after its time; a server that hangs in the middle of one left its client waiting.

Change: while no more than 64 KiB of an answer of unknown length has been given on, a silence past its request's deadline ends it 300 ms later, by a reset, so that its client can tell. What a server still gives is not cut off: it may be a long one, whose first bytes are timed. Left: one that drips on for ever is passed on up to limits.answer.

Without it the test printed, with silent_for at 1 s: 1.31 not less than 1.05 s, for no length and for chunks.

--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -291,7 +291,7 @@
             if len(data) > head.end:
                 body.append(data[head.end :])
             if head.length > limits.held:
-                return self._passed_on(connection, int(head.first), head, body, head.length, None)
+                return self._passed_on(call, connection, int(head.first), head, body, head.length, None)
             while body.size < head.length:
                 try:
                     data = sock.recv(READ_SIZE)
@@ -345,12 +345,13 @@
             # Of unknown length: what is long, or slow to come, is better begun than held.
             if (known or body.size) > held or (known is None and self.loop.time - since > HELD_FOR):
                 read = grammar.Head(b"", head.reason, pairs, fields, 0, 0)
-                return self._passed_on(connection, head.status_code, read, body, known, wire)
+                return self._passed_on(call, connection, head.status_code, read, body, known, wire)
         reusable = wire.whole() and not wire.rest()
         return self._outcome(head.status_code, head.reason, pairs, fields, body, reusable)
 
     def _passed_on(
         self,
+        call: Call,
         connection: Connection,
         status: int,
         head: grammar.Head,
@@ -372,7 +373,16 @@
                 pool.close(connection)
 
         flow = Passing(
-            self.loop, connection.sock, body, length, wire, self.room, limits.silent_for, limits.answer, give_back
+            self.loop,
+            connection.sock,
+            body,
+            length,
+            wire,
+            self.room,
+            limits.silent_for,
+            limits.answer,
+            call.invocation.deadline,
+            give_back,
         )
         return outcome, answer._replace(body=flow), None
 
--- a/loftweir/http1/flow.py
+++ b/loftweir/http1/flow.py
@@ -12,8 +12,10 @@
 import h11
 
 from loftweir.http1.strict import Strict
-from loftweir.net.loop import READABLE, Coroutine, Loop, Wait
-from loftweir.net.stream import Body, Room, TookTooLong, TooLarge
+from loftweir.net.loop import MS, READABLE, Coroutine, Loop, Wait
+from loftweir.net.stream import SMALL, Body, Room, TookTooLong, TooLarge
+
+SILENT_LATE = 300 * MS  # past its deadline; the platform counts an answer as lost 500 ms past it
 
 
 class Passing:
@@ -29,10 +31,11 @@
         room: Room,
         silent_for: int,
         limit: int,
+        deadline: int,
         give_back: Callable[[bool], None],
     ) -> None:
         """`held`: what has come of it. `length` bytes follow on the socket as they are, or `wire` reads them.
-        `give_back` is told whether the connection can be used again."""
+        `deadline`: its request's. `give_back` is told whether the connection can be used again."""
         self.loop = loop
         self.sock = sock
         self.held: Body | None = held
@@ -41,6 +44,7 @@
         self.room = room
         self.silent_for = silent_for
         self.limit = limit
+        self.deadline = deadline
         self.give_back: Callable[[bool], None] | None = give_back
         self.given = 0
 
@@ -58,7 +62,10 @@
         return piece
 
     def _next(self) -> Coroutine[bytes]:
-        until = self.loop.time + self.silent_for
+        now = self.loop.time
+        until = now + self.silent_for
+        if self.length is None and self.given <= SMALL:
+            until = min(until, max(now, self.deadline) + SILENT_LATE)
         if self.wire is not None:
             try:
                 return (yield from self.wire.part(until))
