Tests: a request keeps the class with which its head came, whatever is reloaded on its way

Fifteen crossings with the real program: the class becomes another effect, deadline or window between head and body, while an attempt is out, and while a second one is. All passed as the program stands: ruled out. With the class read from the settings when the body is whole, in a trial, the rows between head and body fail, so the test tells.

Read beside it: a keyed request of scope "all" whose window is over is not sent again but refused (503), and a client that then comes again with its key may run it twice; that is Balancer._end, not changed here.

--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -484,6 +484,96 @@
             sock.close()
 
 
+# ---- other settings while a request is under way ----------------------------------------------------
+
+PLACED = "grant-place"
+OF_CLASS = {
+    "once": profile(PLACED, "once"),
+    "repeatable": profile(PLACED, "repeatable"),
+    "by_key": profile(PLACED, "by_key"),
+    "window over": profile(PLACED, "by_key") | {"window": 150 * MS},
+    "short": profile(PLACED, "once") | {"target": 200 * MS, "hardLimit": 600 * MS},
+}
+# The class as it was at the request's head and as it is then, the moment of the change, how the attempt under way ends,
+# the client's answer and how many attempts there were.
+CHANGED = [
+    ("once", "repeatable", "out", reset, 502, 1),
+    ("repeatable", "once", "out", reset, 200, 2),
+    ("once", "by_key", "out", reset, 502, 1),
+    ("by_key", "once", "out", reset, 200, 2),
+    ("by_key", "window over", "out", reset, 200, 2),
+    ("window over", "by_key", "out", reset, 503, 1),  # not sent again here; a client may, with its key
+    ("once", "short", "out", speaks(reply(200, b"own")), 200, 1),
+    ("short", "once", "out", stays_silent, 504, 1),
+    ("repeatable", "once", "out again", reset, 200, 3),
+    ("by_key", "once", "out again", reset, 200, 3),
+    ("once", "repeatable", "head", reset, 502, 1),
+    ("repeatable", "once", "head", reset, 200, 2),
+    ("by_key", "window over", "head", reset, 200, 2),
+    ("once", "short", "head", speaks(reply(200, b"own")), 200, 1),
+    ("short", "once", "head", stays_silent, 504, 1),
+]
+
+
+class ChangedTest(Scene):
+    def test_a_request_keeps_the_class_with_which_its_head_came_until_its_end(self):
+        for was, becomes, moment, end, status, attempts in CHANGED:
+            with self.subTest(was=was, becomes=becomes, moment=moment, end=end.__name__):
+                self.play(self.settings_of(was), self.settings_of(becomes), moment, end, status, attempts)
+
+    @staticmethod
+    def settings_of(name):
+        return SETTINGS | {"profiles": [OF_CLASS[name]]}
+
+    def play(self, was, becomes, moment, end, status, attempts):
+        out, over = [threading.Event() for _ in range(4)], threading.Event()
+        goes, order = [threading.Event() for _ in range(4)], iter(range(4))
+        self.addCleanup(over.set)
+
+        def answer(head, body):
+            number = next(order)
+            out[number].set()
+            if number < held:
+                goes[number].wait(10)
+                end(self.party_of(head).sockets[-1])
+                over.wait(5)
+            return reply(200, b"own")
+
+        held = 2 if moment == "out again" else 1
+        self.start(answer, answer, answer, settings=was)
+        self.assertTrue(eventually(lambda: self.health() == 200))
+        client = self.client()
+        client.connect()
+        client.sock.sendall(b"POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: r\r\nReq-Kind: grant-place\r\n")
+        client.sock.sendall(b"Idempotency-Key: k\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+        self.assertIn(b" 100 ", client.sock.recv(100), "the head has been read")
+        if moment == "head":
+            self.change(becomes)
+        client.sock.sendall(b"{}")
+        began = time.monotonic()
+        for number in range(held):
+            self.assertTrue(out[number].wait(5))
+            if moment != "head" and number == held - 1:
+                self.change(becomes)
+            if end is not stays_silent:
+                time.sleep(max(0, began + (0.7 if end is not reset else 0.25) - time.monotonic()))
+            goes[number].set()
+        response = http.client.HTTPResponse(client.sock)
+        response.begin()
+        self.assertEqual((response.status, sum(len(p.seen) for p in self.providers)), (status, attempts))
+        if end is stays_silent:
+            self.assertLess(time.monotonic() - began, 0.9)
+        over.set()
+
+    def party_of(self, head):
+        """The server that was sent a request last: one is out at a time."""
+        return next(p for p in self.providers if p.seen and p.seen[-1][0] is head)
+
+    def change(self, settings):
+        self.reload(json.dumps(self.config | {"settings": settings}))
+        self.assertTrue(eventually(lambda: self.logged("reload.done")), self.log())
+
+
 # ---- many requests over few connections -----------------------------------------------------------
 
 
