What came behind a whole answer over limits.held is not passed on with it

Cause: Back._exchange passed on whatever had been read with an answer longer than limits.held, also where all of it had come, with what stood behind it. With held under 64 KiB (the size of one read; not the default) a second copy or noise went out behind the answer's length, Passing._next asked the socket for a negative number of bytes, and the client's connection was reset. Change: what is whole is handled as any whole answer is, and its connection is not used again. Without it the test printed ConnectionResetError for noise and for a second copy.

--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -290,7 +290,7 @@
             body = Body(self.room)
             if len(data) > head.end:
                 body.append(data[head.end :])
-            if head.length > limits.held:
+            if head.length > limits.held and body.size < head.length:
                 return self._passed_on(call, connection, int(head.first), head, body, head.length, None)
             while body.size < head.length:
                 try:
