Ask the kernel before every attempt whether the client has gone

Cause: an attempt went out inside `Host.take`, `Host.ended` and `Host.listed` before anything looked for the client's end. `Client._decided` waits for a hang-up only after `host.take` (front.py), and `Invocation.open` turns false only once the loop has worked off that event: with the end unread behind the request, or later in the same poll than a server's word, the request was sent on. `Back.run` looked at `open` after a connection had come up, with the same gap.

Change: `Invocation.wanted` is the one check. It asks the kernel (poll for POLLRDHUP, which a half-close, a close and a reset set, whatever lies unread before them) and closes the invocation. It stands where every attempt begins (`Host._attempt`) and where one goes on after its only wait before the first byte (`Back.run`). The balancer is told NOT_SENT and that the request is over. One line of back.py: `open` became `wanted()`.

Ruled out, tests stay: a request that waits for the list (its attempt needs a new connection, and the hang-up was seen meanwhile; now also refused at its beginning), a break inside an upload, a long answer whose client goes (no descriptor is kept), idle clients over all descriptors of 64 while discovery is down (learnt at its return, a new client served, none of them left), bodies, halves, pipelines and endless heads from forty connections that go (under 64 MiB more memory).

--- a/loftweir/core/host.py
+++ b/loftweir/core/host.py
@@ -156,7 +156,13 @@
     # ---- actions --------------------------------------------------------------------------------
 
     def _attempt(self, action: api.Attempt) -> None:
+        """Begins an attempt, unless the client has gone: then the balancer is told that there was none, and that the
+        request is over. Whatever decides on one, at a request, an end, a timer or a list, it begins only here."""
         invocation = self.invocations[action.request_id]
+        if not invocation.wanted():
+            number, none = len(invocation.calls), api.Outcome.NOT_SENT
+            self.tell(api.AttemptEnded(invocation.id, number, action.server, none, 0, True))
+            return
         call = Call(invocation, action.server, action.give_up_at, self.loop.time)
         invocation.calls.append(call)
         self.back.begin(call)
--- a/loftweir/core/invocation.py
+++ b/loftweir/core/invocation.py
@@ -51,7 +51,8 @@
     """Owes exactly one final answer while it is open.
 
     Invariants: `final` is set once, by `close`, and `open` is false from then on. `calls` holds every invoker call of
-    it, in their order, until the last has ended and the client's side is done with it.
+    it, in their order, until the last has ended and the client's side is done with it. No attempt of it begins, first
+    or further, unless `wanted` has just said so.
     """
 
     __slots__ = (
@@ -68,6 +69,7 @@
         "final",
         "calls",
         "closed",
+        "left",
         "traced",
         "told",
     )
@@ -96,6 +98,7 @@
         self.final: Final | None = None
         self.calls: list[Call] = []
         self.closed: Callable[[], None] | None = None  # the front's: the final answer is there
+        self.left: Callable[[], bool] = lambda: False  # the front's: whether the client has gone, as of now
         self.traced = traced  # whether an access line may be due
         self.told: list[dict[str, Any]] = []  # its calls as that line has them, once it is decided
 
@@ -111,6 +114,13 @@
             shed=shed,
         )
 
+    def wanted(self) -> bool:
+        """Whether an answer is owed to someone who is still there. The client's end may lie in the kernel while the
+        loop is behind, or behind an event of the same turn: it is looked at here, and not waited for."""
+        if self.open and self.left():
+            self.close(None)
+        return self.open
+
     def close(self, final: Final | None) -> None:
         """The final answer, or none where the client has gone."""
         self.open = False
--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -233,7 +233,7 @@
         reusable: bool | None = False
         try:
             body = call.invocation.payload.body
-            if not call.invocation.open or getattr(body, "begun", False):
+            if not call.invocation.wanted() or getattr(body, "begun", False):
                 # Or its body has been sent on already, and can't be again.
                 reusable = True  # the client went while the connection came up: spare the provider
                 outcome, answer = Outcome.NOT_SENT, None
--- a/loftweir/http1/front.py
+++ b/loftweir/http1/front.py
@@ -29,7 +29,19 @@
 from loftweir.http1.strict import Strict
 from loftweir.interface import Settings
 from loftweir.net.loop import EXCLUSIVE, HUNG_UP, MS, READABLE, SECOND, WOKEN, Coroutine, Loop, Task, Wait
-from loftweir.net.stream import READ_SIZE, Body, NoRoom, Room, TookTooLong, TooLarge, prepare, reserved, send, waited
+from loftweir.net.stream import (
+    READ_SIZE,
+    Body,
+    NoRoom,
+    Room,
+    TookTooLong,
+    TooLarge,
+    hung_up,
+    prepare,
+    reserved,
+    send,
+    waited,
+)
 from loftweir.telemetry.access import wanted
 from loftweir.telemetry.catalogue import ACCEPT_FAILED, ACCESS, INVOCATION_BROKEN, OVERDUE, ROOM_NONE
 from loftweir.telemetry.log import say, where
@@ -468,6 +480,9 @@
 
     # ---- deciding -------------------------------------------------------------------------------
 
+    def left(self) -> bool:
+        return hung_up(self.sock)
+
     def _decided(self, invocation: Invocation, began: int, upload: Upload | None = None) -> Coroutine[Answer]:
         """Takes an invocation, and waits for its answer or for the client to go. Only a hang-up is looked for:
         what a client sends ahead of its answer stays in the kernel."""
@@ -481,6 +496,7 @@
         try:
             if front.ends_at:
                 invocation.patience = min(invocation.patience, front.ends_at - front.loop.time)
+            invocation.left = self.left
             age = waited(self.sock) if upload is None else 0
             host.take(invocation, age, min(age, front.loop.time - self.free_at))
             if invocation.open:
--- a/loftweir/net/stream.py
+++ b/loftweir/net/stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import select
 import socket
 import struct
 from typing import Any
@@ -128,6 +129,14 @@
     return int(ms) * MS
 
 
+def hung_up(sock: socket.socket) -> bool:
+    """Whether the other side has ended the connection, or its half of it, or broken it off. Asked of the kernel, which
+    knows it before epoll has said so, whatever else lies there unread before the end."""
+    look = select.poll()
+    look.register(sock, select.POLLRDHUP)
+    return bool(look.poll(0))
+
+
 def connect(loop: Loop, address: str, connect_timeout: int, until: int) -> Coroutine[socket.socket]:
     """A new connection, up within `connect_timeout`; else a `NotUp`."""
     try:
--- /dev/null
+++ b/tests/test_gone.py
@@ -0,0 +1,306 @@
+"""A client that has gone: no attempt begins for it, first or further, whatever else comes in the same moment.
+
+Each crossing is forced: the program is held still until both sides of it are in the kernel, and then let go. What the
+servers were sent is read once the program has ended, and its connections with it: nothing more can come then.
+"""
+
+import socket
+import struct
+import threading
+import time
+import unittest
+from contextlib import suppress
+from pathlib import Path
+
+from scene import MS, ONCE, READ, SETTINGS, Scene, address_of, entry, eventually, ok, reply
+
+
+def reset(sock):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+LEAVES = {"closes": socket.socket.close, "resets": reset, "half-closes": lambda sock: sock.shutdown(socket.SHUT_WR)}
+PATIENT = {**SETTINGS, "allowed": {**SETTINGS["allowed"], "connectTimeout": 2500 * MS}}
+
+
+def asked(name, kind=READ, body=b"", *lines):
+    """A request's bytes."""
+    fields = ["GET /api HTTP/1.1" if kind == READ else "POST /api HTTP/1.1", "Host: h", f"Req-Id: {name}", *lines]
+    fields += [f"Req-Kind: {kind}", "Req-Deadline-Ms: 2900", f"Content-Length: {len(body)}", "", ""]
+    return "\r\n".join(fields).encode() + body
+
+
+def id_of(head):
+    return next(line[8:] for line in head.splitlines() if line.lower().startswith("req-id: "))
+
+
+def coming_up(server):
+    """The ports from which connections to a server are coming up, as the kernel has them: SYN sent, no answer yet."""
+    to = f"{server.getsockname()[1]:04X}"
+    rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    return {int(row[1].split(":")[1], 16) for row in rows if row[2].split(":")[1] == to and row[3] == "02"}
+
+
+class Gate:
+    """A server's answers: at once, but for the requests named, whose answer waits for `open`."""
+
+    def __init__(self, *names, answer=ok):
+        self.names, self.answer = names, answer
+        self.let, self.written = threading.Event(), threading.Event()
+
+    def __call__(self, head, body):
+        if id_of(head) not in self.names:
+            yield ok(head, body)
+            return
+        self.let.wait(10)
+        yield self.answer(head, body)
+        self.written.set()
+
+    def open(self):
+        """Its answer is in the kernel, on the program's side, when this returns."""
+        self.let.set()
+        assert self.written.wait(10)
+
+
+class GoneTest(Scene):
+    def connected(self, *data):
+        host, port = self.listen.split(":")
+        sock = socket.create_connection((host, int(port)), timeout=10)
+        self.addCleanup(sock.close)
+        for part in data:
+            sock.sendall(part)
+        return sock
+
+    def served(self, name):
+        """A connection at rest, its request `name` served: all that came before it has been worked off."""
+        sock = self.connected(asked(name))
+        self.assertIn(b" 200 ", sock.recv(4096))
+        return sock
+
+    def ids(self):
+        return [id_of(head) for party in self.providers for head, _, _ in party.seen]
+
+    def has(self, name):
+        """The numbers of the servers that a request has reached."""
+        return [n for n, p in enumerate(self.providers) if name in [id_of(head) for head, _, _ in p.seen]]
+
+    def sent_on(self):
+        """The ids that reached servers, each as often as it did."""
+        self.served("stays")
+        self.terminate()
+        self.program.wait(10)
+        for party in self.providers:
+            self.assertTrue(eventually(lambda p=party: len(p.ends) == len(p.sockets)))
+        return sorted(name for name in self.ids() if name != "warm")
+
+    def test_it_has_left_when_its_request_is_read(self):
+        """At a late accept, at rest, with the rest of a body to come, and with a body that was waited for with 100."""
+        self.start(ok)
+        whole = asked("in-its-body", ONCE, b"x" * 4000)
+        awaited = asked("awaited", ONCE, b"x" * 9, "Expect: 100-continue")
+        for how, leave in LEAVES.items():
+            at_rest, in_its_body = self.served("before"), self.connected(whole[:-99])
+            waits = self.connected(awaited[:-9])
+            self.assertIn(b" 100 ", waits.recv(4096))
+            with self.held_still():
+                for sock, rest in (
+                    (self.connected(), asked("to-accept")),
+                    (at_rest, asked("at-rest")),
+                    (in_its_body, whole[-99:]),
+                    (waits, awaited[-9:]),
+                ):
+                    sock.sendall(rest)
+                    leave(sock)
+            with self.subTest(how):
+                self.served("before")
+        self.assertEqual(self.sent_on(), ["before"] * 6 + ["stays"])
+
+    def test_it_leaves_as_the_answer_comes_that_its_request_waits_behind(self):
+        """Sent with the request before it, in the program's hands already, or later, in the kernel."""
+        for together in (True, False):
+            for how, leave in LEAVES.items():
+                with self.subTest(how, together=together):
+                    gate = Gate("first")
+                    self.start(gate)
+                    sock = self.connected(asked("first") + asked("second") * together)
+                    self.assertTrue(eventually(lambda: self.has("first")))
+                    sock.sendall(asked("second") * (not together))
+                    with self.held_still():
+                        gate.open()
+                        leave(sock)
+                    self.assertEqual(self.sent_on(), ["first", "stays"])
+
+    def test_it_leaves_as_an_attempt_ends_that_another_would_follow(self):
+        """The first server's word comes first, and a connection to the second one rests: what proves that nothing
+        ran, or what may be repeated, would be sent to that one in the same step."""
+        ends = {
+            "declined": lambda head, body: reply(503, b"", "Srv-Declined: 1"),
+            "failed": lambda head, body: reply(500),
+        }
+        for end, answer in ends.items():
+            for how, leave in LEAVES.items():
+                with self.subTest(end, how=how):
+                    gates = Gate("r", answer=answer), Gate("r", answer=answer)
+                    self.start(*gates)
+                    self.assertTrue(eventually(lambda: self.served("warm") and all(p.seen for p in self.providers)))
+                    sock = self.connected(asked("r"))
+                    self.assertTrue(eventually(lambda: self.has("r")))
+                    with self.held_still():
+                        gates[self.has("r")[0]].open()
+                        leave(sock)
+                    self.assertEqual(self.sent_on(), ["r", "stays"])
+
+    def test_it_leaves_as_the_server_is_told_that_its_request_waits_for(self):
+        for how, leave in LEAVES.items():
+            with self.subTest(how):
+                self.start(ok, known=[])
+                self.assertTrue(eventually(self.health))
+                self.assertTrue(eventually(lambda: any("after=" in head for head, _, _ in self.catalog.seen)))
+                sock = self.connected(asked("r"))
+                self.assertEqual(self.health(), 503)  # asked for later: the request has been read
+                with self.held_still():
+                    self.catalog.entries = self.entries
+                    self.catalog.change(*self.entries)
+                    leave(sock)
+                self.assertTrue(eventually(lambda: self.health() == 200))
+                self.assertEqual(self.sent_on(), ["stays"])
+
+    def test_it_leaves_as_a_connection_to_its_server_comes_up(self):
+        """The server's queue of connections is full. The one made for this request waits in the kernel, and comes up
+        once there is room."""
+        for how, leave in LEAVES.items():
+            with self.subTest(how), socket.create_server(("127.0.0.1", 0), backlog=0) as server:
+                fillers = [socket.socket() for _ in range(3)]
+                for filler in fillers:
+                    self.addCleanup(filler.close)
+                    filler.setblocking(False)
+                    filler.connect_ex(server.getsockname())
+                self.start(known=[entry("full", address_of(server))], settings=PATIENT)
+                self.assertTrue(eventually(lambda: self.health() == 200))
+                others = {filler.getsockname()[1] for filler in fillers}
+                sock = self.connected(asked("r"))
+                self.assertTrue(eventually(lambda server=server, others=others: coming_up(server) - others))
+                with self.held_still():
+                    server.settimeout(10)
+                    up = next(s for s, (_, port) in iter(server.accept, None) if port not in others)
+                    leave(sock)
+                self.addCleanup(up.close)
+                self.assertEqual(self.health(), 200)
+                self.terminate()
+                up.settimeout(10)
+                self.assertEqual(up.recv(4096), b"")
+
+    def test_a_burst_of_them_leaves_while_the_program_has_no_turn(self):
+        self.start(ok)
+        with self.held_still():
+            for number in range(200):
+                sock = self.connected(asked(f"r{number}"))
+                list(LEAVES.values())[number % 2](sock)
+        self.assertEqual(self.sent_on(), ["stays"])
+
+    def test_it_leaves_in_a_long_upload(self):
+        """A body greater than the room is sent on while it comes: not at all once its client has left, and its server
+        is not kept waiting for the rest of one that breaks off."""
+        self.start(ok, limits={"cores": 1.0, "memory_mb": 40, "sockets": 256})
+        self.assertTrue(eventually(lambda: self.health() == 200))
+        for how, leave in LEAVES.items():
+            with self.subTest(how):
+                before = len(self.providers[0].ends)
+                sock = self.connected(asked("breaks", ONCE, b"x" * (9 << 20))[: 2 << 20])
+                self.assertTrue(eventually(lambda b=before: len(self.providers[0].sockets) > b))
+                leave(sock)
+                self.assertTrue(eventually(lambda b=before: len(self.providers[0].ends) > b, 2))
+                with self.held_still():
+                    sock = self.connected(asked("late", ONCE, b"x" * (9 << 20))[: 1 << 16])
+                    leave(sock)
+                self.served("warm")
+        self.assertEqual(self.sent_on(), ["breaks"] * 3 + ["stays"])
+
+    def test_it_leaves_while_a_long_answer_is_passed_on(self):
+        """Nothing of it is kept: neither its connection nor its server's, whose answer still comes."""
+        go_on = threading.Event()
+
+        def long(head, body):
+            yield reply(200, b"x" * (9 << 20))[: 1 << 20]
+            go_on.wait(10)
+            yield b"x" * (8 << 20)
+
+        self.start(lambda head, body: long(head, body) if id_of(head) == "long" else ok(head, body))
+        files = Path(f"/proc/{self.program.pid}/fd")
+        for how, leave in list(LEAVES.items())[:2]:
+            with self.subTest(how):
+                self.served("warm").close()
+                before = len(list(files.iterdir()))
+                go_on.clear()
+                sock = self.connected(asked("long"))
+                self.assertIn(b" 200 ", sock.recv(1 << 16))
+                with self.held_still():
+                    leave(sock)
+                    go_on.set()
+                self.served("warm").close()
+                self.assertTrue(eventually(lambda b=before: len(list(files.iterdir())) <= b))
+        self.assertEqual(self.sent_on(), ["long"] * 2 + ["stays"])
+
+
+class Crowd(Scene):
+    """Many clients, or few that send much, beside one as usual."""
+
+    connected = GoneTest.connected
+
+    def test_idle_clients_hold_all_they_can_while_discovery_is_down_and_comes_back(self):
+        """None of them leaves. What discovery tells at its return is learnt, and who is new is served by the server
+        that it names."""
+        self.start(ok, ok, known=[], limits={"cores": 1.0, "memory_mb": 192, "sockets": 64})
+        self.catalog.entries = self.entries[:1]
+        self.catalog.change(*self.entries[:1])
+        self.assertTrue(eventually(lambda: self.health() == 200))
+        place = self.catalog.listener.getsockname()
+        self.catalog.close()
+        crowd = [self.connected(asked(f"idle{n}")) for n in range(40)] + [self.connected() for _ in range(200)]
+        self.assertEqual(self.invoke()[0], 200)
+        self.catalog.entries, self.catalog.whole = self.entries[1:], True
+        self.catalog.index += 1
+        self.catalog.listener = socket.create_server(place)
+        threading.Thread(target=self.catalog._accept, daemon=True).start()
+        self.assertTrue(eventually(lambda: self.invoke()[0] == 200 and self.providers[1].seen))
+        self.assertEqual(len(crowd), 240)
+
+    def timed(self):
+        began = time.monotonic()
+        self.assertEqual(self.invoke()[0], 200)
+        return time.monotonic() - began
+
+    def memory(self):
+        lines = Path(f"/proc/{self.program.pid}/status").read_text().splitlines()
+        return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS")) / 1024
+
+    def test_who_sends_much_and_goes_takes_bounded_room(self):
+        """Bodies without end and half of them, requests by the hundred before any answer is read, and heads that never
+        end: from forty connections, twice."""
+        self.start(ok)
+        self.invoke()
+        before = self.memory()
+        much = (
+            asked("body", ONCE, b"x" * (20 << 20)),
+            asked("half", ONCE, b"x" * (4 << 20))[:-1],
+            b"".join(asked(f"p{n}") for n in range(3000)),
+            b"GET /api HTTP/1.1\r\nX: " + b"x" * (8 << 20),
+        )
+        for leave in (socket.socket.close, reset):
+            socks = [self.connected() for _ in range(40)]
+            for number, sock in enumerate(socks):
+                sock.setblocking(False)
+                left = memoryview(much[number % 4])
+                with suppress(OSError):
+                    while left:
+                        left = left[sock.send(left) :]
+            self.assertLess(self.timed(), 1)
+            for sock in socks:
+                leave(sock)
+            self.assertLess(self.timed(), 1)
+        self.assertLess(self.memory() - before, 64)
+
+
+if __name__ == "__main__":
+    unittest.main()
