Give the others a turn between requests that a client sends ahead

Cause: `Client.serve` goes on with what it has read behind a request without a wait (front.py, `data, self.stage = rest`). Answered at once (health, refusals), read as fast and never on a request's boundary, such a client's coroutine never left its loop: all other work of the process stood.

Change: a turn of the loop before the next one that was read already. The connection counts as busy meanwhile: what was read may be a whole request, and closing it to make room would lose it.

Without it the test's other client had no answer: in one play "TimeoutError: timed out" after 10 s, in another "AssertionError: 503 != 200". With it half of 20 requests beside the flood take under 0.2 s. Clients that send one request at a time never come there.

--- a/loftweir/http1/front.py
+++ b/loftweir/http1/front.py
@@ -311,6 +311,9 @@
                 if not rest:
                     goes_on = not ended
                     return
+                # Whoever sends ahead may never leave the socket empty, and what is answered at once waits for nothing:
+                # the others have a turn between. Busy: what was read may be a whole request.
+                yield Wait(None, 0, loop.time)
                 data, self.stage = rest, Stage.IDLE
         except (TookTooLong, OSError):
             goes_on = False
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -266,6 +266,27 @@
         self.assertTrue(eventually(lambda: self.invoke()[0] == 200 and self.providers[1].seen))
         self.assertEqual(len(crowd), 240)
 
+    def test_one_who_sends_requests_without_end_leaves_the_others_their_turns(self):
+        """Answered at once, without a server, and read as fast as they come: never a moment with nothing to read."""
+        self.start(ok)
+        flood, over = self.connected(), threading.Event()
+
+        def send():
+            while not over.is_set():
+                flood.sendall(b"GET /_health HTTP/1.1\r\nHost: h\r\n\r\n" * 5000)
+
+        def read():
+            while flood.recv(1 << 20):
+                pass
+
+        threads = [threading.Thread(target=suppressed, args=(turn,), daemon=True) for turn in (send, read)]
+        for thread in threads:
+            thread.start()
+        times = [self.timed() for _ in range(20)]
+        over.set()
+        flood.close()
+        self.assertLess(sorted(times)[10], 0.2)
+
     def timed(self):
         began = time.monotonic()
         self.assertEqual(self.invoke()[0], 200)
@@ -302,5 +323,10 @@
         self.assertLess(self.memory() - before, 64)
 
 
+def suppressed(turn):
+    with suppress(OSError):
+        turn()
+
+
 if __name__ == "__main__":
     unittest.main()
