--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -238,7 +238,7 @@
         reusable: bool | None = False
         try:
             body = call.invocation.payload.body
-            if not call.invocation.open or getattr(body, "begun", False) or self.loop.now() >= call.send_by:
+            if not call.invocation.wanted() or getattr(body, "begun", False) or self.loop.now() >= call.send_by:
                 # The client went while the connection came up, the body has been sent on already and can't be again,
                 # or it came up too late: the provider is spared.
                 reusable = True
--- a/loftweir/http1/front.py
+++ b/loftweir/http1/front.py
@@ -37,6 +37,7 @@
     Room,
     TookTooLong,
     TooLarge,
+    hung_up,
     prepare,
     reserved,
     send,
@@ -345,6 +346,9 @@
                 if not rest:
                     goes_on = not ended
                     return
+                # Whoever sends ahead may never leave the socket empty, and what is answered at once waits for nothing:
+                # the others have a turn between. Busy: what was read may be a whole request.
+                yield Wait(None, 0, loop.time)
                 data, self.stage = rest, Stage.IDLE
         except (TookTooLong, OSError):
             goes_on = False
@@ -531,6 +535,9 @@
 
     # ---- deciding -------------------------------------------------------------------------------
 
+    def left(self) -> bool:
+        return hung_up(self.sock)
+
     def _decided(self, invocation: Invocation, began: int, upload: Upload | None = None) -> Coroutine[Answer]:
         """Takes an invocation, and waits for its answer or for the client to go. Only a hang-up is looked for:
         what a client sends ahead of its answer stays in the kernel."""
@@ -544,6 +551,7 @@
         try:
             if front.ends_at:
                 invocation.patience = min(invocation.patience, front.ends_at - front.loop.time)
+            invocation.left = self.left
             age = waited(self.sock) if upload is None else 0
             host.take(invocation, age, min(age, front.loop.time - self.free_at))
             if invocation.open:
--- a/loftweir/net/stream.py
+++ b/loftweir/net/stream.py
@@ -4,6 +4,7 @@
 
 import errno
 import fcntl
+import select
 import socket
 import struct
 import termios
@@ -133,11 +134,15 @@
 def untaken(sock: socket.socket) -> bool:
     """Whether the other side's machine has not taken all that was written: a reset would lose it. The end of the
     stream itself may be still on its way."""
-    try:
-        (size,) = struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, b"\0\0\0\0"))
-    except (OSError, ValueError):
-        return False
-    return int(size) > 1
+    return unacknowledged(sock) > 1
+
+
+def hung_up(sock: socket.socket) -> bool:
+    """Whether the other side has ended the connection, or its half of it, or broken it off. Asked of the kernel, which
+    knows it before epoll has said so, whatever else lies there unread before the end."""
+    look = select.poll()
+    look.register(sock, select.POLLRDHUP)
+    return bool(look.poll(0))
 
 
 def connect(loop: Loop, address: str, connect_timeout: int, until: int) -> Coroutine[socket.socket]:
@@ -174,7 +179,7 @@
     """Bytes written that the other side's machine has not said to have; 0 where that isn't known."""
     try:
         (left,) = struct.unpack("=i", fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))
-    except OSError:
+    except (OSError, ValueError):
         return 0
     return int(left)
 
