Leave a connection at rest alone where a body was sent on already

Cause: `Back.run` took a connection from its rest before it looked at whether the body can be sent at all, and put it back: `Pool.rest` counted its rest anew, while its server counts idle from its own last byte. After a second attempt of an upload a connection could rest up to 1.5 times `connIdle` less its margin, and a request be written past the server's close.

Change: the look comes first. A new connection that nothing was written on still rests: its server counts from the accept.

--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -217,6 +217,10 @@
 
     def run(self, call: Call) -> Coroutine[None]:
         pool, give_up_at = self.pool, call.give_up_at
+        body = call.invocation.payload.body
+        if getattr(body, "begun", False):  # sent on already, and can't be again
+            self.ended(call, Outcome.NOT_SENT, None)
+            return
         connection = pool.take(call.provider)
         try:
             if connection is None:
@@ -232,9 +236,8 @@
         call.up_at = self.loop.time
         reusable: bool | None = False
         try:
-            body = call.invocation.payload.body
             if not call.invocation.wanted() or getattr(body, "begun", False):
-                # Or its body has been sent on already, and can't be again.
+                # Or another attempt has begun its body meanwhile.
                 reusable = True  # the client went while the connection came up: spare the provider
                 outcome, answer = Outcome.NOT_SENT, None
             else:
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -13,6 +13,16 @@
 from pathlib import Path
 
 from scene import MS, ONCE, READ, SETTINGS, Scene, address_of, entry, eventually, ok, reply
+from support import settings
+
+from loftweir.config.model import Options
+from loftweir.core.invocation import Call, Invocation
+from loftweir.http1.back import Back, Connection
+from loftweir.http1.flow import Upload
+from loftweir.http1.message import Message
+from loftweir.interface import Outcome
+from loftweir.net.loop import Loop
+from loftweir.net.stream import Body, Room
 
 
 def reset(sock):
@@ -251,6 +261,28 @@
         self.assertEqual(self.sent_on(), ["long"] * 2 + ["stays"])
 
 
+class NothingToSendTest(unittest.TestCase):
+    def test_a_connection_at_rest_is_not_touched_for_a_body_that_was_sent_on_already(self):
+        """Taken and put back it would rest anew, past the time after which its server closes it as idle."""
+        loop, ends = Loop(), []
+        back = Back(loop, settings(), Options(), 9, 1 << 20)
+        back.ended = lambda call, outcome, payload: ends.append(outcome)
+        ours, theirs = socket.socketpair()
+        for sock in (ours, theirs):
+            self.addCleanup(sock.close)
+        ours.setblocking(False)
+        back.pool.moved("s", "127.0.0.1:1")
+        connection = Connection(back.pool, ours, "s", "127.0.0.1:1")
+        back.pool.rest(connection)
+        connection.rested_at = rested_at = loop.time - 1000 * MS
+        upload = Upload(loop, theirs, Body(Room(1 << 20)), 9 << 20, 1000 * MS)
+        upload.begun = True
+        request = Message(b"POST", b"/api", [], {}, upload)
+        back.begin(Call(Invocation("r", settings().classes["push"], 1000 * MS, request), "s", 0, loop.time))
+        self.assertEqual(ends, [Outcome.NOT_SENT])
+        self.assertEqual([c.rested_at for c in back.pool.resting], [rested_at])
+
+
 class Crowd(Scene):
     """Many clients, or few that send much, beside one as usual."""
 
