Tests: a client leaves as there is room for the body that its request waits with

Without the check before every attempt: Lists differ: ['stays', 'waits', 'waits', 'waits'] != ['stays'].

--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -227,6 +227,23 @@
                 self.served("warm")
         self.assertEqual(self.sent_on(), ["breaks"] * 3 + ["stays"])
 
+    def test_it_leaves_as_there_is_room_for_its_body(self):
+        """One long body and many short ones, none of them whole, take all the room; with the clients of all, the one
+        whose request waits behind them leaves too."""
+        self.start(ok, limits={"cores": 1.0, "memory_mb": 40, "sockets": 256})
+        self.assertTrue(eventually(lambda: self.health() == 200))
+        for how, leave in LEAVES.items():
+            with self.subTest(how):
+                crowd = [self.connected(asked("long", ONCE, b"x" * (7 << 20))[:4096])]
+                crowd += [self.connected(asked("short", ONCE, b"x" * (64 << 10))[:4096]) for _ in range(60)]
+                crowd.append(self.connected(asked("waits", ONCE, b"x" * 60_000)))
+                self.assertEqual(self.health(), 200)  # asked for later: all of them have been read
+                with self.held_still():
+                    for sock in crowd:
+                        leave(sock)
+                self.served("warm")
+        self.assertEqual(self.sent_on(), ["stays"])
+
     def most_come(self):
         """Bytes that have come to the server on one connection, as its kernel counts them."""
         sizes = [0]
