--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -13,6 +13,16 @@
 from pathlib import Path
 
 from scene import MS, ONCE, READ, SETTINGS, Scene, address_of, entry, eventually, ok, reply
+from support import settings
+
+from loftweir.config.model import Options
+from loftweir.core.invocation import Call, Invocation
+from loftweir.http1.back import Back, Connection
+from loftweir.http1.flow import Upload
+from loftweir.http1.message import Message
+from loftweir.interface import Outcome
+from loftweir.net.loop import Loop
+from loftweir.net.stream import Body, Room
 
 
 def reset(sock):
@@ -208,7 +218,7 @@
             with self.subTest(how):
                 before = len(self.providers[0].ends)
                 sock = self.connected(asked("breaks", ONCE, b"x" * (9 << 20))[: 2 << 20])
-                self.assertTrue(eventually(lambda b=before: len(self.providers[0].sockets) > b))
+                self.assertTrue(eventually(lambda: self.most_come() >= 1 << 20))
                 leave(sock)
                 self.assertTrue(eventually(lambda b=before: len(self.providers[0].ends) > b, 2))
                 with self.held_still():
@@ -217,6 +227,31 @@
                 self.served("warm")
         self.assertEqual(self.sent_on(), ["breaks"] * 3 + ["stays"])
 
+    def test_it_leaves_as_there_is_room_for_its_body(self):
+        """One long body and many short ones, none of them whole, take all the room; with the clients of all, the one
+        whose request waits behind them leaves too."""
+        self.start(ok, limits={"cores": 1.0, "memory_mb": 40, "sockets": 256})
+        self.assertTrue(eventually(lambda: self.health() == 200))
+        for how, leave in LEAVES.items():
+            with self.subTest(how):
+                crowd = [self.connected(asked("long", ONCE, b"x" * (7 << 20))[:4096])]
+                crowd += [self.connected(asked("short", ONCE, b"x" * (64 << 10))[:4096]) for _ in range(60)]
+                crowd.append(self.connected(asked("waits", ONCE, b"x" * 60_000)))
+                self.assertEqual(self.health(), 200)  # asked for later: all of them have been read
+                with self.held_still():
+                    for sock in crowd:
+                        leave(sock)
+                self.served("warm")
+        self.assertEqual(self.sent_on(), ["stays"])
+
+    def most_come(self):
+        """Bytes that have come to the server on one connection, as its kernel counts them."""
+        sizes = [0]
+        for sock in self.providers[0].sockets:
+            with suppress(OSError):
+                sizes += struct.unpack_from("Q", sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 136), 128)
+        return max(sizes)
+
     def test_it_leaves_while_a_long_answer_is_passed_on(self):
         """Nothing of it is kept: neither its connection nor its server's, whose answer still comes."""
         go_on = threading.Event()
@@ -243,6 +278,28 @@
         self.assertEqual(self.sent_on(), ["long"] * 2 + ["stays"])
 
 
+class NothingToSendTest(unittest.TestCase):
+    def test_a_connection_at_rest_is_not_touched_for_a_body_that_was_sent_on_already(self):
+        """Taken and put back it would rest anew, past the time after which its server closes it as idle."""
+        loop, ends = Loop(), []
+        back = Back(loop, settings(), Options(), 9, 1 << 20)
+        back.ended = lambda call, outcome, payload: ends.append(outcome)
+        ours, theirs = socket.socketpair()
+        for sock in (ours, theirs):
+            self.addCleanup(sock.close)
+        ours.setblocking(False)
+        back.pool.moved("s", "127.0.0.1:1")
+        connection = Connection(back.pool, ours, "s", "127.0.0.1:1")
+        back.pool.rest(connection)
+        connection.rested_at = rested_at = loop.time - 1000 * MS
+        upload = Upload(loop, theirs, Body(Room(1 << 20)), 9 << 20, 1000 * MS)
+        upload.begun = True
+        request = Message(b"POST", b"/api", [], {}, upload)
+        back.begin(Call(Invocation("r", settings().classes["push"], 1000 * MS, request), "s", 0, loop.time))
+        self.assertEqual(ends, [Outcome.NOT_SENT])
+        self.assertEqual([c.rested_at for c in back.pool.resting], [rested_at])
+
+
 class Crowd(Scene):
     """Many clients, or few that send much, beside one as usual."""
 
