--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -221,15 +221,10 @@
             call.running = task
 
     def run(self, call: Call) -> Coroutine[None]:
-<<<<<<< HEAD
-        pool = self.pool
-=======
-        pool, give_up_at = self.pool, call.give_up_at
-        body = call.invocation.payload.body
+        pool, body = self.pool, call.invocation.payload.body
         if getattr(body, "begun", False):  # sent on already, and can't be again
             self.ended(call, Outcome.NOT_SENT, None)
             return
->>>>>>> client
         connection = pool.take(call.provider)
         try:
             if connection is None:
@@ -245,17 +240,10 @@
         call.up_at = self.loop.time
         reusable: bool | None = False
         try:
-<<<<<<< HEAD
-            body = call.invocation.payload.body
             if not call.invocation.wanted() or getattr(body, "begun", False) or self.loop.now() >= call.send_by:
-                # The client went while the connection came up, the body has been sent on already and can't be again,
-                # or it came up too late: the provider is spared.
+                # The client went while the connection came up, or that came up too late, or another attempt has begun
+                # its body meanwhile: the provider is spared.
                 reusable = True
-=======
-            if not call.invocation.wanted() or getattr(body, "begun", False):
-                # Or another attempt has begun its body meanwhile.
-                reusable = True  # the client went while the connection came up: spare the provider
->>>>>>> client
                 outcome, answer = Outcome.NOT_SENT, None
             else:
                 outcome, answer, reusable = yield from self._exchange(call, connection)
