Tell the balancer nothing of a request whose client left before it was read

Cause: `Host.take` told it every request (host.py). It takes the time between requests for the measure of its traffic (`Balancer.gap`) and spaces the calls to a cold server by it: a burst of clients that left, read at once, made that time nothing for the next requests, dealt cards and set `sent_at` of servers that were sent nothing.

Change: `take` asks `wanted` before it tells. The sign of being behind is still read: the age is true.

Without it: Tuples differ: (True, True) != (False, False) (open, and the balancer has taken note of a request).

--- a/loftweir/core/host.py
+++ b/loftweir/core/host.py
@@ -115,7 +115,9 @@
         invocation.patience -= age
         invocation.deadline = now + invocation.patience
         self.invocations[invocation.id] = invocation
-        self.tell(invocation.event(self.overload.read(now, unread)))
+        shed = self.overload.read(now, unread)
+        if invocation.wanted():  # one whose client has left is no request: the balancer measures its traffic by them
+            self.tell(invocation.event(shed))
 
     def leave(self, invocation: Invocation) -> None:
         """The client's side is done with it, answered or not. An invoker call still out runs on: giving it up
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -16,6 +16,7 @@
 from support import settings
 
 from loftweir.config.model import Options
+from loftweir.core.host import Host
 from loftweir.core.invocation import Call, Invocation
 from loftweir.http1.back import Back, Connection
 from loftweir.http1.flow import Upload
@@ -279,6 +280,20 @@
 
 
 class NothingToSendTest(unittest.TestCase):
+    def test_one_who_has_left_is_no_request_to_the_balancer(self):
+        """It takes the time between requests for its measure of the traffic, and spaces a cold server's calls by it:
+        a burst of those who left would have it send them close together."""
+        loop = Loop()
+        back = Back(loop, settings(), Options(), 9, 1 << 20)
+        host = Host(loop, settings(), 1, back, lists=None)
+        for left in (True, False):
+            invocation = Invocation("r", settings().classes["push"], 1000 * MS, None)
+            invocation.left = lambda left=left: left
+            host.take(invocation)
+            self.assertEqual((invocation.open, bool(host.balancer.asked_at)), (not left, not left))
+            host.leave(invocation)
+            self.assertEqual(host.invocations, {})
+
     def test_a_connection_at_rest_is_not_touched_for_a_body_that_was_sent_on_already(self):
         """Taken and put back it would rest anew, past the time after which its server closes it as idle."""
         loop, ends = Loop(), []
