--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -28,12 +28,14 @@
     "a zone": Case("zone", **WIDE),
     "a zone, clients come again": Case("zone", again=True, **WIDE),
     "all, clients come again": Case("fleet", again=True, **WIDE | {"load": 0.8}),
+    "all, at nine tenths, clients come again": Case("fleet", again=True, **WIDE),
     "all, one zone, clients come again": Case("fleet", balancers=30, load=0.9, uneven=True, again=True),
     "all, three balancers, clients come again": Case("fleet", balancers=3, again=True),
     "all, 200 balancers, clients come again": Case("fleet", again=True, **THIN),
     "one, all balancers restarted": Case("one", balancers=20, uneven=True, restarted="all"),
     "six in ten, all balancers restarted": Case("release", balancers=30, uneven=True, restarted="all", again=True),
     "a zone, one balancer restarted": Case("zone", balancers=20, zones=3, restarted="one", again=True),
+    "all, at nine tenths, all restarted, clients come again": Case("fleet", restarted="all", again=True, **WIDE),
     "all, all restarted, clients come again": Case("fleet", balancers=20, uneven=True, restarted="all", again=True),
 }
 
