Take back the cold servers' new distance: it refused the first requests to a lone new server

With thin traffic the distance from a server's start is seconds, and there is no other server. A mend tried (no phase for one balancer) failed test_a_cold_server_of_no_size_breaks_nothing.

--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import log2
 from random import Random
 
 from loftweir.interface import (
@@ -54,11 +55,14 @@
 PRESSURE_STEP = 0.25  # the most that one outcome says
 FELT = (Outcome.OK, Outcome.FULL, Outcome.TIMED_OUT)
 WAIT_FADES = 3  # fall_afters in which half of it is forgotten
-GAP_FROM, COME_AGAIN = 160, 3  # requests that make the time between them known; how often, till then, a client asks
+GAP_MEMORY = 16  # requests over which the time between them is taken
+CLOSER = 4  # than an even spread has it, that one of many balancers' calls to a cold server may follow each other
 MIX_MEMORY = 64  # requests over which the parts of the classes are taken
 RETRY_PART, RETRY_BURST = 0.25, 5.0  # further attempts earned by each request, and how many may be saved up
 COME_BACK, LEAST_AWAY = 0.25, 0.2  # of the aim, at full pressure; and the least pressure counted for it
-DISCOVERY_TAG, REQUEST_TAG, LATE_TAG = "discovery", "request:", "late:"
+DISCOVERY_TAG = "discovery"
+REQUEST_TAG = "request:"
+LATE_TAG = "late:"
 
 
 @dataclass(slots=True, eq=False)
@@ -185,7 +189,6 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.random = Random(seed)
-        self.phase = self.random.random()  # when within the distance the first call goes to one that starts cold
         self.now = 0
         self.servers: dict[str, Server] = {}  # all that the list names as ready or draining
         self.calls: dict[str, Call] = {}
@@ -195,7 +198,7 @@
         self.far = Deck()  # the ready servers of the others
         self.retry_budget = RETRY_BURST
         self.mix: dict[str, float] = {}  # the part of each class of late
-        self.gap = self.asked = 0.0  # the mean time from one request to the next, and of how many
+        self.gap = 0.0  # between one request and the next, of late
         self.asked_at = 0  # when the latest came
         self.asking = False
         self.failures_to_ask = 0
@@ -229,6 +232,8 @@
         parts = {name: self.mix.get(name, 1 / len(classes)) for name in classes}
         self.mix = {name: part / sum(parts.values()) for name, part in parts.items()}
         self.fade_half = FADE_AIMS * sum(c.aim for c in classes.values()) // len(classes)
+        # Of few balancers, one's own burst is most of what a cold server is sent; of many it is lost in the sum.
+        self.closer = min(CLOSER, log2(1 + settings.balancers))
         for server in self.servers.values():
             server.records = {name: record for name, record in server.records.items() if name in classes}
         self._rebuild()
@@ -525,11 +530,9 @@
         if server.full_until > self.now:
             return False
         if self._frail(server):
-            # fall_multiple times closer together than an even spread has it, no more: what others are passed over for,
-            # or what comes again, would push it over. Balancers begin at moments of their own, or they do so at once.
-            rate = self.settings.safety.fall_multiple * self._size(server) * self._able(server)  # 0: nothing is for it
-            apart = self.gap * self._deck(server).size * (self.phase if server.sent_at < server.started_at else 1)
-            if (self.now - max(server.sent_at, server.started_at)) * rate < apart:
+            # Not much closer together than an even spread has it: what passes others over would push it over.
+            rate = self.closer * self._size(server) * self._able(server)  # a size may be 0: nothing is for it
+            if (self.now - server.sent_at) * rate < self.gap * self._deck(server).size:
                 return False
         held = self._held_by(server, cls)
         if not held:
@@ -574,12 +577,9 @@
 
     def _request(self, request: Request) -> None:
         cls = request.cls or self.settings.classes[request.class_name]
-        warmth = (self.near if self.near.servers else self.far).warmth
-        # Beside cold servers what is turned away comes again: the traffic that is spread is that of before.
-        if self.asked_at and (self.asked < GAP_FROM or warmth >= 1):
+        if self.asked_at:
             since = min(self.now - self.asked_at, self.settings.safety.fall_after)
-            self.asked = 1 + self.asked * 0.5 ** (since / max(1, self.settings.safety.warm_within // 2))
-            self.gap += (since * min(COME_AGAIN, 1 / warmth) - self.gap) / self.asked
+            self.gap += (since - self.gap) / GAP_MEMORY if self.gap else since
         self.asked_at = self.now
         for name, part in self.mix.items():
             self.mix[name] = part + ((name == cls.name) - part) / MIX_MEMORY
