--- a/Makefile
+++ b/Makefile
@@ -13,4 +13,4 @@
 	@PYTHONPATH=. $(VENV)/bin/python -m loftweir try
 
 test: $(VENV)/made
-	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" sh -ec 'ruff check . && mypy loftweir && pytest -q'
+	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" sh -ec 'ruff check . && ruff format --check . && mypy loftweir && pytest -q'
--- a/benchmarks/chart.py
+++ b/benchmarks/chart.py
@@ -1,6 +1,6 @@
 """The chart of docs/data-path.md, from the figures kept beside it.
 
-    python -m benchmarks.chart        (needs matplotlib)
+python -m benchmarks.chart        (needs matplotlib)
 """
 
 from __future__ import annotations
--- a/benchmarks/engine_trial.py
+++ b/benchmarks/engine_trial.py
@@ -145,8 +145,10 @@
         "kept": lambda key: state.kept.get(key),
         "compact": state.forceLogCompaction,
         "control": lambda path: FileJournal(path).flush(),  # the library's own flush: do the wrappers see it?
-        "cost": lambda: f"longest tick {slowest * 1e3:.1f} ms, {threading.active_count()} threads, "
-        + "".join(kind for value in vars(state).values() if (kind := type(value).__name__).endswith("Poller")),
+        "cost": lambda: (
+            f"longest tick {slowest * 1e3:.1f} ms, {threading.active_count()} threads, "
+            + "".join(kind for value in vars(state).values() if (kind := type(value).__name__).endswith("Poller"))
+        ),
     }
     while True:
         if turn():
@@ -332,8 +334,11 @@
         seen = members[0].ask("seen").get("msync", 0)
         members[0].ask("control", str(fleet.folder / "control"))
         control = members[0].ask("seen").get("msync", 0) - seen
-        yield f"{way}synced before OK", sum(map(bool, calls)) > 1, \
-            f"{told}; calls of {'+'.join(SYNCS)} {calls}; a flush that the trial called is counted {control}"
+        yield (
+            f"{way}synced before OK",
+            sum(map(bool, calls)) > 1,
+            f"{told}; calls of {'+'.join(SYNCS)} {calls}; a flush that the trial called is counted {control}",
+        )
         for each in members.values():
             each.ask("break", *SYNCS)
         ok = members[leader].put("b", 1)
@@ -354,8 +359,11 @@
         fleet.leader(*others)
         time.sleep(0.5)
         kept = fleet.kept("full", *others)
-        yield f"{way}no OK where two of three disks are full", ok != "OK" or any(kept), \
-            f"{ok}; both started again: {kept}"
+        yield (
+            f"{way}no OK where two of three disks are full",
+            ok != "OK" or any(kept),
+            f"{ok}; both started again: {kept}",
+        )
 
 
 def b_vote() -> Found:
@@ -368,8 +376,11 @@
         again = lone(to, **files)
         other, term = dial(PEERS[1], to), again.ask("status")["raft_term"]
         twice, later = votes(other, 5), votes(other, 6)
-        yield f"vote kept over SIGKILL with {[*files] or 'no file'}", gave and later and not twice, \
-            f"voted in term 5: {gave}; started with term {term}; in 5 for another: {twice}, in 6: {later}"
+        yield (
+            f"vote kept over SIGKILL with {[*files] or 'no file'}",
+            gave and later and not twice,
+            f"voted in term 5: {gave}; started with term {term}; in 5 for another: {twice}, in 6: {later}",
+        )
     again.ask("limit", 0)
     full = votes(other, 7)
     yield "no vote where it can't be stored", not full, f"disk full, voted in 7: {full}"
@@ -404,9 +415,12 @@
     time.sleep(1)
     started = fleet.kept("first"), fleet.kept("second")
     logs = [fleet.members[n].ask("status")["log_len"] for n in range(3)]
-    yield "an acknowledged write outlives one wiped disk", healed == started == ([1] * 3, [2] * 3), \
-        f"first write OK {ok}; then the wiped and the stale member elect and say OK {second} to a second; the two on " \
-        f"the three members, healed: {healed}, all started again: {started}, lengths of the logs {logs}"
+    yield (
+        "an acknowledged write outlives one wiped disk",
+        healed == started == ([1] * 3, [2] * 3),
+        f"first write OK {ok}; then the wiped and the stale member elect and say OK {second} to a second; the two on "
+        f"the three members, healed: {healed}, all started again: {started}, lengths of the logs {logs}",
+    )
 
 
 class Crafted:
@@ -425,12 +439,13 @@
         dial(Crafted(home / "made"), to)  # in the place of its name
         time.sleep(0.5)
         made, alive = (home / "made").exists(), running.ask("status") is not None
-        yield f"a stranger's pickle is not loaded, {[*conf] or 'as configured at first'}", not made and alive, \
-            f"the folder it makes is there: {made}; the member answers: {alive}"
+        yield (
+            f"a stranger's pickle is not loaded, {[*conf] or 'as configured at first'}",
+            not made and alive,
+            f"the folder it makes is there: {made}; the member answers: {alive}",
+        )
     entry = {"commit_index": 2, "entries": [(b"\0" + pickle.dumps(Crafted(home / "within"), 2), 2, 9)]}
-    dial(PEERS[0], to).sendall(
-        frame({"type": "append_entries", "term": 9, "prevLogIdx": 1, "prevLogTerm": 0, **entry})
-    )
+    dial(PEERS[0], to).sendall(frame({"type": "append_entries", "term": 9, "prevLogIdx": 1, "prevLogTerm": 0, **entry}))
     time.sleep(0.5)
     made = (home / "within").exists()
     yield "a command in the log is not loaded as a pickle", not made, f"the folder it makes is there: {made}"
@@ -440,8 +455,11 @@
     leader.ask("compact")
     time.sleep(0.5)
     sent, seen = [m for data in fleet.passed.values() for m in frames(bytes(data))], leader.ask("seen")
-    yield "conf's serializer replaces the wire's", not sent, \
-        f"it was called for {seen.get('own serializer', 0)} snapshot; all {len(sent)} messages were pickles"
+    yield (
+        "conf's serializer replaces the wire's",
+        not sent,
+        f"it was called for {seen.get('own serializer', 0)} snapshot; all {len(sent)} messages were pickles",
+    )
     count = seen.get("own transport", 0)
     yield "transportClass puts a transport of ours in its place", count > 0, f"{count} messages went through it"
 
@@ -477,9 +495,12 @@
             for n in (leader, (leader + 1) % 3)
         )
         way = (f"doTick each {tick * 1e3:.0f} ms" if tick else "its own thread") + (f" {conf}" if conf else "")
-        yield f"{way}: a write under 150 ms, idle under 3%", max(here, there) < 150 and idle < 0.03, \
-            f"at the leader {here:.0f} ms, at another {there:.0f} ms, idle {idle:.1%} of a core a member, " \
-            f"{fleet.members[leader].ask('cost')}"
+        yield (
+            f"{way}: a write under 150 ms, idle under 3%",
+            max(here, there) < 150 and idle < 0.03,
+            f"at the leader {here:.0f} ms, at another {there:.0f} ms, idle {idle:.1%} of a core a member, "
+            f"{fleet.members[leader].ask('cost')}",
+        )
 
 
 def f_rest() -> Found:
@@ -498,8 +519,11 @@
     peers = first.ask("status")["partner_nodes_count"]
     fleet.leader(*old)
     sides = first.sure("k", "one"), fleet.members[old[0]].sure("k", "other")
-    yield "a second change of members waits for the first", waiting == 1 and peers == "3", \
-        f"taken with {waiting} uncommitted, {peers} peers; then OK on both sides of a partition: {sides}"
+    yield (
+        "a second change of members waits for the first",
+        waiting == 1 and peers == "3",
+        f"taken with {waiting} uncommitted, {peers} peers; then OK on both sides of a partition: {sides}",
+    )
     fleet = Fleet(3, logCompactionBatchSize=16384)
     leader = fleet.leader()
     late = (leader + 1) % 3
@@ -514,8 +538,11 @@
     time.sleep(1)
     sent = [m for m in frames(bytes(fleet.passed[leader, late])) if isinstance(m, dict) and m.get("serialized")]
     whole, forks = len(fleet.kept("k0", late)[0] or "") == 10000, fleet.members[leader].ask("seen").get("fork", 0)
-    yield "a snapshot goes in pieces", whole and len(sent) > 5, \
-        f"{len(sent)} pieces of at most 16384 bytes, whole on arrival: {whole}; made in {forks} fork of the process"
+    yield (
+        "a snapshot goes in pieces",
+        whole and len(sent) > 5,
+        f"{len(sent)} pieces of at most 16384 bytes, whole on arrival: {whole}; made in {forks} fork of the process",
+    )
     fleet = Fleet(3)
     leader = fleet.leader()
     others = [n for n in range(3) if n != leader]
@@ -524,8 +551,11 @@
     fleet.leader(*others)
     fleet.members[others[0]].sure("k", "new")
     status, read = fleet.members[leader].ask("status"), fleet.kept("k", leader)[0]
-    yield "a replaced leader does not answer reads", read != "old" or status["has_quorum"] == "False", \
-        f"it reads {read!r}, leader in its own eyes: {status['state'] == '2'}, has_quorum {status['has_quorum']}"
+    yield (
+        "a replaced leader does not answer reads",
+        read != "old" or status["has_quorum"] == "False",
+        f"it reads {read!r}, leader in its own eyes: {status['state'] == '2'}, has_quorum {status['has_quorum']}",
+    )
     fleet = Fleet(3, raftMinTimeout=2.0, raftMaxTimeout=3.0)
     leader = fleet.leader()
     other = fleet.members[(leader + 1) % 3]
--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -20,14 +20,10 @@
 from benchmarks.rig import ROOT, Load, cores, offer, program, providers, quantile, request
 
 PER_PROCESS = 9_000
-BODY = (
-    b"POST /api HTTP/1.1\r\nHost: x\r\nReq-Id: slow-%d\r\nReq-Kind: apply-submit\r\nContent-Length: 1000\r\n\r\n"
-)
+BODY = b"POST /api HTTP/1.1\r\nHost: x\r\nReq-Id: slow-%d\r\nReq-Kind: apply-submit\r\nContent-Length: 1000\r\n\r\n"
 
 
-def hold(
-    address: str, number: int, first: int, on: list[int], said: bytes, drip: float, up: Any, end: Any
-) -> None:
+def hold(address: str, number: int, first: int, on: list[int], said: bytes, drip: float, up: Any, end: Any) -> None:
     """Opens connections and says no more than `said` on each."""
     os.sched_setaffinity(0, on)
     host, port = address.split(":")
@@ -89,8 +85,14 @@
                         multiprocessing.Process(
                             target=hold,
                             args=(
-                                running.address, part, n * PER_PROCESS, on[2:4], words.said.encode(), words.drip,
-                                up, end,
+                                running.address,
+                                part,
+                                n * PER_PROCESS,
+                                on[2:4],
+                                words.said.encode(),
+                                words.drip,
+                                up,
+                                end,
                             ),  # fmt: skip
                         )
                         for n, part in enumerate(parts)
--- a/benchmarks/rate.py
+++ b/benchmarks/rate.py
@@ -29,9 +29,7 @@
     targets = [str(entry["address"]) for entry in members.entries.values()]
     words = [sys.executable, "-m", "benchmarks.relay", address, *targets]
     with tempfile.TemporaryFile() as errors:
-        process = subprocess.Popen(
-            words, cwd=ROOT, stderr=errors, preexec_fn=lambda: os.sched_setaffinity(0, on)
-        )
+        process = subprocess.Popen(words, cwd=ROOT, stderr=errors, preexec_fn=lambda: os.sched_setaffinity(0, on))
         try:
             ready(process, address)
             yield Program(process, address, 0.0)
--- a/loftweir/catalog/file.py
+++ b/loftweir/catalog/file.py
@@ -1,18 +1,18 @@
 """Reads the file of this site's own services, TOML or JSON: all faults at once.
 
-    mesh = "shop"
+mesh = "shop"
 
-    [meshes]
-    bergen = "mill"
+[meshes]
+bergen = "mill"
 
-    [pins]
-    orders = "orders@shop"
+[pins]
+orders = "orders@shop"
 
-    [[services]]
-    name = "orders"
-    classes = ["status-read", "apply-submit"]
-    once = ["apply-submit"]
-    types = ["m"]
+[[services]]
+name = "orders"
+classes = ["status-read", "apply-submit"]
+once = ["apply-submit"]
+types = ["m"]
 """
 
 from __future__ import annotations
@@ -54,9 +54,7 @@
             and (not self.groups or one.cell in self.groups)
         )
 
-    def own(
-        self, known: Mapping[str, Endpoint], addresses: Mapping[str, str], classes: Iterable[RequestClass]
-    ) -> Own:
+    def own(self, known: Mapping[str, Endpoint], addresses: Mapping[str, str], classes: Iterable[RequestClass]) -> Own:
         # Partners' tables have the names of classes in small letters, so that a contract has.
         contract = {
             name.lower(): ONCE if name.lower() in self.once else one
--- a/loftweir/cli/config.py
+++ b/loftweir/cli/config.py
@@ -98,5 +98,3 @@
         for path in paths
         if old.get(path) != new.get(path)
     }
-
-
--- a/loftweir/cli/emulate.py
+++ b/loftweir/cli/emulate.py
@@ -60,5 +60,3 @@
             for breach in r.shown:
                 click.echo(f"{r.scenario}: {breach.rule}: {breach.what}", err=True)
     sys.exit(0 if all(r.sound() for r, _ in results) else 1)
-
-
--- a/loftweir/config/model.py
+++ b/loftweir/config/model.py
@@ -103,9 +103,9 @@
     held: Annotated[
         int, size("of an answer that are waited for as a whole; a longer one is passed on as it comes", 1, MIB)
     ] = 64 * KIB
-    silent_for: Annotated[
-        int, time("with nothing of a long answer, until its provider is given up", 10 * MS, HOUR)
-    ] = 5 * SECOND
+    silent_for: Annotated[int, time("with nothing of a long answer, until its provider is given up", 10 * MS, HOUR)] = (
+        5 * SECOND
+    )
     answer: Annotated[
         int, size("of one answer's body; over it the invoker call is an error that may have run", 1, GIB)
     ] = 32 * MIB
@@ -241,9 +241,9 @@
             live=False,
         ),
     ] = ""
-    beat: Annotated[
-        int, time("from one sign of life of the leader to the next", 5 * MS, 10 * SECOND, live=False)
-    ] = 100 * MS
+    beat: Annotated[int, time("from one sign of life of the leader to the next", 5 * MS, 10 * SECOND, live=False)] = (
+        100 * MS
+    )
     election: Annotated[
         int,
         time(
@@ -313,9 +313,9 @@
             live=False,
         ),
     ] = ""
-    wait: Annotated[
-        int, time("that a call may be held by a partner with no news", 100 * MS, MINUTE, live=False)
-    ] = 5 * SECOND
+    wait: Annotated[int, time("that a call may be held by a partner with no news", 100 * MS, MINUTE, live=False)] = (
+        5 * SECOND
+    )
     silent_after: Annotated[
         int, time("past its wait, until a call with no answer is given up and made anew", 50 * MS, MINUTE, live=False)
     ] = SECOND
@@ -328,9 +328,9 @@
             live=False,
         ),
     ] = 15 * SECOND
-    gone: Annotated[
-        int, time("of being stale, until nothing of a partner is used", 100 * MS, HOUR, live=False)
-    ] = 30 * SECOND
+    gone: Annotated[int, time("of being stale, until nothing of a partner is used", 100 * MS, HOUR, live=False)] = (
+        30 * SECOND
+    )
     lease: Annotated[
         int,
         time(
@@ -340,9 +340,9 @@
             live=False,
         ),
     ] = 5 * SECOND
-    table_size: Annotated[
-        int, size("of one partner's answer; over it it is refused", 4 * KIB, 8 * MIB, live=False)
-    ] = MIB
+    table_size: Annotated[int, size("of one partner's answer; over it it is refused", 4 * KIB, 8 * MIB, live=False)] = (
+        MIB
+    )
     routes: Annotated[int, count("of one partner's table; over it it is refused", 1, 2000, live=False)] = 500
     callers: Annotated[
         int,
@@ -439,9 +439,12 @@
     pushed = listclock.faults(discovery.agent_wait, discovery.agent_silent_after, answer, apart, pushed=True)
     for prefix, faults in (("", asked), ("agent_", pushed)):
         for name, most in faults:
-            yield f"discovery.{prefix}{name}", (
-                f"at most {written(Unit.DURATION, most)}: a change counts as told 6 s after discovery had it, and "
-                "past a call that fell silent there must be time to ask anew"
+            yield (
+                f"discovery.{prefix}{name}",
+                (
+                    f"at most {written(Unit.DURATION, most)}: a change counts as told 6 s after discovery had it, and "
+                    "past a call that fell silent there must be time to ask anew"
+                ),
             )
 
 
@@ -456,8 +459,9 @@
         yield "partners.file", "a file, since partners.site names a site"
     least = partners.wait + partners.silent_after + ANEW * LEAST + THROUGH_COPIES
     if partners.hold < least:
-        yield "partners.hold", (
-            f"at least {written(Unit.DURATION, least)}: partners.wait, silent_after, and time to ask anew"
+        yield (
+            "partners.hold",
+            (f"at least {written(Unit.DURATION, least)}: partners.wait, silent_after, and time to ask anew"),
         )
     if partners.hold < 2 * partners.lease:
         yield "partners.hold", "at least twice partners.lease: the next sidecar has to have asked by then"
--- a/loftweir/config/reference.py
+++ b/loftweir/config/reference.py
@@ -43,9 +43,7 @@
         for key in of(section):
             reload = "live" if key.spec.live else "restart"
             about = " ".join(key.spec.about.split())
-            lines.append(
-                f"| `{key.name}` | `{example(key)}` | {bounds(key)} | {reload} | {about} | `{key.variable}` |"
-            )
+            lines.append(f"| `{key.name}` | `{example(key)}` | {bounds(key)} | {reload} | {about} | `{key.variable}` |")
     return "\n".join(lines) + "\n"
 
 
--- a/loftweir/daemon.py
+++ b/loftweir/daemon.py
@@ -158,9 +158,7 @@
         self.configuration = new
         use_log(new.operator.options)
         settings = changed_settings(self.sidecar.host.settings, new.platform.settings)
-        self.sidecar.use(
-            new.operator.options, new.platform.discovery, new.platform.settings, new.sites, new.services
-        )
+        self.sidecar.use(new.operator.options, new.platform.discovery, new.platform.settings, new.sites, new.services)
         log.say(
             RELOAD_DONE,
             discovery=new.platform.discovery,
--- a/loftweir/emulator/run.py
+++ b/loftweir/emulator/run.py
@@ -240,9 +240,7 @@
             if node.fell and not fell:
                 self.world.oracle.fell(node.name, self.world.clock.now)
 
-    def _ended(
-        self, life: int, call: Call, number: int, server: str, outcome: api.Outcome, began: int
-    ) -> None:
+    def _ended(self, life: int, call: Call, number: int, server: str, outcome: api.Outcome, began: int) -> None:
         """The first that comes of an answer and the end of the wait counts; the other finds it gone."""
         if call.outs.pop(number, None) is None:
             return
@@ -527,9 +525,7 @@
     @staticmethod
     def _endpoint(node: Node) -> api.Endpoint:
         weight = node.cores * node.speed
-        return api.Endpoint(
-            node.name, node.zone, "node", node.cell, api.Lifecycle.READY, weight, node.started_at
-        )
+        return api.Endpoint(node.name, node.zone, "node", node.cell, api.Lifecycle.READY, weight, node.started_at)
 
     def chosen(self, trouble: Trouble, number: int) -> list[Node]:
         """The nodes that a trouble is for: a part of those in its zone, at least one, by a stream of its own."""
@@ -673,8 +669,7 @@
             attempts=self.attempts,
             executions=self.executions,
             by_class={
-                name: clients.worth_got[name] / worth if worth else 1.0
-                for name, worth in clients.worth_asked.items()
+                name: clients.worth_got[name] / worth if worth else 1.0 for name, worth in clients.worth_asked.items()
             },
             by_node={name: node.done for name, node in self.nodes.items()},
             seconds=[Span(int(s[0]), int(s[1]), int(s[2]), int(s[3]), s[4]) for s in clients.spans],
--- a/loftweir/emulator/scenario.py
+++ b/loftweir/emulator/scenario.py
@@ -226,5 +226,3 @@
         max_retry_after=w.max_retry_after,
         connect_timeout=w.connect_timeout,
     )
-
-
--- a/loftweir/explain.py
+++ b/loftweir/explain.py
@@ -121,9 +121,7 @@
             if late:
                 ends, outcome = action.give_up_at, api.Outcome.TIMED_OUT
             served = outcome is api.Outcome.OK
-            self.put(
-                ends, api.AttemptEnded(action.request_id, number, action.server, outcome, ends - now, served)
-            )
+            self.put(ends, api.AttemptEnded(action.request_id, number, action.server, outcome, ends - now, served))
             if served:
                 self.over[action.request_id] = "served"
         elif isinstance(action, api.Refuse | api.Fail):
--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -322,9 +322,7 @@
         except (OSError, h11.RemoteProtocolError):
             return Outcome.RESET, None, False
 
-    def _strictly(
-        self, call: Call, connection: Connection, data: bytes | None
-    ) -> Coroutine[Exchanged]:
+    def _strictly(self, call: Call, connection: Connection, data: bytes | None) -> Coroutine[Exchanged]:
         """An answer that is not of the common form, as h11 reads it."""
         options, until = self.pool.options, call.give_up_at
         wire = Strict(connection.sock, h11.CLIENT, data)
--- a/loftweir/http1/front.py
+++ b/loftweir/http1/front.py
@@ -618,8 +618,8 @@
         return self.life.traits.healthy and self.takes_clients()
 
     def takes_clients(self) -> bool:
-        return self.accepting is not None and not self.accepting.over and (
-            bool(self.host.balancer.servers) or self.also()
+        return (
+            self.accepting is not None and not self.accepting.over and (bool(self.host.balancer.servers) or self.also())
         )
 
     def use(self, options: Options) -> None:
--- a/loftweir/interface.py
+++ b/loftweir/interface.py
@@ -232,9 +232,7 @@
     text: str
 
 
-Action = (
-    Attempt | Refuse | Fail | Cancel | Timer | Watch | FetchList | Probe | CloseIdle | SendPeer | Log
-)
+Action = Attempt | Refuse | Fail | Cancel | Timer | Watch | FetchList | Probe | CloseIdle | SendPeer | Log
 
 
 # ---- settings -----------------------------------------------------------------------------------
--- a/loftweir/operations/overlay.py
+++ b/loftweir/operations/overlay.py
@@ -37,9 +37,7 @@
         # The fleet's words are kept for good: a start long after one is not the start that it spoke of.
         return replace(endpoint, started_at=max(endpoint.started_at, at), called_back=endpoint.started_at <= at + HOUR)
 
-    def update(
-        self, update: MembershipUpdate, addresses: Mapping[str, str]
-    ) -> tuple[MembershipUpdate, dict[str, str]]:
+    def update(self, update: MembershipUpdate, addresses: Mapping[str, str]) -> tuple[MembershipUpdate, dict[str, str]]:
         """Discovery's word, as the balancer is to have it."""
         if update.kind in (UpdateKind.FULL, UpdateKind.REMEMBERED):
             self.listed, self.addresses = {}, {}
--- a/loftweir/partners/file.py
+++ b/loftweir/partners/file.py
@@ -1,16 +1,16 @@
 """Reads the file of this site's neighbours and of the routes that it offers them, TOML or JSON: all faults at once.
 
-    [[neighbours]]
-    name = "bergen"
-    addresses = ["10.1.0.5:7400", "10.1.0.6:7400"]
-    asks_from = ["10.1.0.0/24"]
-
-    [[routes]]
-    service = "orders@shop"
-    classes = ["status-read"]
-    share = "100%"
-    providers = [{name = "gate-1", address = "10.0.0.9:8080", zone = "a", type = "m"}]
-    terms = {use = {only = ["bergen"]}, show = {only = ["bergen"]}, passes = 0, until = "forever"}
+[[neighbours]]
+name = "bergen"
+addresses = ["10.1.0.5:7400", "10.1.0.6:7400"]
+asks_from = ["10.1.0.0/24"]
+
+[[routes]]
+service = "orders@shop"
+classes = ["status-read"]
+share = "100%"
+providers = [{name = "gate-1", address = "10.0.0.9:8080", zone = "a", type = "m"}]
+terms = {use = {only = ["bergen"]}, show = {only = ["bergen"]}, passes = 0, until = "forever"}
 """
 
 from __future__ import annotations
--- a/loftweir/replication/part.py
+++ b/loftweir/replication/part.py
@@ -232,9 +232,7 @@
         words = {name: (word.at, word.on) for name, word in self.words.items()}
         now = self.loop.now() - (self.age() or 0)
         try:
-            remembered.save(
-                self.folder, Remembered(self.options.cluster, self.index, now, sorted(self.members), words)
-            )
+            remembered.save(self.folder, Remembered(self.options.cluster, self.index, now, sorted(self.members), words))
         except OSError as error:
             say(REPLICATION_FORGOT, folder=str(self.folder), why=error)
 
--- a/loftweir/telemetry/formats.py
+++ b/loftweir/telemetry/formats.py
@@ -45,9 +45,7 @@
     from pythonjsonlogger.json import JsonFormatter
 
     class Json(JsonFormatter):
-        def add_fields(
-            self, log_data: dict[str, Any], record: logging.LogRecord, message_dict: dict[str, Any]
-        ) -> None:
+        def add_fields(self, log_data: dict[str, Any], record: logging.LogRecord, message_dict: dict[str, Any]) -> None:
             log_data["time"] = stamp(record.created)
             log_data["level"] = record.levelname.lower()
             log_data.update(message_dict)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -40,7 +40,14 @@
     *lines, remedy = call(*words, code=2).stderr.splitlines()
     assert remedy == Faulty.remedy
     assert {line.split(": ")[1] for line in lines} == {
-        "limits.body", "limits.idle", "listen", "discovery", "limits.sockets", "limits.memory_mb", "seed", "settings",
+        "limits.body",
+        "limits.idle",
+        "listen",
+        "discovery",
+        "limits.sockets",
+        "limits.memory_mb",
+        "seed",
+        "settings",
         "known",
     }
     faults = json.loads(call(*words, "--json", code=2).stdout)
@@ -55,8 +62,11 @@
     environment = {"RELAY_LISTEN": "127.0.0.1:7", "LOFTWEIR_LOG_LEVEL": "debug"}
     rows = {row["key"]: row for row in json.loads(call(*words, environment=environment).stdout)}
     expected = {
-        "listen": ("127.0.0.1:7", "environment"), "discovery": ("127.0.0.1:8500", "file"),
-        "limits.idle_for": ("9s", "file"), "log.level": ("debug", "environment"), "log.keep": ("64KiB", "default"),
+        "listen": ("127.0.0.1:7", "environment"),
+        "discovery": ("127.0.0.1:8500", "file"),
+        "limits.idle_for": ("9s", "file"),
+        "log.level": ("debug", "environment"),
+        "log.keep": ("64KiB", "default"),
     }
     assert {key: (rows[key]["value"], rows[key]["source"]) for key in expected} == expected
     assert rows["settings.zone"]["of"] == "platform" and rows["limits.idle_for"]["of"] == "operator"
@@ -222,5 +232,3 @@
         program.kill()
         program.wait()
         program.stdout.close(), program.stderr.close()
-
-
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -55,8 +55,15 @@
     """
     found = faults_of(lambda: load(tmp_path, text))
     assert found.keys() == {
-        "stray", "providers", "limits.request_wihtin", "limits.idle_for", "limits.body", "limits.backlog",
-        "limits.answers_of_memory", "log.access", "limit",
+        "stray",
+        "providers",
+        "limits.request_wihtin",
+        "limits.idle_for",
+        "limits.body",
+        "limits.backlog",
+        "limits.answers_of_memory",
+        "log.access",
+        "limit",
     }
     assert "did you mean limits.request_within?" in found["limits.request_wihtin"].expected
     assert "did you mean limits?" in found["limit"].expected
@@ -64,7 +71,7 @@
     assert "1 to 65535" in found["limits.backlog"].expected
     assert "off, troubled, sampled, all" in found["log.access"].expected
     assert str(found["limits.body"]).endswith(
-        "loftweir.toml: limits.body: got '64 parsecs', expected a size such as \"64KiB\" or \"4MiB\", from 1B to 64MiB"
+        'loftweir.toml: limits.body: got \'64 parsecs\', expected a size such as "64KiB" or "4MiB", from 1B to 64MiB'
     )
 
 
@@ -186,8 +193,15 @@
     found = platform_faults(tmp_path, bad, {"RELAY_DISCOVERY": "no port"})
     of_entry = {f"known.endpoints.1.{name}" for name in entry("", "")}
     assert found.keys() == of_entry | {
-        "listen", "RELAY_DISCOVERY", "seed", "limits.sockets", "limits.memory_mb", "settings.zone",
-        "settings.safety.coldFrom", "settings.profiles.2.window", "known.endpoints.0.status",
+        "listen",
+        "RELAY_DISCOVERY",
+        "seed",
+        "limits.sockets",
+        "limits.memory_mb",
+        "settings.zone",
+        "settings.safety.coldFrom",
+        "settings.profiles.2.window",
+        "known.endpoints.0.status",
         "known.endpoints.0.group",
     }
     assert found["RELAY_DISCOVERY"].file == "environment"
@@ -221,5 +235,6 @@
 def test_a_reload_is_told_by_key_and_whether_it_holds_at_once(tmp_path):
     new = load(tmp_path, '[limits]\nbacklog = 64\nidle_for = "9s"\n').options
     assert changes(Options(), new) == {
-        "limits.backlog": (512, 64, False), "limits.idle_for": ("5s", "9s", True),
+        "limits.backlog": (512, 64, False),
+        "limits.idle_for": ("5s", "9s", True),
     }
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -363,8 +363,8 @@
             return reply(503, b"", "Srv-Declined: 1")
 
         self.begin(turned_away, turned_away)
-        self.providers[1].answer = lambda head, body: ok(head, body) if self.logged("stop.begun") else turned_away(
-            head, body
+        self.providers[1].answer = lambda head, body: (
+            ok(head, body) if self.logged("stop.begun") else turned_away(head, body)
         )
         sock = self.connect()
         sock.sendall(REQUEST % b"again")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -131,7 +131,6 @@
     assert 140 < refused["cheap"] < 260
 
 
-
 def test_a_cold_server_of_another_zone_is_fed_only_once_operators_have_called_it_back():
     """Its even share, at even intervals, of what may be repeated; never what runs once."""
     for called_back in (False, True):
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -8,7 +8,7 @@
 import pytest
 
 HERE = Path(__file__).parent
-SUITE = '''
+SUITE = """
 import unittest
 import pytest
 
@@ -69,7 +69,7 @@
     @unittest.expectedFailure
     def test_expected(self):
         self.fail()
-'''
+"""
 
 
 def play(folder, known, *words, suite=SUITE):
--- a/tests/test_list_crossings.py
+++ b/tests/test_list_crossings.py
@@ -120,9 +120,7 @@
     def test_a_change_on_the_old_watch_counts_after_the_address_was_left_and_come_back_to(self):
         """The new call there is held until the old watch has told the change."""
         catalog = self.catalog.answer
-        self.catalog.answer = lambda head, body: (
-            catalog(head, body) if "after" in head else held(self.gate)(head, body)
-        )
+        self.catalog.answer = lambda head, body: catalog(head, body) if "after" in head else held(self.gate)(head, body)
         self.moves_to(self.silent())
         calls = len(self.catalog.seen)
         self.moves_to(self.catalog)
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -130,7 +130,7 @@
         '{"time":"2026-12-01T08:00:00.000Z","level":"info","event":"access","id":"r1","calls":[{"provider":"s1"}]}\n',
         '{"time":"2026-12-01T08:00:01.000Z","level":"warning","event":"accept.failed","why":"x","left_out":4}\n',
         '{"time":"2026-12-01T08:00:12.000Z","level":"info","event":"log.repeats","of":"accept.failed","left_out":3}\n',
-        "time=2026-12-01T08:00:13.000Z level=warning event=discovery.watch_failed why=\"not up\"\n",
+        'time=2026-12-01T08:00:13.000Z level=warning event=discovery.watch_failed why="not up"\n',
         "Traceback (most recent call last):\n",
         '{"time":"2026-12-01T08:00:0',
     ]
@@ -398,5 +398,3 @@
     words = "import loftweir.daemon, sys; print([m for m in ('click', 'tomllib', 'difflib') if m in sys.modules])"
     done = subprocess.run(["python", "-c", words], capture_output=True, text=True, cwd=ROOT, check=True)
     assert done.stdout == "[]\n"
-
-
--- a/tests/test_partner_sites.py
+++ b/tests/test_partner_sites.py
@@ -183,7 +183,6 @@
         site.wait(lambda: not site.kept("partner:bergen"))
         self.assertEqual(ask(address, "trondheim")[0], 403)
 
-
     def test_a_holder_killed_in_a_table_or_stopped_past_its_lease_is_followed_by_one_other(self):
         mine = (row("orders@shop"), row("b@shop"))
         bergen = self.toy("bergen", *mine)
@@ -307,7 +306,6 @@
         answer = ask(address, "bergen", held)[1]
         self.assertEqual((mark(answer), answer["snapshot"]), (held, False))
 
-
     def test_the_example_of_two_sites_shows_the_terms_at_work_and_ends(self):
         program = [sys.executable, str(ROOT / "examples" / "two-sites" / "run.py")]
         done = subprocess.run(program, capture_output=True, text=True, timeout=120)
--- a/tests/test_replication_wire.py
+++ b/tests/test_replication_wire.py
@@ -189,7 +189,8 @@
     assert listed.endpoints[0].lifecycle is Lifecycle.DRAINING
     update, _ = overlay.lay({}, True)
     assert {(e.address, e.lifecycle, e.called_back) for e in update.endpoints} == {
-        ("s-1", Lifecycle.READY, True), ("s-9", Lifecycle.READY, False),
+        ("s-1", Lifecycle.READY, True),
+        ("s-9", Lifecycle.READY, False),
     }
 
 
