Emulator: overdriven servers, shared cores and costly connections; a burst collapses there

Cause: the emulator lacked what makes a fleet collapse after a burst: its servers had a core for each request and the same pace whatever they held, and connections cost them nothing.

Change: three settings of a scenario, off by default. `[overdrive]`: a server that holds more than `at` requests per core for `over` is `slower` times slower until it has been used less than `below` over `rest`, or for `most`. `slots` of `[[nodes]]`: requests in work share the cores evenly. `[connections]`: a handshake is work at the server, connections are capped and a full table takes pace. Also `overdue` work that stops, `weight` as the list says it, uneven rates (`rate_cv`), and `loftweir emulate --by-second`.

--- a/loftweir/cli/emulate.py
+++ b/loftweir/cli/emulate.py
@@ -11,7 +11,7 @@
 from loftweir.cli.common import as_json, end_with, print_json, print_table
 from loftweir.config.faults import Fault, Faulty
 from loftweir.emulator.baselines import BALANCERS
-from loftweir.emulator.run import play
+from loftweir.emulator.run import Result, play
 from loftweir.emulator.scenario import Scenario, decode
 
 
@@ -26,18 +26,35 @@
         end_with(error.faults if isinstance(error, Faulty) else [Fault(file, "", str(error), "TOML in UTF-8")])
 
 
+def print_seconds(result: Result) -> None:
+    """What came of the requests of each second, and how many servers were overdriven at its end."""
+    head = ("second", "asked", "in time", "late", "turned away", "timed out", "goodput", "overdriven")
+    rows = [
+        (
+            second, span.asked, span.in_time, span.served - span.in_time, span.asked - span.served - span.timed_out,
+            span.timed_out, f"{span.goodput():.3f}", f"{span.overdriven:.0%}",
+        )
+        for second, span in enumerate(result.seconds)
+        if span.asked
+    ]  # fmt: skip
+    click.echo(f"\n{result.scenario}, seed {result.seed}")
+    print_table(head, rows)
+
+
 @click.command()
 @click.argument("scenarios", nargs=-1, required=True, metavar="SCENARIO...")
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--balancer", type=click.Choice(list(BALANCERS)), default="loftweir", show_default=True)
+@click.option("--by-second", is_flag=True, help="Also print what came of each second's requests.")
 @as_json
-def emulate(scenarios: tuple[str, ...], seed: int, balancer: str, as_json: bool) -> None:
+def emulate(scenarios: tuple[str, ...], seed: int, balancer: str, by_second: bool, as_json: bool) -> None:
     """Play scenarios in virtual time and print the verdict. Exit code 1 where a rule was broken.
 
     \b
     Examples:
       loftweir emulate scenarios/zone-loss.toml --seed 3
       loftweir emulate scenarios/*.toml --balancer random
+      loftweir emulate scenarios/burst-overdriven.toml --by-second
     """
     decoded = [read_scenario(file) for file in scenarios]
     results = []
@@ -57,6 +74,8 @@
         head = ("scenario", "goodput", "asked", "in time", "refused", "failed", "unanswered", "attempts", "rules", "in")
         print_table(head, rows)
         for r, _ in results:
+            if by_second:
+                print_seconds(r)
             for breach in r.shown:
                 click.echo(f"{r.scenario}: {breach.rule}: {breach.what}", err=True)
     sys.exit(0 if all(r.sound() for r, _ in results) else 1)
--- a/loftweir/emulator/run.py
+++ b/loftweir/emulator/run.py
@@ -13,7 +13,8 @@
 from loftweir import interface as api
 from loftweir.balance import Balancer
 from loftweir.emulator.clock import Clock
-from loftweir.emulator.node import Job, Node
+from loftweir.emulator.connections import ConnectionTable
+from loftweir.emulator.node import Costs, Job, Node
 from loftweir.emulator.oracle import Breach, Oracle
 from loftweir.emulator.scenario import Class, Instances, Scenario, Trouble, settings_of
 from loftweir.emulator.streams import Stream, Streams
@@ -49,6 +50,14 @@
     refused: int
     failed: int
     worth: float
+    in_time: int
+    timed_out: int  # of those not served: lost at their deadline, whatever they were answered then
+    worth_asked: float
+    overdriven: float  # the part of the nodes that is overdriven at its end
+
+    def goodput(self) -> float:
+        """The worth answered over the worth asked for, 1 where nothing was asked for."""
+        return self.worth / self.worth_asked if self.worth_asked else 1.0
 
 
 class Result(NamedTuple):
@@ -107,6 +116,15 @@
         self.watching = False
         self.life = 0
         self.warm: set[str] = set()  # nodes to which a connection has been
+        costly = world.scenario.connections
+        self.connections = (
+            ConnectionTable(world, zone, costly.round_trips, self.settings.connect_timeout)
+            if costly.costly == "yes"
+            else None
+        )
+        self.rate = spec.rate  # requests a second
+        if spec.rate_cv:
+            self.rate = world.streams[f"rate {number}"].lognormal(spec.rate, spec.rate_cv)
         self.balancer: Decides | None = None
 
     def start(self, remembered: tuple[api.Endpoint, ...]) -> None:
@@ -118,6 +136,8 @@
     def die(self) -> None:
         """The process ends with all it had; what it had sent runs on."""
         self.balancer = None
+        if self.connections is not None:
+            self.connections.close_all()
         self.life += 1
         self.watching = False
         for call in list(self.calls.values()):
@@ -210,17 +230,10 @@
         if node is None:
             clock.after(delay, self._ended, life, call, number, action.server, api.Outcome.CONNECT_FAILED, began)
             return
-        if node.name not in self.warm:
-            delay += world.scenario.world.connect
-            if node.up and (node.cut or world.cut_between(self.zone, node.zone)):
-                gives_up = min(until, clock.now + self.settings.connect_timeout)
-                clock.at(gives_up, self._ended, life, call, number, node.name, api.Outcome.CONNECT_FAILED, began)
-                return
-            self.warm.add(node.name)
 
         def reply(outcome: api.Outcome) -> None:
             if outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.RESET):
-                self.warm.discard(node.name)
+                self._disconnected(node)
             if not world.cut_between(self.zone, node.zone):
                 back = world.delay(self.zone, node.zone)
                 clock.after(back, self._ended, life, call, number, node.name, outcome, began)
@@ -229,11 +242,41 @@
             world.executions += 1
             world.oracle.ran(call.id, name, node.zone, node.cell, at)
 
-        job = Job(call.id, call.ask.cls.name, call.ask.key, call.ask.work, reply, ran)
-        clock.after(delay, self._arrives, node, job)
-        clock.at(until, self._ended, life, call, number, node.name, api.Outcome.TIMED_OUT, began)
+        def send() -> None:
+            if number in call.outs:
+                clock.after(delay, self._arrives, node, job, call, number)
+
+        def not_connected() -> None:
+            self._ended(life, call, number, node.name, api.Outcome.CONNECT_FAILED, began)
 
-    def _arrives(self, node: Node, job: Job) -> None:
+        job = Job(call.id, call.ask.cls.name, call.ask.key, call.ask.work, reply, ran)
+        if self.connections is not None:
+            self.connections.reach(node, send, not_connected)
+        elif node.name in self.warm:
+            send()
+        else:
+            delay += world.scenario.world.connect
+            if node.up and (node.cut or world.cut_between(self.zone, node.zone)):
+                clock.at(min(until, clock.now + self.settings.connect_timeout), not_connected)
+                return
+            self.warm.add(node.name)
+            send()
+        clock.at(until, self._expires, life, call, number, node, job, began)
+
+    def _expires(self, life: int, call: Call, number: int, node: Node, job: Job, began: int) -> None:
+        """Nobody waits for this attempt any more."""
+        if number in call.outs and self.world.scenario.world.overdue == "stops":
+            node.stop(job)
+        self._ended(life, call, number, node.name, api.Outcome.TIMED_OUT, began)
+
+    def _disconnected(self, node: Node) -> None:
+        self.warm.discard(node.name)
+        if self.connections is not None:
+            self.connections.drop(node)
+
+    def _arrives(self, node: Node, job: Job, call: Call, number: int) -> None:
+        if self.world.scenario.world.overdue == "stops" and number not in call.outs:
+            return
         if not self.world.cut_between(self.zone, node.zone):
             fell = node.fell
             node.take(job)
@@ -271,9 +314,7 @@
 
     def changed(self, node: Node, lifecycle: api.Lifecycle) -> None:
         """Something has become of a node: the list says so after its lag."""
-        endpoint = api.Endpoint(
-            node.name, node.zone, "node", node.cell, lifecycle, node.cores * node.speed, node.started_at
-        )
+        endpoint = api.Endpoint(node.name, node.zone, "node", node.cell, lifecycle, node.weight, node.started_at)
         self.world.clock.after(self.lag, self._tell, endpoint)
 
     def _tell(self, endpoint: api.Endpoint) -> None:
@@ -358,7 +399,7 @@
         self.surge: dict[str, float] = {}  # by zone, "" for all: times the rate
         parts = [c.part for c in world.scenario.classes]
         self.bounds = [sum(parts[: n + 1]) / sum(parts) for n in range(len(parts))]
-        self.spans: list[list[float]] = [[0, 0, 0, 0, 0.0] for _ in range(world.scenario.seconds + 1)]
+        self.spans: list[list[float]] = [[0, 0, 0, 0, 0.0, 0, 0, 0.0, 0.0] for _ in range(world.scenario.seconds + 1)]
         self.worth_asked: dict[str, float] = {c.name: 0.0 for c in world.scenario.classes}
         self.worth_got = dict(self.worth_asked)
         self.tally = dict.fromkeys(("asked", "served", "in_time", "refused", "failed", "unanswered"), 0)
@@ -370,7 +411,7 @@
         spec = instance.spec
         if spec.rate <= 0:
             return
-        top = spec.rate * (1 + spec.depth if spec.arrivals in ("bursty", "diurnal") else 1)
+        top = instance.rate * (1 + spec.depth if spec.arrivals in ("bursty", "diurnal") else 1)
         top *= max(1.0, self.surge.get("", 1.0), self.surge.get(instance.zone, 1.0))
         gap = SECOND / top if spec.arrivals == "steady" else stream.exponential(SECOND / top)
         self.world.clock.after(int(gap), self._arrive, instance, top)
@@ -381,7 +422,7 @@
         if now >= world.ends_at:
             return
         stream = world.streams[f"arrivals {instance.number}"]
-        rate = spec.rate * max(self.surge.get("", 1.0), self.surge.get(instance.zone, 1.0))
+        rate = instance.rate * max(self.surge.get("", 1.0), self.surge.get(instance.zone, 1.0))
         phase = (now - BEGAN) / spec.period
         if spec.arrivals == "diurnal":
             rate *= 1 + spec.depth * math.sin(2 * math.pi * phase)
@@ -401,7 +442,9 @@
         ask = Ask(cls, world.clock.now, self.numbers, 0, key, self._work(stream, cls))
         self.worth_asked[cls.name] += cls.worth
         self.tally["asked"] += 1
-        self.span(world.clock.now)[0] += 1
+        span = self.span(world.clock.now)
+        span[0] += 1
+        span[7] += cls.worth
         self._try(instance, ask)
 
     @staticmethod
@@ -433,6 +476,7 @@
         span[1] += 1
         in_time = took <= ask.cls.aim
         self.tally["in_time"] += in_time
+        span[5] += in_time
         got = ask.cls.worth * (1.0 if in_time else ask.cls.late_worth)
         self.worth_got[ask.cls.name] += got
         span[4] += got
@@ -465,6 +509,8 @@
 
     def _lost(self, ask: Ask, how: str) -> None:
         self.tally[how] += 1
+        if self.world.clock.now >= ask.begun_at + ask.cls.deadline:
+            self.span(ask.begun_at)[6] += 1
         if how in ("refused", "failed"):
             self.span(ask.begun_at)[2 if how == "refused" else 3] += 1
 
@@ -511,21 +557,26 @@
             for number in range(spec.count):
                 speed = spec.speed_from + (spec.speed_to - spec.speed_from) * stream.uniform()
                 name = f"{spec.zone}-{row}-{number}"
-                node = self._node(name, spec.zone, number % spec.cells, spec.cores, speed, spec.queue)
+                cell = spec.first_cell + number % spec.cells
+                node = self._node(name, spec.zone, cell, spec.cores, speed, spec.queue, spec.slots)
+                node.weight = spec.weight or node.weight
                 node.started_at = BEGAN if spec.cold == "yes" else 0
                 self.lists.version += 1
                 self.lists.told[name] = self.lists.version, self._endpoint(node)
 
-    def _node(self, name: str, zone: str, cell: int, cores: int, speed: float, queue: int) -> Node:
-        node = Node(name, zone, cell, cores, speed, queue, self.clock, self.scenario.world)
+    def _node(self, name: str, zone: str, cell: int, cores: int, speed: float, queue: int, slots: int) -> Node:
+        rules = self.scenario.overdrive
+        prone = rules.share > 0 and self.streams[f"overdrive {name}"].uniform() < rules.share
+        costs = Costs(self.scenario.connections, rules if prone else None)
+        node = Node(name, zone, cell, cores, speed, queue, self.clock, self.scenario.world, slots, costs)
         node.draw = self.streams[f"errors {name}"].uniform
         self.nodes[name] = node
         return node
 
     @staticmethod
     def _endpoint(node: Node) -> api.Endpoint:
-        weight = node.cores * node.speed
-        return api.Endpoint(node.name, node.zone, "node", node.cell, api.Lifecycle.READY, weight, node.started_at)
+        ready = api.Lifecycle.READY
+        return api.Endpoint(node.name, node.zone, "node", node.cell, ready, node.weight, node.started_at)
 
     def chosen(self, trouble: Trouble, number: int) -> list[Node]:
         """The nodes that a trouble is for: a part of those in its zone, at least one, by a stream of its own."""
@@ -597,7 +648,8 @@
             self.clock.after(place * t.lasts // max(1, len(nodes)), self._replaced, node)
 
     def _replaced(self, node: Node) -> None:
-        new = self._node(f"{node.name}'", node.zone, node.cell, node.cores, node.speed, node.room)
+        new = self._node(f"{node.name}'", node.zone, node.cell, node.cores, node.speed, node.room, node.slots)
+        new.weight = node.weight
         new.start(True)
         self.lists.changed(new, api.Lifecycle.READY)
         self.lists.changed(node, api.Lifecycle.DRAINING)
@@ -651,11 +703,18 @@
             at = self.streams[f"start {instance.number}"].uniform() * spread if spread else 0
             self.clock.at(BEGAN + int(at), instance.start, remembered)
             self.clock.at(BEGAN + LEAD + int(at), self.clients.arrivals, instance)
+        if self.scenario.overdrive.share > 0:
+            for second in range(self.scenario.seconds):
+                self.clock.at(BEGAN + LEAD + (second + 1) * SECOND - 1, self._count_overdriven)
         longest = max(c.deadline for c in self.scenario.classes)
         self.clock.run(self.ends_at + longest + SECOND)
         self.oracle.end(self.clock.now)
         return self.result()
 
+    def _count_overdriven(self) -> None:
+        overdriven = sum(n.overdrive is not None and n.overdrive.overdriven for n in self.nodes.values())
+        self.clients.span(self.clock.now)[8] = overdriven / len(self.nodes)
+
     def result(self) -> Result:
         clients, tally = self.clients, self.clients.tally
         asked = sum(clients.worth_asked.values())
@@ -672,7 +731,10 @@
                 name: clients.worth_got[name] / worth if worth else 1.0 for name, worth in clients.worth_asked.items()
             },
             by_node={name: node.done for name, node in self.nodes.items()},
-            seconds=[Span(int(s[0]), int(s[1]), int(s[2]), int(s[3]), s[4]) for s in clients.spans],
+            seconds=[
+                Span(int(s[0]), int(s[1]), int(s[2]), int(s[3]), s[4], int(s[5]), int(s[6]), s[7], s[8])
+                for s in clients.spans
+            ],
             latencies_ms=quantiles,
             breaches=dict(self.oracle.counts),
             shown=self.oracle.breaches,
--- a/loftweir/emulator/scenario.py
+++ b/loftweir/emulator/scenario.py
@@ -56,7 +56,10 @@
     speed_from: Number = 1.0
     speed_to: Number = 1.0
     queue: Annotated[int, count("", 0, 1_000_000)] = 64  # that wait for a core; more are declined
+    slots: Annotated[int, count("", 0, 100_000)] = 0  # in work at once, sharing the cores; 0: one to a core
     cells: Annotated[int, count("", 1, 64)] = 1
+    first_cell: Annotated[int, count("", 0, 10_000)] = 0
+    weight: Number = 0.0  # as the list says it; 0: its cores times its true speed
     cold: Annotated[str, choice("", "no", "yes")] = "no"  # at the start of the run
 
 
@@ -66,6 +69,7 @@
     zone: Text
     count: Annotated[int, count("", 1, 100_000)] = 1
     rate: Number = 20.0  # requests a second of each
+    rate_cv: Number = 0.0  # of the rates among them, lognormal
     arrivals: Annotated[str, choice("", "poisson", "steady", "bursty", "diurnal")] = "poisson"
     period: Annotated[int, time("", MS, 24 * HOUR)] = 20 * SECOND  # of bursts and days
     depth: Annotated[float, share("", 0.0, 1.0)] = 0.5  # how far the rate swings about its mean
@@ -94,6 +98,32 @@
     max_attempts: Annotated[int, count("", 1, 10)] = 3
     max_retry_after: Annotated[int, time("", 0, HOUR)] = 2 * SECOND
     connect_timeout: Annotated[int, time("", MS, HOUR)] = 250 * MS
+    overdue: Annotated[str, choice("", "runs_on", "stops")] = "runs_on"  # work that nobody waits for any more
+
+
+class Connections(Table, frozen=True, kw_only=True):
+    """What a connection costs its server. Off by default: a call that finds none is delayed by `world.connect`.
+
+    Where they are costly, the calls of an instance to a node share one connection, and it stays for the run.
+    """
+
+    costly: Annotated[str, choice("", "no", "yes")] = "no"
+    work: Annotated[int, time("", 0, SECOND)] = 10 * MS  # of the handshake, on a core of speed 1
+    round_trips: Annotated[int, count("", 0, 10)] = 2
+    cap_per_core: Annotated[int, count("", 1, 1_000_000)] = 1_000_000  # more are not accepted
+    full_tax: Annotated[float, share("", 0.0, 0.99)] = 0.0  # the part of a server's pace that a full table takes
+
+
+class Overdrive(Table, frozen=True, kw_only=True):
+    """When a server that is held too full slows down, and when it recovers (`overdrive`). Off by default."""
+
+    share: Annotated[float, share("", 0.0, 1.0)] = 0.0  # of the servers that are prone to it
+    at: Number = 5.0  # requests held per core: more are too many
+    over: Annotated[int, time("", MS, HOUR)] = 2 * SECOND  # for so long without a break
+    slower: Number = 2.5  # how many times longer its work takes then
+    below: Annotated[float, share("", 0.0, 1.0)] = 0.3  # of its cores: use that lets it recover
+    rest: Annotated[int, time("", MS, HOUR)] = 4 * SECOND  # over so long
+    most: Annotated[int, time("", MS, HOUR)] = 25 * SECOND  # after so long it recovers anyway
 
 
 class Trouble(Table, frozen=True, kw_only=True):
@@ -114,6 +144,8 @@
     about: Text = ""
     seconds: Annotated[int, count("", 1, 86_400)] = 30
     world: World = World()
+    connections: Connections = Connections()
+    overdrive: Overdrive = Overdrive()
     classes: tuple[Class, ...]
     nodes: tuple[Nodes, ...]
     instances: tuple[Instances, ...]
@@ -186,9 +218,15 @@
     for n, nodes in enumerate(s.nodes):
         if not 0 < nodes.speed_from <= nodes.speed_to:
             found.append((f"nodes.{n}.speed_from", nodes.speed_from, "above 0 and at most speed_to"))
+        if nodes.weight < 0:
+            found.append((f"nodes.{n}.weight", nodes.weight, "0 or more"))
+        if 0 < nodes.slots < nodes.cores:
+            found.append((f"nodes.{n}.slots", nodes.slots, "0, or cores or more"))
     for n, i in enumerate(s.instances):
-        if i.rate < 0:
-            found.append((f"instances.{n}.rate", i.rate, "0 or more"))
+        if i.rate < 0 or i.rate_cv < 0:
+            found.append((f"instances.{n}.rate", i.rate, "0 or more, and so rate_cv"))
+    if s.overdrive.at < 0 or s.overdrive.slower < 1:
+        found.append(("overdrive", s.overdrive.slower, "at of 0 or more, slower of 1 or more"))
     for n, t in enumerate(s.troubles):
         if t.zone and t.zone not in zones:
             found.append((f"troubles.{n}.zone", t.zone, f"one of {', '.join(sorted(zones))}"))
