Emulator: run.py is split into modules with one job each

Cause: run.py held everything but nodes, streams and the oracle, 750 lines.

Change: context (what all parts of a run share), instance, lists, clients, fleet, troubles, result and emulation. An attempt on its way is a type of its own in place of closures; the counts of a second have names in place of places in a list. No change of behaviour.

--- a/loftweir/cli/emulate.py
+++ b/loftweir/cli/emulate.py
@@ -11,7 +11,8 @@
 from loftweir.cli.common import as_json, end_with, print_json, print_table
 from loftweir.config.faults import Fault, Faulty
 from loftweir.emulator.baselines import BALANCERS
-from loftweir.emulator.run import Result, play
+from loftweir.emulator.emulation import play
+from loftweir.emulator.result import Result
 from loftweir.emulator.scenario import Scenario, decode
 
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -14,8 +14,9 @@
 from loftweir.config.faults import Faulty
 from loftweir.emulator.baselines import BALANCERS, BROKEN, Baseline
 from loftweir.emulator.clock import Clock
+from loftweir.emulator.context import BEGAN
+from loftweir.emulator.emulation import play
 from loftweir.emulator.node import Job, Node
-from loftweir.emulator.run import BEGAN, play
 from loftweir.emulator.scenario import World, decode
 from loftweir.emulator.streams import Streams
 
--- a/tests/test_overdriven.py
+++ b/tests/test_overdriven.py
@@ -11,10 +11,11 @@
 from loftweir import interface as api
 from loftweir.emulator.clock import Clock
 from loftweir.emulator.connections import ConnectionTable
+from loftweir.emulator.context import BEGAN
+from loftweir.emulator.emulation import play
 from loftweir.emulator.node import Costs, Node
 from loftweir.emulator.overdrive import OverdriveState
 from loftweir.emulator.processor import Job
-from loftweir.emulator.run import BEGAN, play
 from loftweir.emulator.scenario import Connections, Overdrive, World, decode
 
 MS, SECOND = 1_000_000, 1_000_000_000
