--- a/tests/test_overdriven.py
+++ b/tests/test_overdriven.py
@@ -4,18 +4,20 @@
 """
 
 import tomllib
+from random import Random
 
 import pytest
 from scene import ROOT
 
 from loftweir import interface as api
+from loftweir.config.faults import Faulty
 from loftweir.emulator.clock import Clock
 from loftweir.emulator.connections import ConnectionTable
 from loftweir.emulator.context import BEGAN
-from loftweir.emulator.emulation import play
+from loftweir.emulator.emulation import Emulation, play
 from loftweir.emulator.node import Costs, Node
 from loftweir.emulator.overdrive import OverdriveState
-from loftweir.emulator.processor import Job
+from loftweir.emulator.processor import DedicatedCores, Job, SharedCores
 from loftweir.emulator.scenario import Connections, Overdrive, World, decode
 
 MS, SECOND = 1_000_000, 1_000_000_000
@@ -126,6 +128,79 @@
     assert not state.overdriven and state.next_change_at() is None
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_what_holds_in_every_state(seed):
+    """Random loads, observed at every change and whenever the state may change by itself."""
+    random = Random(seed)
+    state, now, too_much_since, began = OverdriveState(RULES, CORES, 0), 0, None, None
+    for _ in range(2000):
+        held = random.choice((0, 1, CORES, TOO_MANY - 1, TOO_MANY, 2 * TOO_MANY))
+        was = state.overdriven
+        state.observe(now, held, min(held, CORES))
+        if state.overdriven and not was:
+            assert too_much_since is not None and now - too_much_since >= RULES.over
+            began = now
+        elif was and not state.overdriven:
+            assert now - began >= RULES.rest
+        if state.overdriven:
+            assert state.crowded_at is None
+            assert now - began < RULES.most
+            assert state.core_time_used < RULES.below * CORES * RULES.rest
+            assert now - state.rest_began < RULES.rest
+        else:
+            assert (state.crowded_at is not None) == (held >= TOO_MANY)
+        if held < TOO_MANY:
+            too_much_since = None
+        elif too_much_since is None:
+            too_much_since = now
+        later = now + random.randrange(1, random.choice((SECOND // 10, 3 * SECOND)))
+        due = state.next_change_at()
+        now = later if due is None else min(later, due)
+
+
+# ---- settings ---------------------------------------------------------------------------------------
+
+
+def small(**tables):
+    return {
+        "name": "small",
+        "classes": [{"name": "read", "effect": "repeatable"}],
+        "nodes": [{"zone": "a", "cores": 4}],
+        "instances": [{"zone": "a"}],
+    } | tables
+
+
+def test_all_is_off_by_default():
+    scenario = decode(small())
+    assert scenario.overdrive.share == 0 and scenario.connections.costly == "no" and scenario.nodes[0].slots == 0
+    node = Emulation(scenario, 1).context.nodes["a-0-0"]
+    assert node.overdrive is None and isinstance(node.processor, DedicatedCores) and node.weight == 4.0
+
+
+def test_what_a_scenario_says_of_its_nodes_holds_for_them_and_for_the_list():
+    data = small(
+        nodes=[{"zone": "a", "cores": 4, "slots": 56, "queue": 10, "weight": 3.0, "cells": 2, "first_cell": 7}],
+        overdrive={"share": "100%"},
+    )
+    emulation = Emulation(decode(data), 1)
+    node = emulation.context.nodes["a-0-0"]
+    assert node.overdrive is not None and isinstance(node.processor, SharedCores) and node.processor.slots == 56
+    (endpoint,) = emulation.lists.whole()
+    assert endpoint.weight == 3.0 and endpoint.cell == 7
+
+
+def test_settings_that_contradict_are_named():
+    data = small(
+        nodes=[{"zone": "a", "cores": 4, "slots": 3, "weight": -1.0}],
+        instances=[{"zone": "a", "rate_cv": -0.5}],
+        overdrive={"slower": 0.5},
+    )
+    with pytest.raises(Faulty) as caught:
+        decode(data)
+    paths = {fault.path for fault in caught.value.faults}
+    assert paths == {"nodes.0.slots", "nodes.0.weight", "instances.0.rate", "overdrive"}
+
+
 # ---- the node ---------------------------------------------------------------------------------------
 
 
