--- a/tests/test_overdriven.py
+++ b/tests/test_overdriven.py
@@ -23,6 +23,7 @@
 MS, SECOND = 1_000_000, 1_000_000_000
 WARM_UP = 2  # seconds of a run before its figures count
 RECOVERY = 10  # seconds that the fleet has to recover in after a burst
+WIND_DOWN = 3  # seconds at the end of a run whose requests are relieved by there being none after them
 GOOD = 0.95  # goodput of a fleet that can carry what is asked of it
 RECOVERED = 0.9  # of the goodput before the burst
 RULES = Overdrive(share=1.0, at=5.0, over=2 * SECOND, slower=2.0, below=0.25, rest=4 * SECOND, most=20 * SECOND)
@@ -35,13 +36,15 @@
 
 
 def before_and_after(name, seed):
-    """Goodput before the burst, and from `RECOVERY` after its end to the end of the run."""
+    """Goodput before the burst, and from `RECOVERY` after its end on."""
     scenario = decode(tomllib.loads((ROOT / "scenarios" / f"{name}.toml").read_text(encoding="utf-8")))
     (burst,) = scenario.troubles
     begins, ends = burst.at // SECOND, (burst.at + burst.lasts) // SECOND
     result = play(scenario, seed)
     assert result.sound(), result.shown
-    return goodput(result.seconds[WARM_UP:begins]), goodput(result.seconds[ends + RECOVERY : scenario.seconds])
+    return goodput(result.seconds[WARM_UP:begins]), goodput(
+        result.seconds[ends + RECOVERY : scenario.seconds - WIND_DOWN]
+    )
 
 
 @pytest.mark.parametrize("seed", [1, 2])
