--- a/loftweir/emulator/node.py
+++ b/loftweir/emulator/node.py
@@ -236,6 +236,11 @@
         if self.overdrive is not None:
             self.overdrive.reset(self.clock.now)
 
+    def slow_down(self, pace: float) -> None:
+        """It runs at this part of its speed from now on."""
+        self.pace = pace
+        self.processor.pace_changed()
+
     def hang(self, on: bool) -> None:
         self.hangs = on
         self.processor.suspend(on)
--- a/loftweir/emulator/troubles.py
+++ b/loftweir/emulator/troubles.py
@@ -74,8 +74,8 @@
 
     def _slow(self, t: Trouble, nodes: list[Node]) -> None:
         for node in nodes:
-            node.pace = max(0.001, t.factor)
-            self._later(t, setattr, node, "pace", 1.0)
+            node.slow_down(max(0.001, t.factor))
+            self._later(t, node.slow_down, 1.0)
 
     def _errors(self, t: Trouble, nodes: list[Node]) -> None:
         for node in nodes:
--- a/tests/test_overdriven.py
+++ b/tests/test_overdriven.py
@@ -273,6 +273,16 @@
     assert times_of(seen) == [10_000] * 6
 
 
+def test_a_node_that_is_slowed_down_is_slower_for_what_it_has_in_work():
+    clock, node = node_of()
+    seen = []
+    node.take(job_of(100 * MS, seen, clock))
+    clock.run(BEGAN + 40 * MS)
+    node.slow_down(0.5)
+    clock.run(BEGAN + SECOND)
+    assert times_of(seen) == [160]
+
+
 def test_a_node_that_hangs_makes_no_progress_and_goes_on_where_it_stood():
     clock, node = node_of()
     seen = []
