Scale runs: hollow sidecars beside real voters and sidecars

Cause: nothing measured the control plane at the size that the fleet is going to have. Change: benchmarks/scale, with points at any number of sidecars, a mass restart and the leader's end.

--- /dev/null
+++ b/benchmarks/scale/__main__.py
@@ -0,0 +1,63 @@
+"""The command line of the scale runs.
+
+    python -m benchmarks.scale point --hollow 580            # idle, words, lists: a point of every slope
+    python -m benchmarks.scale restart --hollow 580 --restarted 180 --words 570
+    python -m benchmarks.scale leader --hollow 580
+    python -m benchmarks.scale beside --hollow 10 --real 10  # hollow sidecars with decision cores beside real ones
+
+Each takes under a minute. `--keep` appends the raw points to docs/figures; `python -m benchmarks.scale.fit` fits them.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+
+from benchmarks.scale import points, scenarios
+from benchmarks.scale.fleet import Fleet, Size
+
+CORES = 3  # of the machine, that all processes of a run share
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("scenario", choices=("point", "restart", "leader", "beside"))
+    parser.add_argument("--hollow", type=int, default=100)
+    parser.add_argument("--real", type=int, default=3)
+    parser.add_argument("--voters", type=int, default=3)
+    parser.add_argument("--changes", type=int, default=20)
+    parser.add_argument("--idle", type=float, default=10.0, help="seconds")
+    parser.add_argument("--within", type=float, default=10.0, help="seconds for the changes of one kind")
+    parser.add_argument("--restarted", type=int, default=180)
+    parser.add_argument("--words", type=int, default=570, help="said before a restart")
+    parser.add_argument("--cores", type=int, default=CORES)
+    parser.add_argument("--keep", action="store_true", help="append the raw points to docs/figures")
+    wanted = parser.parse_args()
+    os.sched_setaffinity(0, sorted(os.sched_getaffinity(0))[-wanted.cores :])
+    usage, times = played(wanted)
+    if wanted.keep:
+        points.append(usage)
+        points.append(times)
+    print(f"load average of the machine: {points.load_average():.1f}")
+
+
+def played(wanted: argparse.Namespace) -> scenarios.Rows:
+    size = Size(wanted.hollow, wanted.real, wanted.voters)
+    if wanted.scenario == "point":
+        return scenarios.of_all_phases(size, wanted.changes, wanted.idle, wanted.within)
+    if wanted.scenario == "beside":
+        usage, times = scenarios.of_all_phases(size._replace(cores=True), wanted.changes, wanted.idle, wanted.within)
+        return [points.of_run(row, scenarios.BESIDE) for row in usage], [
+            points.of_run(row, scenarios.BESIDE) for row in times
+        ]
+    if wanted.scenario == "restart":
+        with Fleet(size._replace(a_process=wanted.restarted)) as fleet:
+            fleet.begin()
+            return scenarios.restart(fleet, fleet.hollows[0], wanted.words)
+    with Fleet(size) as fleet:
+        fleet.begin()
+        return scenarios.leader_killed(fleet, wanted.idle)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/scale/points.py
@@ -0,0 +1,133 @@
+"""The raw points of the scale runs: what each process used in a phase of a run, and how long each change took.
+
+Rows are appended to CSV files, so that several runs make one set of points.
+"""
+
+from __future__ import annotations
+
+import csv
+import os
+from dataclasses import asdict, dataclass, fields, replace
+from pathlib import Path
+from typing import TypeVar
+
+from benchmarks.rig import ROOT
+from benchmarks.scale.fleet import Fleet
+from benchmarks.scale.sockets import Counters
+from benchmarks.scale.usage import Between, Sample, between
+
+FIGURES = ROOT / "docs" / "figures"
+USAGE, TIMES = "scale-usage.csv", "scale-times.csv"
+FOLLOWING = ("hollow", "real")
+
+
+@dataclass(frozen=True)
+class UsageRow:
+    """What one process used in one phase."""
+
+    phase: str
+    hollow: int
+    real: int
+    voters: int
+    entries: int  # of discovery's list
+    role: str
+    sidecars: int  # in this process
+    followers: int  # connected to this voter; watches at discovery
+    seconds: float
+    changes: int
+    cpu: float  # seconds
+    follower_bytes_out: int  # of a voter or discovery, to sidecars that do not vote
+    follower_bytes_in: int
+    follower_messages_out: int
+    follower_messages_in: int
+    voter_bytes_out: int  # of any, to and from voters
+    voter_bytes_in: int
+    voter_messages_out: int
+    voter_messages_in: int
+    discovery_bytes_out: int  # of any sidecar, to and from discovery
+    discovery_bytes_in: int
+    discovery_messages_out: int
+    discovery_messages_in: int
+    resident: int  # bytes, at the end
+    descriptors: int
+    load: float  # load average of the machine, one minute
+
+
+@dataclass(frozen=True)
+class TimeRow:
+    """How long one change, or one recovery, took; seconds."""
+
+    phase: str
+    hollow: int
+    real: int
+    voters: int
+    number: int
+    size: int  # bytes of discovery's answer, or entries re-sent
+    accepted: float
+    first: float
+    last: float  # of the hollow sidecars
+    last_real: float
+    load: float
+
+
+Row = TypeVar("Row", UsageRow, TimeRow)
+
+
+def load_average() -> float:
+    return os.getloadavg()[0]
+
+
+def usage_rows(fleet: Fleet, phase: str, first: Sample, last: Sample, changes: int = 0) -> list[UsageRow]:
+    roles, used = fleet.roles(), between(first, last)
+    hollows = {process.pid: len(process.plan.names) for process in fleet.hollows if process.process is not None}
+    return [
+        _row(fleet, phase, pid, roles, used, last, changes, hollows.get(pid, 1))
+        for pid in roles
+        if pid in last.processes and pid in used.cpu
+    ]
+
+
+def _row(
+    fleet: Fleet, phase: str, pid: int, roles: dict[int, str], used: Between, last: Sample, changes: int, sidecars: int
+) -> UsageRow:
+    def with_peers(*peers: str) -> Counters:
+        total = Counters()
+        for (owner, peer), counters in used.traffic.items():
+            if owner == pid and roles.get(peer) in peers:
+                total = total.plus(counters)
+        return total
+
+    followers = sum(owner == pid and roles.get(peer) in FOLLOWING for owner, peer, _ in last.connections.values())
+    to_followers, to_voters, to_discovery = (
+        with_peers(*FOLLOWING),
+        with_peers("leader", "voter"),
+        with_peers("discovery"),
+    )
+    size, process = fleet.size, last.processes[pid]
+    return UsageRow(
+        phase, size.hollow, size.real, size.voters, size.listed, roles[pid], sidecars, followers,
+        round(used.seconds, 3), changes, round(used.cpu[pid], 6),
+        *to_followers, *to_voters, *to_discovery, process.resident, process.descriptors, load_average(),
+    )  # fmt: skip
+
+
+def of_run(row: Row, run: str) -> Row:
+    """The same row under a phase that names the run, so that it is no point of the slopes."""
+    return replace(row, phase=f"{run}-{row.phase}")
+
+
+def append(rows: list[UsageRow] | list[TimeRow], folder: Path = FIGURES) -> None:
+    if not rows:
+        return
+    path = folder / (USAGE if isinstance(rows[0], UsageRow) else TIMES)
+    is_new = not path.exists()
+    with path.open("a", newline="", encoding="utf-8") as file:
+        writer = csv.DictWriter(file, [field.name for field in fields(rows[0])], lineterminator="\n")
+        if is_new:
+            writer.writeheader()
+        writer.writerows(asdict(row) for row in rows)
+
+
+def read(name: str, folder: Path = FIGURES) -> list[dict[str, str]]:
+    with (folder / name).open(encoding="utf-8") as file:
+        return list(csv.DictReader(file))
--- /dev/null
+++ b/benchmarks/scale/scenarios.py
@@ -0,0 +1,207 @@
+"""What is played: idle, changes, a mass restart, the leader's end, hollow sidecars beside real ones."""
+
+from __future__ import annotations
+
+import statistics
+import threading
+import time
+from collections.abc import Callable
+
+from benchmarks.scale.fleet import Failed, Fleet, HollowProcess, Size, Spread
+from benchmarks.scale.hollow import LIST, WORD
+from benchmarks.scale.points import TimeRow, UsageRow, load_average, usage_rows
+from benchmarks.scale.usage import Sample, between, sample
+
+SETTLE = 2.0  # seconds
+IDLE, WORDS, LISTS_WHOLE, LISTS_CHANGES = "idle", "words", "lists-whole", "lists-changes"
+RESTART, LEADER, BESIDE = "restart", "leader", "beside"
+CHANGES_APART = 0.2
+PEAK_WINDOW = 0.25  # seconds over which a peak of traffic is taken
+WORD_EVERY = 0.05
+
+Rows = tuple[list[UsageRow], list[TimeRow]]
+
+
+def _sample(fleet: Fleet) -> Sample:
+    return sample(list(fleet.roles()))
+
+
+def idle(fleet: Fleet, seconds: float) -> Rows:
+    time.sleep(SETTLE)
+    first = _sample(fleet)
+    time.sleep(seconds)
+    return usage_rows(fleet, IDLE, first, _sample(fleet)), []
+
+
+def changes(fleet: Fleet, phase: str, count: int, seconds: float) -> Rows:
+    """So many changes, one after another, or as many as go into the time."""
+    once: dict[str, Callable[[int], Spread]] = {
+        WORDS: lambda number: fleet.word(),
+        LISTS_WHOLE: lambda number: fleet.list_change(number, whole=True),
+        LISTS_CHANGES: lambda number: fleet.list_change(number, whole=False),
+    }
+    kind = WORD if phase == WORDS else LIST
+    until = time.monotonic() + seconds
+    first = _sample(fleet)
+    spreads: list[tuple[float, Spread]] = []
+    while len(spreads) < count and time.monotonic() < until:
+        asked_at = time.time()
+        spreads.append((asked_at, once[phase](len(spreads))))
+        time.sleep(CHANGES_APART)
+    usage = usage_rows(fleet, phase, first, _sample(fleet), len(spreads))
+    return usage, [_time_row(fleet, phase, kind, n, at, s) for n, (at, s) in enumerate(spreads)]
+
+
+def _time_row(fleet: Fleet, phase: str, kind: str, number: int, asked_at: float, spread: Spread) -> TimeRow:
+    at_real = fleet.in_force_at_real(kind, spread.number)
+    lacking = [name for name, at in at_real.items() if at is None]
+    if lacking:
+        raise Failed(f"{kind} {spread.number} has not reached {lacking}")
+    last_real = max((at - asked_at for at in at_real.values() if at is not None), default=0.0)
+    size = fleet.size
+    return TimeRow(
+        phase, size.hollow, size.real, size.voters, number, spread.size, round(spread.accepted, 4),
+        round(spread.first, 4), round(spread.last, 4), round(last_real, 4), load_average(),
+    )  # fmt: skip
+
+
+class Peaks:
+    """The most bytes that each process sent in `PEAK_WINDOW`, from the beginning to `end`."""
+
+    def __init__(self, pids: list[int]) -> None:
+        self.pids = pids
+        self.most: dict[int, float] = dict.fromkeys(pids, 0.0)  # bytes a second
+        self.over = threading.Event()
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.thread.start()
+
+    def _run(self) -> None:
+        before = sample(self.pids)
+        while not self.over.wait(PEAK_WINDOW):
+            now = sample(self.pids)
+            used = between(before, now)
+            for pid in self.pids:
+                sent = sum(c.bytes_out for (owner, _), c in used.traffic.items() if owner == pid)
+                self.most[pid] = max(self.most[pid], sent / used.seconds)
+            before = now
+
+    def end(self) -> dict[int, float]:
+        self.over.set()
+        self.thread.join()
+        return self.most
+
+
+def restart(fleet: Fleet, restarted: HollowProcess, words: int) -> Rows:
+    """All hollow sidecars of one process end together and come back together, with nothing remembered."""
+    while fleet.words_said < words:
+        fleet.say_word()
+    index = fleet.say_word().number
+    fleet.wait_reached(WORD, index)
+    restarted.kill()
+    time.sleep(SETTLE)
+    roles = fleet.roles()
+    serving = [pid for pid, role in roles.items() if role in ("leader", "voter", "discovery")]
+    first, peaks = _sample(fleet), Peaks(serving)
+    asked_at = time.time()
+    restarted.start()
+    followed = fleet.wait_reached(WORD, index, among=[restarted])
+    listed = fleet.wait_reached(LIST, fleet.members.index, among=[restarted])
+    most = peaks.end()
+    usage = usage_rows(fleet, RESTART, first, _sample(fleet))
+    for pid, rate in most.items():
+        print(f"restart: {roles[pid]} sent {rate / 1000:.0f} kB/s at the most, over {PEAK_WINDOW} s")
+    size = fleet.size
+    rows = [
+        TimeRow(
+            f"{RESTART}-{kind}", size.hollow, size.real, size.voters, 0, len(restarted.plan.names), 0.0,
+            round(first_at - asked_at, 4), round(last_at - asked_at, 4), 0.0, load_average(),
+        )
+        for kind, (first_at, last_at) in ((WORD, followed), (LIST, listed))
+    ]  # fmt: skip
+    return usage, rows
+
+
+class Writer:
+    """Words to the fleet, one after another, by way of a real sidecar that follows; keeps what was promised."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.sidecar = next(iter(fleet.followers.values()))
+        self.promised: dict[str, float] = {}  # when each OK came, monotonic
+        self.refused: list[str] = []
+        self.over = threading.Event()
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.thread.start()
+
+    def _run(self) -> None:
+        number = 0
+        while not self.over.wait(WORD_EVERY):
+            number += 1
+            name = f"y{number}"
+            answer = self.sidecar.call(f"FLEET-DISABLE {name}")
+            if answer.startswith("OK "):
+                self.promised[name] = time.monotonic()
+            else:
+                self.refused.append(answer)
+
+    def end(self) -> None:
+        self.over.set()
+        self.thread.join()
+
+    def longest_gap(self) -> float:
+        times = list(self.promised.values())
+        return max((later - earlier for earlier, later in zip(times, times[1:], strict=False)), default=0.0)
+
+
+def leader_killed(fleet: Fleet, seconds: float) -> Rows:
+    """SIGKILL to the leader while words are said; nothing that was promised may be missing at any sidecar."""
+    writer = Writer(fleet)
+    time.sleep(seconds / 2)
+    killed = fleet.kill_leader()
+    time.sleep(seconds / 2)
+    writer.end()
+    asked_at = time.time()
+    said = fleet.say_word()
+    first, last = fleet.wait_reached(WORD, said.number)
+    stands = {name: stand for process in fleet.hollows for name, stand in process.stands().items()}
+    lost = {name for name, stand in stands.items() if writer.promised.keys() - stand.out}
+    if lost:
+        raise Failed(f"promised words are missing at {len(lost)} hollow sidecars")
+    print(
+        f"leader {killed.name} killed: {len(writer.promised)} words promised, {len(writer.refused)} refused, none "
+        f"of the promised missing at {len(stands)} hollow sidecars; longest without an OK {writer.longest_gap():.2f} s"
+    )
+    size = fleet.size
+    row = TimeRow(
+        LEADER, size.hollow, size.real, size.voters, 0, len(writer.promised), round(writer.longest_gap(), 4),
+        round(first - asked_at, 4), round(last - asked_at, 4), 0.0, load_average(),
+    )  # fmt: skip
+    return [], [row]
+
+
+def shown(rows: list[TimeRow]) -> str:
+    """Median and worst of a phase's changes."""
+    if not rows:
+        return ""
+    lasts, reals = sorted(r.last for r in rows), sorted(r.last_real for r in rows)
+    return (
+        f"{rows[0].phase}: {len(rows)} changes, to the last of {rows[0].hollow} hollow "
+        f"{statistics.median(lasts) * 1000:.0f} ms median, {lasts[-1] * 1000:.0f} ms worst; to the last of "
+        f"{rows[0].real} real {statistics.median(reals) * 1000:.0f} ms median, {reals[-1] * 1000:.0f} ms worst"
+    )
+
+
+def of_all_phases(size: Size, count: int, idle_for: float, changes_for: float) -> Rows:
+    """One fleet through idle and all three kinds of changes."""
+    usage: list[UsageRow] = []
+    times: list[TimeRow] = []
+    with Fleet(size) as fleet:
+        fleet.begin()
+        for phase in (IDLE, WORDS, LISTS_CHANGES, LISTS_WHOLE):
+            if phase == IDLE:
+                phase_usage, phase_times = idle(fleet, idle_for)
+            else:
+                phase_usage, phase_times = changes(fleet, phase, count, changes_for)
+                print(shown(phase_times), flush=True)
+            usage += phase_usage
+            times += phase_times
+    return usage, times
