--- a/benchmarks/scale/scenarios.py
+++ b/benchmarks/scale/scenarios.py
@@ -9,7 +9,7 @@
 
 from benchmarks.scale.fleet import Failed, Fleet, HollowProcess, Size, Spread
 from benchmarks.scale.hollow import LIST, WORD
-from benchmarks.scale.points import TimeRow, UsageRow, load_average, usage_rows
+from benchmarks.scale.points import TimeRow, UsageRow, machine, usage_rows
 from benchmarks.scale.usage import Sample, between, sample
 
 SETTLE = 2.0  # seconds
@@ -62,7 +62,7 @@
     return TimeRow(
         fleet.run,
         phase, size.hollow, size.real, size.voters, number, spread.size, round(spread.accepted, 4),
-        round(spread.first, 4), round(spread.last, 4), round(last_real, 4), load_average(),
+        round(spread.first, 4), round(spread.last, 4), round(last_real, 4), *machine(),
     )  # fmt: skip
 
 
@@ -116,7 +116,7 @@
         TimeRow(
             fleet.run,
             f"{RESTART}-{kind}", size.hollow, size.real, size.voters, 0, len(restarted.plan.names), 0.0,
-            round(first_at - asked_at, 4), round(last_at - asked_at, 4), 0.0, load_average(),
+            round(first_at - asked_at, 4), round(last_at - asked_at, 4), 0.0, *machine(),
         )
         for kind, (first_at, last_at) in ((WORD, followed), (LIST, listed))
     ]  # fmt: skip
@@ -176,7 +176,7 @@
     row = TimeRow(
         fleet.run,
         LEADER, size.hollow, size.real, size.voters, 0, len(writer.promised), round(writer.longest_gap(), 4),
-        round(first - asked_at, 4), round(last - asked_at, 4), 0.0, load_average(),
+        round(first - asked_at, 4), round(last - asked_at, 4), 0.0, *machine(),
     )  # fmt: skip
     return [], [row]
 
