--- a/benchmarks/scale/fleet.py
+++ b/benchmarks/scale/fleet.py
@@ -317,11 +317,11 @@
             raise Failed(f"the word was not taken: {answer}")
         return Spread(int(answer.rpartition(" ")[2]), 0, accepted, 0.0, 0.0)
 
-    def word(self) -> Spread:
-        """A word to the fleet, and when all hollow sidecars had it."""
+    def word(self, among: Sequence[HollowProcess] = ()) -> Spread:
+        """A word to the fleet, and when all hollow sidecars, or those named, had it."""
         asked_at = time.time()
         said = self.say_word()
-        first, last = self.wait_reached(WORD, said.number)
+        first, last = self.wait_reached(WORD, said.number, among=among)
         return said._replace(first=first - asked_at, last=last - asked_at)
 
     def list_change(self, number: int, whole: bool) -> Spread:
@@ -374,6 +374,13 @@
         leader.kill()
         return leader
 
+    def stop(self, process: HollowProcess) -> None:
+        """Its hollow sidecars stall, with their connections open, until `go_on`."""
+        os.kill(process.pid, signal.SIGSTOP)
+
+    def go_on(self, process: HollowProcess) -> None:
+        os.kill(process.pid, signal.SIGCONT)
+
     # ---- processes ------------------------------------------------------------------------------
 
     def process_names(self) -> dict[int, str]:
--- a/benchmarks/scale/points.py
+++ b/benchmarks/scale/points.py
@@ -66,8 +66,8 @@
     real: int
     voters: int
     number: int
-    size: int  # bytes of discovery's answer, or entries re-sent
-    accepted: float
+    size: int  # bytes of discovery's answer; of a recovery: the sidecars that came back, or the words promised
+    accepted: float  # OK to the operator, or discovery has it; of the leader's end: the longest without an OK
     first: float
     last: float  # of the hollow sidecars
     last_real: float
--- a/benchmarks/scale/scenarios.py
+++ b/benchmarks/scale/scenarios.py
@@ -14,7 +14,8 @@
 
 SETTLE = 2.0  # seconds
 IDLE, WORDS, LISTS_WHOLE, LISTS_CHANGES = "idle", "words", "lists-whole", "lists-changes"
-RESTART, LEADER, BESIDE = "restart", "leader", "beside"
+RESTART, LEADER, BESIDE, STALLED = "restart", "leader", "beside", "stalled"
+KINDS = (WORDS, LISTS_CHANGES, LISTS_WHOLE)
 CHANGES_APART = 0.2
 PEAK_WINDOW = 0.25  # seconds over which a peak of traffic is taken
 WORD_EVERY = 0.05
@@ -66,6 +67,17 @@
     )  # fmt: skip
 
 
+def _recovery_row(
+    fleet: Fleet, phase: str, size: int, accepted: float, asked_at: float, reached: tuple[float, float]
+) -> TimeRow:
+    """Of hollow sidecars alone: `reached` is when the first and the last of them had all."""
+    fleet_size, (first_at, last_at) = fleet.size, reached
+    return TimeRow(
+        fleet.run, phase, fleet_size.hollow, fleet_size.real, fleet_size.voters, 0, size, accepted,
+        round(first_at - asked_at, 4), round(last_at - asked_at, 4), 0.0, *machine(),
+    )  # fmt: skip
+
+
 class Peaks:
     """The most bytes that each process sent in `PEAK_WINDOW`, from the beginning to `end`."""
 
@@ -111,18 +123,38 @@
     usage = usage_rows(fleet, RESTART, first, _sample(fleet))
     for pid, rate in most.items():
         print(f"restart: {roles[pid]} sent {rate / 1000:.0f} kB/s at the most, over {PEAK_WINDOW} s")
-    size = fleet.size
+    size = len(restarted.plan.names)
     rows = [
-        TimeRow(
-            fleet.run,
-            f"{RESTART}-{kind}", size.hollow, size.real, size.voters, 0, len(restarted.plan.names), 0.0,
-            round(first_at - asked_at, 4), round(last_at - asked_at, 4), 0.0, *machine(),
-        )
-        for kind, (first_at, last_at) in ((WORD, followed), (LIST, listed))
-    ]  # fmt: skip
+        _recovery_row(fleet, f"{RESTART}-{WORD}", size, 0.0, asked_at, followed),
+        _recovery_row(fleet, f"{RESTART}-{LIST}", size, 0.0, asked_at, listed),
+    ]
     return usage, rows
 
 
+def stalled(fleet: Fleet, stopped: HollowProcess, count: int) -> Rows:
+    """All hollow sidecars of one process stand still, with their connections open, while words are said; then they go
+    on. The times of the words are of all the others."""
+    others = [process for process in fleet.hollows if process is not stopped]
+    fleet.stop(stopped)
+    rows = []
+    for number in range(count):
+        asked_at = time.time()
+        spread = fleet.word(among=others)
+        time.sleep(CHANGES_APART)
+        rows.append(_time_row(fleet, STALLED, WORD, number, asked_at, spread))
+    roles = fleet.roles()
+    first, peaks = _sample(fleet), Peaks([pid for pid, role in roles.items() if role in ("leader", "voter")])
+    asked_at = time.time()
+    fleet.go_on(stopped)
+    back = fleet.wait_reached(WORD, spread.number, among=[stopped])
+    time.sleep(2 * PEAK_WINDOW)
+    most = peaks.end()
+    for pid, rate in most.items():
+        print(f"back: {roles[pid]} sent {rate / 1000:.0f} kB/s at the most, over {PEAK_WINDOW} s")
+    rows.append(_recovery_row(fleet, f"{STALLED}-back", len(stopped.plan.names), 0.0, asked_at, back))
+    return usage_rows(fleet, f"{STALLED}-back", first, _sample(fleet)), rows
+
+
 class Writer:
     """Words to the fleet, one after another, by way of a real sidecar that follows; keeps what was promised."""
 
@@ -172,12 +204,8 @@
         f"leader {killed.name} killed: {len(writer.promised)} words promised, {len(writer.refused)} refused, none "
         f"of the promised missing at {len(stands)} hollow sidecars; longest without an OK {writer.longest_gap():.2f} s"
     )
-    size = fleet.size
-    row = TimeRow(
-        fleet.run,
-        LEADER, size.hollow, size.real, size.voters, 0, len(writer.promised), round(writer.longest_gap(), 4),
-        round(first - asked_at, 4), round(last - asked_at, 4), 0.0, *machine(),
-    )  # fmt: skip
+    gap = round(writer.longest_gap(), 4)
+    row = _recovery_row(fleet, LEADER, len(writer.promised), gap, asked_at, (first, last))
     return [], [row]
 
 
@@ -193,18 +221,15 @@
     )
 
 
-def of_all_phases(size: Size, count: int, idle_for: float, changes_for: float) -> Rows:
-    """One fleet through idle and all three kinds of changes."""
-    usage: list[UsageRow] = []
+def of_phases(size: Size, phases: tuple[str, ...], count: int, idle_for: float, changes_for: float) -> Rows:
+    """One fleet through idle and kinds of changes."""
     times: list[TimeRow] = []
     with Fleet(size) as fleet:
         fleet.begin()
-        for phase in (IDLE, WORDS, LISTS_CHANGES, LISTS_WHOLE):
-            if phase == IDLE:
-                phase_usage, phase_times = idle(fleet, idle_for)
-            else:
-                phase_usage, phase_times = changes(fleet, phase, count, changes_for)
-                print(shown(phase_times), flush=True)
+        usage, _ = idle(fleet, idle_for)
+        for phase in phases:
+            phase_usage, phase_times = changes(fleet, phase, count, changes_for)
+            print(shown(phase_times), flush=True)
             usage += phase_usage
             times += phase_times
     return usage, times
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -71,6 +71,15 @@
         for stand in self.fleet.hollows[0].stands().values():
             self.assertLessEqual(self.said(), stand.out)
 
+    def test_stalled_sidecars_slow_no_others_and_catch_up(self):
+        _, (*words, back) = scenarios.stalled(self.fleet, self.fleet.hollows[1], 3)
+        for row in words:
+            self.assertLess(row.last, IN_FORCE_WITHIN)
+        self.assertEqual("stalled-back", back.phase)
+        self.assertLess(back.last, IN_FORCE_WITHIN)
+        for stand in self.fleet.hollows[1].stands().values():
+            self.assertLessEqual(self.said(), stand.out)
+
     def test_what_was_promised_is_everywhere_after_the_leader_was_killed(self):
         _, (row,) = scenarios.leader_killed(self.fleet, seconds=6)
         self.assertGreater(row.size, 0)  # words promised
