--- a/benchmarks/scale/fit.py
+++ b/benchmarks/scale/fit.py
@@ -2,7 +2,8 @@
 
     python -m benchmarks.scale.fit [--at 580]      (plots need matplotlib)
 
-Prints a table, and writes docs/figures/scale-fits.csv and docs/figures/scale-*.png.
+Prints a table, and writes docs/figures/scale-fits.csv and docs/figures/scale-*.png. Fitted are the fleets of three
+voters and up to 580 hollow sidecars; `bend` is what a larger one measured, as a multiple of what the line has there.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 from benchmarks.scale.scenarios import IDLE, LISTS_CHANGES, LISTS_WHOLE, WORDS
 
 FITS = "scale-fits.csv"
+LARGEST, VOTERS = 580, 3  # of a fleet that is fitted: the most hollow sidecars, and the voters
 LEADER, VOTER, REAL, HOLLOW, DISCOVERY = "leader", "voter", "real", "hollow", "discovery"
 VOTING = (LEADER, VOTER)
 MIB = 1024 * 1024
@@ -64,6 +66,7 @@
     phase: str
     roles: tuple[str, ...]
     value: Callable[[Row, Row], float]  # of a row and the same process's idle row
+    power: int = 1  # of the sidecars that it is fitted against
 
 
 def traffic(row: Row, kind: str, partners: tuple[str, ...]) -> float:
@@ -114,7 +117,8 @@
     Quantity("word-bytes", "bytes a word", WORDS, (*VOTING, *SIDECARS), bytes_per_change),
     Quantity("list-changes-processor", "ms a change", LISTS_CHANGES, (*SIDECARS, DISCOVERY), cpu_per_change),
     Quantity("list-changes-bytes", "bytes a change", LISTS_CHANGES, SIDECARS, bytes_per_change),
-    Quantity("list-whole-processor", "ms a change", LISTS_WHOLE, (*SIDECARS, DISCOVERY), cpu_per_change),
+    Quantity("list-whole-processor", "ms a change", LISTS_WHOLE, (HOLLOW,), cpu_per_change),
+    Quantity("list-whole-processor-real", "ms a change", LISTS_WHOLE, (REAL,), cpu_per_change, power=2),
     Quantity("list-whole-bytes", "bytes a change", LISTS_WHOLE, SIDECARS, bytes_per_change),
 )
 TIMED = (WORDS, LISTS_CHANGES, LISTS_WHOLE)
@@ -138,15 +142,17 @@
 Series = dict[str, tuple[list[float], list[float]]]  # x and y by role
 
 
-def series_of(quantity: Quantity, rows: list[Row]) -> Series:
+def series_of(quantity: Quantity, rows: list[Row], larger: bool = False) -> Series:
+    """Of the fleets that are fitted, or of the larger ones."""
     idle = {(row["run"], row["process"]): row for row in rows if row["phase"] == IDLE}
+    rows = [row for row in rows if row["voters"] == VOTERS and (row["hollow"] > LARGEST) is larger]
     found: Series = defaultdict(lambda: ([], []))
     for row in rows:
         at = row["run"], row["process"]
         if row["phase"] != quantity.phase or row["role"] not in quantity.roles or at not in idle:
             continue
         xs, ys = found[row["role"]]
-        xs.append(x_of(row))
+        xs.append(x_of(row) ** quantity.power)
         ys.append(quantity.value(row, idle[at]))
     return dict(found)
 
@@ -171,6 +177,23 @@
     return found
 
 
+def bend(line: Line, larger: tuple[list[float], list[float]] | None) -> float:
+    if larger is None:
+        return math.nan
+    return statistics.fmean(y / line.at(x) for x, y in zip(*larger, strict=True))
+
+
+def joined(first: Series, second: Series) -> Series:
+    empty: tuple[list[float], list[float]] = ([], [])
+    return {
+        role: (
+            first.get(role, empty)[0] + second.get(role, empty)[0],
+            first.get(role, empty)[1] + second.get(role, empty)[1],
+        )
+        for role in [*first, *(role for role in second if role not in first)]
+    }
+
+
 def plot(name: str, x_label: str, y_label: str, series: Series, lines: dict[str, Line | None]) -> None:
     import matplotlib
 
@@ -198,18 +221,20 @@
     wanted = parser.parse_args()
     usage = rows_of(points.USAGE)
     heads = ["quantity", "role", "unit", "points", "slope", "slope_error", "intercept", "intercept_error", "residual"]
+    heads += ["bend", *(f"at {x:g}" for x in wanted.at)]
     table: list[list[Any]] = []
     for quantity in QUANTITIES:
-        series = series_of(quantity, usage)
+        series, larger = series_of(quantity, usage), series_of(quantity, usage, larger=True)
         lines = {role: fitted(*found) for role, found in series.items()}
         for role, line in lines.items():
             if line is not None:
-                values = [f"{value:.6g}" for value in (*line[1:], *(line.at(x) for x in wanted.at))]
+                worked_out = [line.at(x**quantity.power) for x in wanted.at]
+                values = [f"{value:.4g}" for value in (*line[1:], bend(line, larger.get(role)), *worked_out)]
                 table.append([quantity.name, role, quantity.unit, line.points, *values])
-        plot(quantity.name, "followers of the voter; else sidecars of the fleet", quantity.unit, series, lines)
+        x_label = "followers of the voter; else sidecars of the fleet" + (", squared" if quantity.power == 2 else "")
+        plot(quantity.name, x_label, quantity.unit, joined(series, larger), lines)
     for phase, series in times_of(rows_of(points.TIMES)).items():
         plot(f"time-{phase}", "sidecars that follow", "ms from the change to the last one", series, {})
-    heads += [f"at {x:g}" for x in wanted.at]
     with (FIGURES / FITS).open("w", newline="", encoding="utf-8") as file:
         csv.writer(file, lineterminator="\n").writerows([heads, *table])
     print(" | ".join(heads))
