--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -2,6 +2,7 @@
 
     python -m benchmarks.scale point --hollow 580            # idle, words, lists: a point of every slope
     python -m benchmarks.scale restart --hollow 580 --restarted 180 --words 570
+    python -m benchmarks.scale zone --hollow 580 --restarted 97 --words 570
     python -m benchmarks.scale stalled --hollow 580 --restarted 180 --changes 24
     python -m benchmarks.scale leader --hollow 580 --idle 16
     python -m benchmarks.scale beside --hollow 10 --real 10  # hollow sidecars with decision cores beside real ones
@@ -25,7 +26,7 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("scenario", choices=("point", "restart", "stalled", "leader", "beside"))
+    parser.add_argument("scenario", choices=("point", "restart", "zone", "stalled", "leader", "beside"))
     parser.add_argument("--hollow", type=int, default=100)
     parser.add_argument("--real", type=int, default=3)
     parser.add_argument("--voters", type=int, default=3)
@@ -67,6 +68,10 @@
         with Fleet(size._replace(a_process=wanted.restarted)) as fleet:
             fleet.begin()
             return scenarios.restart(fleet, fleet.hollows[0], wanted.words)
+    if wanted.scenario == "zone":
+        with Fleet(size._replace(a_process=wanted.restarted)) as fleet:
+            fleet.begin()
+            return scenarios.zone(fleet, fleet.hollows[0], wanted.words)
     if wanted.scenario == "stalled":
         with Fleet(size._replace(a_process=wanted.restarted)) as fleet:
             fleet.begin()
--- a/benchmarks/scale/scenarios.py
+++ b/benchmarks/scale/scenarios.py
@@ -14,7 +14,7 @@
 
 SETTLE = 2.0  # seconds
 IDLE, WORDS, LISTS_WHOLE, LISTS_CHANGES = "idle", "words", "lists-whole", "lists-changes"
-RESTART, LEADER, BESIDE, STALLED = "restart", "leader", "beside", "stalled"
+RESTART, LEADER, BESIDE, STALLED, ZONE = "restart", "leader", "beside", "stalled", "zone"
 KINDS = (WORDS, LISTS_CHANGES, LISTS_WHOLE)
 CHANGES_APART = 0.2
 PEAK_WINDOW = 0.25  # seconds over which a peak of traffic is taken
@@ -85,11 +85,12 @@
         self.pids = pids
         self.most: dict[int, float] = dict.fromkeys(pids, 0.0)  # bytes a second
         self.over = threading.Event()
+        self.before = sample(pids)  # here: what follows at once is in the first window
         self.thread = threading.Thread(target=self._run, daemon=True)
         self.thread.start()
 
     def _run(self) -> None:
-        before = sample(self.pids)
+        before = self.before
         while not self.over.wait(PEAK_WINDOW):
             now = sample(self.pids)
             used = between(before, now)
@@ -131,6 +132,38 @@
     return usage, rows
 
 
+def zone(fleet: Fleet, lost: HollowProcess, words: int) -> Rows:
+    """The hollow sidecars of one process and a voter that does not lead end together; a word is said; all come back,
+    the voter with its files."""
+    while fleet.words_said < words:
+        fleet.say_word()
+    voter = next(voter for voter in fleet.voters.values() if voter is not fleet.leader())
+    others = [process for process in fleet.hollows if process is not lost]
+    asked_at = time.time()
+    voter.kill()
+    lost.kill()
+    without = fleet.say_word().number
+    reached = fleet.wait_reached(WORD, without, among=others)
+    rows = [_recovery_row(fleet, f"{ZONE}-others", fleet.size.hollow - len(lost.plan.names), 0.0, asked_at, reached)]
+    time.sleep(SETTLE)
+    roles = fleet.roles()
+    serving = [pid for pid, role in roles.items() if role in ("leader", "voter", "discovery")]
+    first, peaks = _sample(fleet), Peaks(serving)
+    asked_at = time.time()
+    voter.start()
+    lost.start()
+    followed = fleet.wait_reached(WORD, without, among=[lost])
+    listed = fleet.wait_reached(LIST, fleet.members.index, among=[lost])
+    fleet.wait(lambda: int(voter.stands().get("index", 0)) >= without, f"{voter.name} is behind")
+    voted_at = time.time()
+    for pid, rate in peaks.end().items():
+        print(f"zone: {roles[pid]} sent {rate / 1000:.0f} kB/s at the most, over {PEAK_WINDOW} s")
+    size = len(lost.plan.names)
+    for what, times in ((WORD, followed), (LIST, listed), ("voter", (voted_at, voted_at))):
+        rows.append(_recovery_row(fleet, f"{ZONE}-{what}", size, 0.0, asked_at, times))
+    return usage_rows(fleet, ZONE, first, _sample(fleet)), rows
+
+
 def stalled(fleet: Fleet, stopped: HollowProcess, count: int) -> Rows:
     """All hollow sidecars of one process stand still, with their connections open, while words are said; then they go
     on. The times of the words are of all the others."""
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -80,6 +80,14 @@
         for stand in self.fleet.hollows[1].stands().values():
             self.assertLessEqual(self.said(), stand.out)
 
+    def test_a_zone_with_a_voter_comes_back_and_the_others_go_on(self):
+        _, rows = scenarios.zone(self.fleet, self.fleet.hollows[0], words=10)
+        self.assertEqual(["zone-others", "zone-word", "zone-list", "zone-voter"], [row.phase for row in rows])
+        for row in rows:
+            self.assertLess(row.last, IN_FORCE_WITHIN)
+        for stand in self.stands().values():
+            self.assertLessEqual(self.said(), stand.out)
+
     def test_what_was_promised_is_everywhere_after_the_leader_was_killed(self):
         _, (row,) = scenarios.leader_killed(self.fleet, seconds=6)
         self.assertGreater(row.size, 0)  # words promised
