--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -3,6 +3,7 @@
     python -m benchmarks.scale point --hollow 580            # idle, words, lists: a point of every slope
     python -m benchmarks.scale restart --hollow 580 --restarted 180 --words 570
     python -m benchmarks.scale zone --hollow 580 --restarted 97 --words 570
+    python -m benchmarks.scale region --hollow 100 --changes 24 --idle 20
     python -m benchmarks.scale stalled --hollow 580 --restarted 180 --changes 24
     python -m benchmarks.scale leader --hollow 580 --idle 16
     python -m benchmarks.scale beside --hollow 10 --real 10  # hollow sidecars with decision cores beside real ones
@@ -26,13 +27,13 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("scenario", choices=("point", "restart", "zone", "stalled", "leader", "beside"))
+    parser.add_argument("scenario", choices=("point", "restart", "zone", "region", "stalled", "leader", "beside"))
     parser.add_argument("--hollow", type=int, default=100)
     parser.add_argument("--real", type=int, default=3)
     parser.add_argument("--voters", type=int, default=3)
     parser.add_argument("--kinds", default=",".join(scenarios.KINDS), help="of changes, in this order")
     parser.add_argument("--changes", type=int, default=20)
-    parser.add_argument("--idle", type=float, default=10.0, help="seconds")
+    parser.add_argument("--idle", type=float, default=10.0, help="seconds of idle, under load, or apart")
     parser.add_argument("--within", type=float, default=10.0, help="seconds for the changes of one kind")
     parser.add_argument("--restarted", type=int, default=180, help="hollow sidecars that restart, or stall, together")
     parser.add_argument("--words", type=int, default=570, help="said before a restart")
@@ -68,6 +69,10 @@
         with Fleet(size._replace(a_process=wanted.restarted)) as fleet:
             fleet.begin()
             return scenarios.restart(fleet, fleet.hollows[0], wanted.words)
+    if wanted.scenario == "region":
+        with Fleet(size._replace(a_process=-(-wanted.hollow // 2), regions=2)) as fleet:
+            fleet.begin()
+            return scenarios.region(fleet, wanted.changes, wanted.idle)
     if wanted.scenario == "zone":
         with Fleet(size._replace(a_process=wanted.restarted)) as fleet:
             fleet.begin()
--- a/benchmarks/scale/fleet.py
+++ b/benchmarks/scale/fleet.py
@@ -31,6 +31,7 @@
 from benchmarks.scale.discovery import Change, Changed
 from benchmarks.scale.hollow import LIST, WORD, Plan, Reached, Stand
 from loftweir.config import operator
+from loftweir.standins.faults import Links
 from loftweir.standins.toy import SETTINGS
 
 T = TypeVar("T")
@@ -58,6 +59,7 @@
     entries: int = 0  # of discovery's list; 0: one for each sidecar
     cores: bool = False  # each hollow sidecar has a decision core
     a_process: int = 200  # hollow sidecars in one process
+    regions: int = 1  # 2: the last voter and half of the processes of hollow sidecars are in a far one
 
     @property
     def listed(self) -> int:
@@ -193,11 +195,19 @@
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = Path(self.temporary.name)
         self.seats = {f"n{n}": self._free_address() for n in range(size.voters)}
+        self.far_voter = f"n{size.voters - 1}" if size.regions > 1 else ""
+        self.links = Links(self.host)
+        # Where each voter is reached from the region that it is not in.
+        self.across = {name: self.links.link(seat) for name, seat in self.seats.items()} if self.far_voter else {}
         self.members = discovery.members(size.listed)
         self.discovery_pipe, self.discovery_process, self.discovery_address = self._start_discovery()
         self.voters = {name: self._sidecar(name) for name in self.seats}
         self.followers = {name: self._sidecar(name) for name in (f"r{n}" for n in range(size.real))}
-        self.hollows = [HollowProcess(self._plan(names)) for names in self._groups()]
+        groups = self._groups()
+        self.hollows = [
+            HollowProcess(self._plan(names, far=size.regions > 1 and 2 * number >= len(groups)))
+            for number, names in enumerate(groups)
+        ]
         self.words_said = 0
 
     def __enter__(self) -> Fleet:
@@ -210,6 +220,7 @@
             sidecar.kill()
         self.discovery_process.kill()
         self.discovery_process.join()
+        self.links.close()
         self.temporary.cleanup()
 
     # ---- making ---------------------------------------------------------------------------------
@@ -232,9 +243,13 @@
         theirs.close()
         return ours, process, address
 
-    def _operator_file(self, folder: Path) -> str:
+    def _reached_at(self, voter: str, far: bool) -> str:
+        """A voter's address for who is, or is not, in the far region."""
+        return self.across[voter].address if self.across and (voter == self.far_voter) is not far else self.seats[voter]
+
+    def _operator_file(self, folder: Path, far: bool) -> str:
         replication = TIMES | {
-            "members": ", ".join(f"{name}={seat}" for name, seat in self.seats.items()),
+            "members": ", ".join(f"{name}={self._reached_at(name, far)}" for name in self.seats),
             "folder": str(folder / "replication"),
             "callers": self.size.hollow + self.size.real + 64,
         }
@@ -260,19 +275,19 @@
             "settings": PLATFORM_SETTINGS,
         }
         (folder / "config.json").write_text(json.dumps(config))
-        (folder / "loftweir.toml").write_text(self._operator_file(folder))
+        (folder / "loftweir.toml").write_text(self._operator_file(folder, name == self.far_voter))
         return sidecar
 
     def _groups(self) -> list[list[str]]:
         names = [f"h{n}" for n in range(self.size.hollow)]
         return [names[at : at + self.size.a_process] for at in range(0, len(names), self.size.a_process)]
 
-    def _plan(self, names: list[str]) -> Plan:
+    def _plan(self, names: list[str], far: bool) -> Plan:
         file = self.folder / "hollow.toml"
-        file.write_text(self._operator_file(self.folder / "none"))
+        file.write_text(self._operator_file(self.folder / "none", far))
         options = operator.load(str(file), {}).options
         known = self.members.snapshot() if self.size.cores else None
-        return Plan(names, options, self.discovery_address, PLATFORM_SETTINGS, known)
+        return Plan(names, options, self.discovery_address, PLATFORM_SETTINGS, known, far)
 
     # ---- beginning ------------------------------------------------------------------------------
 
@@ -381,6 +396,15 @@
     def go_on(self, process: HollowProcess) -> None:
         os.kill(process.pid, signal.SIGCONT)
 
+    def part_regions(self) -> None:
+        """Nothing passes between the regions, and nobody is told. Discovery is reached from both."""
+        for link in self.across.values():
+            link.silence()
+
+    def join_regions(self) -> None:
+        for link in self.across.values():
+            link.heal()
+
     # ---- processes ------------------------------------------------------------------------------
 
     def process_names(self) -> dict[int, str]:
--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -39,6 +39,7 @@
     discovery: str
     settings: dict[str, Any]  # the platform's
     known: dict[str, Any] | None  # the list that each starts with, and a decision core for each; None: neither
+    far: bool = False  # in the other region
 
 
 class Reached(NamedTuple):
--- a/benchmarks/scale/scenarios.py
+++ b/benchmarks/scale/scenarios.py
@@ -14,7 +14,7 @@
 
 SETTLE = 2.0  # seconds
 IDLE, WORDS, LISTS_WHOLE, LISTS_CHANGES = "idle", "words", "lists-whole", "lists-changes"
-RESTART, LEADER, BESIDE, STALLED, ZONE = "restart", "leader", "beside", "stalled", "zone"
+RESTART, LEADER, BESIDE, STALLED, ZONE, REGION = "restart", "leader", "beside", "stalled", "zone", "region"
 KINDS = (WORDS, LISTS_CHANGES, LISTS_WHOLE)
 CHANGES_APART = 0.2
 PEAK_WINDOW = 0.25  # seconds over which a peak of traffic is taken
@@ -164,6 +164,44 @@
     return usage_rows(fleet, ZONE, first, _sample(fleet)), rows
 
 
+def region(fleet: Fleet, words: int, seconds: float) -> Rows:
+    """Two regions are cut off from each other while words are said in the near one, which has a majority; a word in the
+    far one has to be refused. Then they are joined."""
+    near = [process for process in fleet.hollows if not process.plan.far]
+    far = [process for process in fleet.hollows if process.plan.far]
+    far_voter = fleet.voters[fleet.far_voter]
+    fleet.part_regions()
+    refused_at = time.time()
+    answer = far_voter.call("FLEET-DISABLE refused")
+    refused_within = time.time() - refused_at
+    if "NoMajority" not in answer:
+        raise Failed(f"the far region answered: {answer}")
+    rows: list[TimeRow] = []
+    for number in range(words):
+        asked_at = time.time()
+        spread = fleet.word(among=near)
+        rows.append(_time_row(fleet, REGION, WORD, number, asked_at, spread))
+        time.sleep(max(0.0, asked_at + seconds / words - time.time()))
+    age = far_voter.stands().get("age_ms", "-")
+    roles = fleet.roles()
+    voting = [pid for pid, role in roles.items() if role in ("leader", "voter")]
+    first, peaks = _sample(fleet), Peaks(voting)
+    asked_at = time.time()
+    fleet.join_regions()
+    back = fleet.wait_reached(WORD, spread.number, among=far)
+    time.sleep(2 * PEAK_WINDOW)
+    for pid, rate in peaks.end().items():
+        print(f"joined: {roles[pid]} sent {rate / 1000:.0f} kB/s at the most, over {PEAK_WINDOW} s")
+    outs = [stand.out for process in fleet.hollows for stand in process.stands().values()]
+    lacking = sum(not {f"x{n + 1}" for n in range(fleet.words_said)} <= out for out in outs)
+    if lacking or any("refused" in out for out in outs):
+        raise Failed(f"{lacking} hollow sidecars lack a promised word, or one has the refused one")
+    print(f"the far region refused a word in {refused_within:.2f} s; it knew of {age} ms ago when the regions joined")
+    sidecars = sum(len(process.plan.names) for process in far)
+    rows.append(_recovery_row(fleet, f"{REGION}-back", sidecars, round(refused_within, 4), asked_at, back))
+    return usage_rows(fleet, f"{REGION}-back", first, _sample(fleet)), rows
+
+
 def stalled(fleet: Fleet, stopped: HollowProcess, count: int) -> Rows:
     """All hollow sidecars of one process stand still, with their connections open, while words are said; then they go
     on. The times of the words are of all the others."""
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -101,6 +101,15 @@
         self.assertEqual([], self.fleet.lacking(LIST, self.fleet.members.index))
 
 
+class TwoRegions(unittest.TestCase):
+    def test_regions_that_were_apart_have_all_that_was_promised_and_nothing_that_was_refused(self):
+        with Fleet(Size(HOLLOW, REAL, VOTERS, a_process=10, regions=2)) as fleet:
+            fleet.begin()
+            _, (*words, back) = scenarios.region(fleet, 3, seconds=4)  # raises where a word is missing
+        for row in (*words, back):
+            self.assertLess(row.last, IN_FORCE_WITHIN)
+
+
 class Parts(unittest.TestCase):
     def test_the_kernels_counters_are_those_of_the_connection(self):
         with socket.create_server(("127.0.0.1", 0)) as listener:
