Cold servers under the sum of all, and a lone new one that serves from its first request on

Cause of what was taken back in: with thin traffic the distance of calls to a cold server is seconds, also from its start, and its share turned most of the rest away, though chance alone allows all of it. The moment is drawn for each server and counted from when the balancer was told of it; the traffic is known after four fall_after, not after a number of requests, which a crowd sends in a fifth of a second. - `_harmless`: where the traffic of all to a cold server is no more than 2 x root of its budget + 2 in `fall_after`, each balancer may send it its part of that, counted, whatever the others send: no share, no distance below that. - cards of cold servers whose distance isn't kept yet stay in the deck: fewer deals.

--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -1,15 +1,16 @@
 """The decisions of a client-side load balancer: PreferClose of KEP-4444, under four rules.
 
-The types it speaks in are in interface.py; read that first. Then read `Balancer.handle`, and the class from
-top to bottom: membership and discovery; candidate set (PreferClose) and even spread; attempts, retries and
-refusals; final answers. Every attempt leaves through `_attempt`, the only gate, and every refusal through
-`_end`: those two keep the rules, whatever the code around them wants.
+The types it speaks in are in interface.py; read that first. Then read `Balancer.handle`, and the class from top to
+bottom: membership and discovery; candidate set (PreferClose) and even spread; attempts, retries and refusals; final
+answers. Every attempt leaves through `_attempt`, the only gate, and every refusal through `_end`: those two keep the
+rules, whatever the code around them wants.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
-from math import log2
+from math import inf, sqrt
 from random import Random
 
 from loftweir.interface import (
@@ -54,15 +55,12 @@
 FADE_AIMS = 8  # aims without a word of a crowd, after which half of its pressure goes in as many more
 PRESSURE_STEP = 0.25  # the most that one outcome says
 FELT = (Outcome.OK, Outcome.FULL, Outcome.TIMED_OUT)
-WAIT_FADES = 3  # fall_afters in which half of it is forgotten
-GAP_MEMORY = 16  # requests over which the time between them is taken
-CLOSER = 4  # than an even spread has it, that one of many balancers' calls to a cold server may follow each other
+LATELY, WAIT_FADES = 16, 3  # calls to a server whose times are kept; fall_afters in which half of its wait is forgotten
+GAP_FROM, COME_AGAIN = 4, 3  # fall_afters that make the time between requests known; till then, how often a client asks
 MIX_MEMORY = 64  # requests over which the parts of the classes are taken
 RETRY_PART, RETRY_BURST = 0.25, 5.0  # further attempts earned by each request, and how many may be saved up
 COME_BACK, LEAST_AWAY = 0.25, 0.2  # of the aim, at full pressure; and the least pressure counted for it
-DISCOVERY_TAG = "discovery"
-REQUEST_TAG = "request:"
-LATE_TAG = "late:"
+DISCOVERY_TAG, REQUEST_TAG, LATE_TAG = "discovery", "request:", "late:"
 
 
 @dataclass(slots=True, eq=False)
@@ -72,6 +70,8 @@
     address: str
     zone: str
     started_at: int
+    told_at: int  # when this balancer was told of this process
+    phase: float  # the part of the distance, from then, after which the first call goes to one that is cold
     cell: int = 0
     weight: float = 1.0
     ready: bool = False
@@ -84,6 +84,7 @@
     records: dict[str, Record] = field(default_factory=dict)  # by class: one may fail where the others are served
     out: dict[Try, None] = field(default_factory=dict)  # this balancer's calls that it holds, the oldest first
     sent_at: int = 0  # the latest of them
+    lately: deque[float] = field(default_factory=lambda: deque([-inf] * LATELY, LATELY))  # when the last were sent
     answered: int = 0  # when the latest of its answered calls was sent
     heard_at: int = 0  # when it last answered anything
     wait: float = 0.0  # what an answer takes, of late
@@ -91,11 +92,11 @@
     full_until: int = 0  # it turned a call away, or took no connection: passed over until then
     called_back: bool = False  # its operators say that it may serve again
 
-    def update(self, endpoint: Endpoint) -> None:
+    def update(self, endpoint: Endpoint, now: int) -> None:
         if endpoint.started_at != self.started_at:
             self.suspicion, self.out_until, self.strikes = 0.0, 0, 0  # a new process: its past is not its own
             self.trust, self.wait, self.pace, self.full_until, self.doubt = 0.0, 0.0, 0.0, 0, 0.0
-            self.records = {}
+            self.records, self.told_at = {}, now
         self.cell = endpoint.cell
         self.weight = endpoint.weight
         self.called_back = endpoint.called_back
@@ -124,12 +125,11 @@
         self.server = server
         self.group = server.group(cls.scope)  # as it was then: a list may put its server into another one
         self.cls = cls
-        self.sent_at = sent_at
-        server.sent_at = sent_at
+        self.sent_at = server.sent_at = sent_at
+        server.lately.append(sent_at)
         server.out[self] = None
         self.place = len(server.out)
-        self.out = True
-        self.never_ran = False
+        self.out, self.never_ran = True, False
         self.late = False  # its aim has passed, and was felt as crowding
 
 
@@ -188,7 +188,7 @@
     """The decisions of one balancer. Feed it every event in order; carry out what it returns, in order."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.random = Random(seed)
+        self.random, self.phases = Random(seed), Random(f"phases {seed}")
         self.now = 0
         self.servers: dict[str, Server] = {}  # all that the list names as ready or draining
         self.calls: dict[str, Call] = {}
@@ -198,17 +198,15 @@
         self.far = Deck()  # the ready servers of the others
         self.retry_budget = RETRY_BURST
         self.mix: dict[str, float] = {}  # the part of each class of late
-        self.gap = 0.0  # between one request and the next, of late
-        self.asked_at = 0  # when the latest came
-        self.asking = False
-        self.failures_to_ask = 0
+        self.gap = self.asked = 0.0  # the mean time from one request to the next, and of how many
+        self.began = self.asked_at = 0  # when the first and the latest came
+        self.asking, self.failures_to_ask = False, 0
         self.actions: list[Action] = []
         self._use(settings)
 
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         """Take the events of one moment, in order, and return what to do, in order."""
-        self.now = now
-        self.actions = []
+        self.now, self.actions = now, []
         for event in events:
             if isinstance(event, Request):
                 self._request(event)
@@ -232,8 +230,6 @@
         parts = {name: self.mix.get(name, 1 / len(classes)) for name in classes}
         self.mix = {name: part / sum(parts.values()) for name, part in parts.items()}
         self.fade_half = FADE_AIMS * sum(c.aim for c in classes.values()) // len(classes)
-        # Of few balancers, one's own burst is most of what a cold server is sent; of many it is lost in the sum.
-        self.closer = min(CLOSER, log2(1 + settings.balancers))
         for server in self.servers.values():
             server.records = {name: record for name, record in server.records.items() if name in classes}
         self._rebuild()
@@ -253,14 +249,13 @@
             self.failures_to_ask = 0
         if update.kind is not UpdateKind.CHANGES:
             listed = {e.address for e in update.endpoints}
-            for address in [a for a in self.servers if a not in listed]:
-                del self.servers[address]
+            self.servers = {address: server for address, server in self.servers.items() if address in listed}
         for endpoint in update.endpoints:
             if endpoint.lifecycle is Lifecycle.GONE:
                 self.servers.pop(endpoint.address, None)
                 continue
-            server = Server(endpoint.address, endpoint.zone, endpoint.started_at)
-            self.servers.setdefault(endpoint.address, server).update(endpoint)
+            server = Server(endpoint.address, endpoint.zone, endpoint.started_at, self.now, self.phases.random())
+            self.servers.setdefault(endpoint.address, server).update(endpoint, self.now)
         self._rebuild()
         for call in list(self.held.values()):
             self._serve(call)
@@ -353,10 +348,7 @@
         self.back = [s for s in self.far.servers if s.called_back or self.settings.balancers < len(self.settings.zones)]
 
     def _able(self, server: Server) -> float:
-        """The least part of its capacity that a server can do now.
-
-        It rises evenly from `cold_from` to all over `warm_within` at the slowest.
-        """
+        """The least part of its capacity that a server can do now: from `cold_from` evenly to all in `warm_within`."""
         safety = self.settings.safety
         age = self.now - server.started_at
         if server.started_at <= 0 or age >= safety.warm_within:
@@ -367,22 +359,28 @@
         """So cold that the traffic of a crowd, twice what its size could carry warm, would push it over."""
         return self._able(server) * self.settings.safety.fall_multiple < 2
 
+    def _harmless(self, server: Server) -> int:
+        """How many calls in `fall_after` this balancer may send a frail server, whatever others send: its part of the
+        chance beside the budget, 2 x root of it + 2, where all are asked for no more; else none."""
+        size, deck, settings = self._size(server), self._deck(server), self.settings
+        asked = size * settings.balancers * settings.safety.fall_after / (self.gap or inf)
+        if not size or asked > LATELY * deck.size or settings.balancers > LATELY or not self._frail(server):
+            return 0
+        budget = settings.safety.fall_multiple * self._able(server) * asked / max(1, self.near.size + self.far.size)
+        part = int((2 * sqrt(budget) + 2) / settings.balancers)
+        return part if asked <= part * settings.balancers * deck.size else 0
+
     def _size(self, server: Server) -> float:
         return server.weight if self.settings.capacity_known else 1.0
 
     def _settle(self, deck: Deck) -> float:
-        listed = sum(self._size(s) for s in deck.servers)
-        return deck.settle(self.now, self.settings.safety.warm_within // 2, listed)
+        return deck.settle(self.now, self.settings.safety.warm_within // 2, sum(map(self._size, deck.servers)))
 
     def _share(self, server: Server) -> float:
-        """A server's part of the spread: its nominal size, less what it cannot do while it is cold.
-
-        The balancers together so send it no more than its warm peers carry for what they can do, however
-        many they are. In a crowd the repeats of refused requests multiply what arrives: it gets less then.
-        """
-        size = self._size(server)
-        able = self._able(server)
-        return size if able >= 1 else size * able * (1 - self._deck(server).pressure)
+        """A server's part of the spread: its size, less what it cannot do while it is cold, and less again in a crowd,
+        whose repeats multiply what arrives. So the balancers together send it no more than it can do."""
+        size, able = self._size(server), self._able(server)
+        return size if able >= 1 or self._harmless(server) else size * able * (1 - self._deck(server).pressure)
 
     def _ensure(self, deck: Deck) -> None:
         """Cards to draw, and a warmth that holds now: cold servers warm while a deck of theirs is hardly drawn from."""
@@ -404,8 +402,7 @@
         self.random.shuffle(servers)
         shares = [self._share(s) for s in servers]
         total = sum(shares)
-        # Servers set aside, or gone of late, count in the whole while some are cold: their part must not go to
-        # the cold ones.
+        # Servers set aside, or gone of late, count in the whole while some are cold: these must not get their part.
         whole = sum(self._size(s) for s in servers)
         if any(self._frail(s) for s in servers):
             whole = max(whole, self._settle(deck))
@@ -419,11 +416,8 @@
         self.random.shuffle(deck.cards)
 
     def _next(self, cls: RequestClass) -> Server | None:
-        """Blind to load: deal from the zone's deck, from the other zones' where the zone has no server.
-
-        A zone whose servers are cold keeps what they can do and lets the rest overflow: piled onto few
-        cold servers, the traffic of a whole zone would push them over.
-        """
+        """Blind to load: deal from the zone's deck, from the other zones' where the zone has no server. A zone whose
+        servers are cold keeps what they can do and lets the rest overflow, which would push them over."""
         self.near.fade(self.now, self.fade_half)
         self.far.fade(self.now, self.fade_half)
         deck = self.near if any(s.out_until <= self.now for s in self.near.servers) else self.far
@@ -460,9 +454,8 @@
         return min(able, key=lambda s: self._fails(s, cls.name), default=None)
 
     def _is_due(self, server: Server, cls: RequestClass) -> bool:
-        """Whether a cold one of another zone is to be fed: what overflows passes it over, and it may be that nobody
-        else sends to it. At even intervals its even share, of what may be repeated: with as much again from its own
-        zone's balancers it stays under fall_multiple."""
+        """Whether a cold one of another zone is to be fed its even share, of what may be repeated: nobody else may send
+        to it. With as much again from its own zone's balancers it stays under fall_multiple."""
         if cls.effect is not Effect.REPEATABLE or not self._frail(server) or server.out_until > self.now:
             return False
         share = (self.now - max(server.sent_at, server.started_at)) * self._size(server) * self._able(server)
@@ -511,10 +504,12 @@
     def _draw(self, deck: Deck, cls: RequestClass) -> Server | None:
         """The next card of a server that can take a call; where none is left, one more deal."""
         for _ in range(2):
-            while deck.cards:
+            for _ in range(len(deck.cards)):
                 server = deck.cards.pop()
                 if self._has_room(server, cls) and self._sound(server, cls) and not self._slow(server, cls):
                     return server
+                if self._frail(server):
+                    deck.cards.insert(0, server)  # its turn comes when its distance is kept
             if not any(self._has_room(s, cls) for s in deck.servers):
                 return None
             self._deal(deck)
@@ -523,16 +518,17 @@
     def _has_room(self, server: Server, cls: RequestClass) -> bool:
         """Whether it can still answer in time, by this balancer's own calls there.
 
-        One that holds as many as it answers in time is not usable for the moment, like one set aside: the
-        zone's traffic goes to the others, and elsewhere once there are none. A call out for longer than its
-        aim says that the server hangs or is jammed, and one back from being set aside is tried with one.
-        """
+        One that holds as many as it answers in time is not usable for the moment, like one set aside. A call out for
+        longer than its aim says that it hangs or is jammed, and one back from being set aside is tried with one."""
         if server.full_until > self.now:
             return False
-        if self._frail(server):
-            # Not much closer together than an even spread has it: what passes others over would push it over.
-            rate = self.closer * self._size(server) * self._able(server)  # a size may be 0: nothing is for it
-            if (self.now - server.sent_at) * rate < self.gap * self._deck(server).size:
+        calls, safety = self._harmless(server), self.settings.safety
+        if self._frail(server) and not (calls and server.lately[-calls] <= self.now - safety.fall_after):
+            # fall_multiple times closer together than an even spread has it, no more: what others are passed over for,
+            # or what comes again, would push it over. Balancers begin at moments of their own, or they do so at once.
+            rate = safety.fall_multiple * self._size(server) * self._able(server)  # 0: nothing is for it
+            apart = self.gap * self._deck(server).size * (server.phase if server.sent_at < server.told_at else 1)
+            if (self.now - max(server.sent_at, server.told_at)) * rate < apart:
                 return False
         held = self._held_by(server, cls)
         if not held:
@@ -556,10 +552,8 @@
         return [t for t in server.out if t.sent_at > server.answered or t.sent_at >= since]
 
     def _another(self, call: Call) -> Server | None:
-        """A server for a further attempt: not tried before, and of the group its repeats must keep to.
-
-        The zone comes first here too; unlike a first attempt, a further one leaves it when it must.
-        """
+        """A server for a further attempt: not tried before, and of the group its repeats must keep to. The zone comes
+        first here too; unlike a first attempt, a further one leaves it when it must."""
         tried = [t.server for t in call.tries]
         ran = call.may_have_run()
         for servers in (self.near.servers, self.far.servers):
@@ -577,9 +571,13 @@
 
     def _request(self, request: Request) -> None:
         cls = request.cls or self.settings.classes[request.class_name]
-        if self.asked_at:
-            since = min(self.now - self.asked_at, self.settings.safety.fall_after)
-            self.gap += (since - self.gap) / GAP_MEMORY if self.gap else since
+        warmth, fall_after = (self.near if self.near.servers else self.far).warmth, self.settings.safety.fall_after
+        self.began = self.began or self.now
+        # Beside cold servers what is turned away comes again: the traffic that is spread is that of before.
+        if self.asked_at and (warmth >= 1 or self.now - self.began < GAP_FROM * fall_after):
+            since = min(self.now - self.asked_at, fall_after)
+            self.asked = 1 + self.asked * 0.5 ** (since / max(1, self.settings.safety.warm_within // 2))
+            self.gap += (since * min(COME_AGAIN, 1 / warmth) - self.gap) / self.asked
         self.asked_at = self.now
         for name, part in self.mix.items():
             self.mix[name] = part + ((name == cls.name) - part) / MIX_MEMORY
@@ -667,10 +665,8 @@
             server.pace += (pace - server.pace) / PACE_MEMORY if server.pace else pace
 
     def _retry(self, call: Call) -> bool:
-        """A further attempt, where the rules allow one and the budget has it.
-
-        The budget keeps a failing fleet from a storm: a further attempt for each few requests, no more.
-        """
+        """A further attempt, where the rules allow one and the budget has it: one for each few requests, no more, which
+        keeps a failing fleet from a storm."""
         if self.retry_budget < 1:
             return False
         server = self._another(call)
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -4,15 +4,19 @@
 servers count what comes.
 """
 
+import itertools
 import math
 import threading
 import time
 
 import pytest
-from cold_scene import COLD_FROM, FALL_MULTIPLE, WARM_WITHIN, Case, Fleet
+from cold_scene import BEGAN, CLASSES, COLD_FROM, FALL_MULTIPLE, MS, SAFETY, WARM_WITHIN, Case, Fleet
 from scene import SECOND, SETTINGS, Party, entry, ok
 from test_mass_restart import Fleet as Sidecars
 
+from loftweir import interface as api
+from loftweir.balance import Balancer
+
 SEEDS = range(2)
 WIDE = {"servers": 32, "seconds": 5, "zones": 4, "balancers": 30, "load": 0.9, "uneven": True}
 THIN = {"servers": 12, "zones": 3, "balancers": 200, "load": 0.9, "uneven": True}
@@ -28,12 +32,14 @@
     "a zone": Case("zone", **WIDE),
     "a zone, clients come again": Case("zone", again=True, **WIDE),
     "all, clients come again": Case("fleet", again=True, **WIDE | {"load": 0.8}),
+    "all, at nine tenths, clients come again": Case("fleet", again=True, **WIDE),
     "all, one zone, clients come again": Case("fleet", balancers=30, load=0.9, uneven=True, again=True),
     "all, three balancers, clients come again": Case("fleet", balancers=3, again=True),
     "all, 200 balancers, clients come again": Case("fleet", again=True, **THIN),
     "one, all balancers restarted": Case("one", balancers=20, uneven=True, restarted="all"),
     "six in ten, all balancers restarted": Case("release", balancers=30, uneven=True, restarted="all", again=True),
     "a zone, one balancer restarted": Case("zone", balancers=20, zones=3, restarted="one", again=True),
+    "all, at nine tenths, all restarted, clients come again": Case("fleet", restarted="all", again=True, **WIDE),
     "all, all restarted, clients come again": Case("fleet", balancers=20, uneven=True, restarted="all", again=True),
 }
 
@@ -60,6 +66,56 @@
     assert 0.5 < came / share < 1.3
 
 
+def thin(balancers, interval, known=0):
+    """One balancer after another is asked, every `interval` from all, for 5 s from the start of a lone server, and for
+    `known` seconds before that of another one, which leaves. Of the 5 s: what was asked, and the attempts."""
+    fleet = [scene_balancer(n, balancers) for n in range(balancers)]
+    now, asked, sent = BEGAN, [], []
+    server, since = ("old", 0) if known else ("new", BEGAN)
+    tell(fleet, now, server, since)
+    for number in range(int((known + 5) * SECOND / interval)):
+        now = BEGAN + int(number * interval)
+        if server == "old" and now >= BEGAN + known * SECOND:
+            server, since = "new", now
+            tell(fleet, now, server, since)
+        balancer, request = fleet[number % balancers], api.Request(f"r{number}", "read", 3 * SECOND)
+        for action in balancer.handle(now, [request]):
+            if isinstance(action, api.Attempt):
+                balancer.handle(now + 10 * MS, [api.AttemptEnded(request.id, 0, server, api.Outcome.OK, 10 * MS, True)])
+                sent += [now] if server == "new" else []
+        asked += [now] if server == "new" else []
+    return asked, sent
+
+
+def scene_balancer(number, balancers):
+    return Balancer(api.Settings("z0", ("z0",), CLASSES, SAFETY, balancers=balancers, me=number), number)
+
+
+def tell(fleet, now, server, since):
+    listed = (api.Endpoint(server, "z0", "m", 0, api.Lifecycle.READY, 1.0, since),)
+    for balancer in fleet:
+        balancer.handle(now, [api.MembershipUpdate(api.UpdateKind.FULL, listed, 1)])
+
+
+@pytest.mark.parametrize("known", [0, 3, 20])
+@pytest.mark.parametrize("interval", [SECOND / 3, SECOND, 4 * SECOND])
+@pytest.mark.parametrize("balancers", [1, 2])
+def test_a_lone_server_that_has_just_started_answers_thin_traffic_from_the_first_request_on(balancers, interval, known):
+    """It was refused for seconds, where traffic is thin: by the distance from its start, and before that by its share.
+    Chance alone allows each balancer as much, whatever the other one sends."""
+    asked, sent = thin(balancers, interval, known)
+    assert len(asked) >= 1
+    assert sent == asked
+
+
+@pytest.mark.parametrize("balancers", [1, 2, 3, 8, 30])
+def test_a_lone_server_that_can_do_no_more_than_its_thin_traffic_is_not_sent_more_than_its_budget_and_chance(balancers):
+    for rate, restarted in itertools.product((3, 6, 12), ("", "all")):
+        for seed in range(4):
+            fleet = Fleet(Case("fleet", balancers, 1, 1, 0.9, rate, restarted=restarted), seed).play()
+            assert fleet.excess() <= 0, (rate, restarted, seed)
+
+
 class OnSockets(Sidecars):
     """Five processes of the program before six servers, one of which starts cold. Clients ask at an even pace of their
     own, and the warm are taken to be at nine tenths of what they can do."""
