Emulator: repeats of a broken balancer are looked for in three long plays, not in a short one

Tried first: 60 % in place of 30 % at 20 requests a second; there the sound balancer pushes a cold server over (1 on this program, 3 or more on that of before), and so it does in some of the long plays.

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -153,10 +153,16 @@
 @pytest.mark.parametrize("name", BROKEN)
 def test_the_oracle_finds_out_a_balancer_that_is_broken_on_purpose(name):
     scenario = world(TROUBLES[name], rate=8.0 if "once" in name else 20.0)
-    broken = play(scenario, 3, BROKEN[name])
+    if "once" in name:  # seldom: in 20 s it is seen in 7 plays of 12
+        crashes = [TROUBLES[name][0] | {"at": f"{n}s"} for n in range(3, 75, 3)]
+        plays = [play(world(crashes, 80, 8.0), seed, BROKEN[name]) for seed in range(3, 6)]
+        assert play(world(crashes, 80, 8.0), 3).breaches["effects"] == 0
+    else:
+        plays = [play(scenario, 3, BROKEN[name])]
     rule = name.partition(":")[0]
-    assert broken.breaches[rule] > 0, broken.breaches
-    assert any(breach.rule == rule for breach in broken.shown)
+    for broken in plays:
+        assert broken.breaches[rule] > 0, broken.breaches
+        assert any(breach.rule == rule for breach in broken.shown)
     sound = play(scenario, 3)
     assert sound.sound(), sound.shown
 
