Lists go before the requests that wait: turns bounded in time, discovery urgent

Seen: with a probe of the loop by a clock of its own, each step 25 ms (1 ms of processor at a twenty-fifth of a core), a list that was in the kernel was read 800 ms later, after 31 further requests had been decided, and 6.4 s later behind 256 steps under way; its grace is 500 ms and 50 ms. On the 800 ms the rule on drains breaks.

Ruled out by reading: a send once a connection is up (looked at again, no wait between), a held request, a server missing from a whole list, an older list after a newer one.

At fault: Loop.run bounded its turn in steps alone (DUE_A_TURN, FRESH_A_TURN), and Discovery's coroutines stood in line with all else that is under way. Now a turn ends after the step in which 10 ms have passed, and Discovery is urgent. Probe after: one step.

Also at fault for lists of hundreds: Pool.moved compared each entry with each. Of two entries for one server in one list Back.listed took it as ready if either was; the balancer takes the later one. Now both do: a call whose connection is coming up is not sent.

The virtual loop of test_list_clock takes spawn's urgent too.

--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -76,7 +76,8 @@
     """Where each provider is, and the connections to it that wait for their next use.
 
     Invariants: `resting` has every connection at rest, the longest there first; `idle` the same by provider, the
-    one used last at the end; `open` counts these and those in use.
+    one used last at the end; `open` counts these and those in use. `names` has each address of `addresses` once: a
+    whole list of hundreds of providers is taken in time that goes with its length.
     """
 
     def __init__(self, loop: Loop, settings: Settings, options: Options, most: int) -> None:
@@ -86,6 +87,7 @@
         self.most = most  # connections, in use and at rest
         self.open = 0
         self.addresses: dict[str, str] = {}  # of those that may be sent to
+        self.names: dict[str, str] = {}  # the same the other way round
         self.heard: dict[str, int] = {}  # when each gave its last whole answer
         self.idle: dict[str, dict[Connection, None]] = {}
         self.resting: dict[Connection, None] = {}
@@ -99,14 +101,20 @@
     def moved(self, name: str, address: str) -> None:
         """The list names an address: connections to another one lead to a process that is gone, and so do those of
         another provider that had this one."""
-        for other, its_address in list(self.addresses.items()):
-            if (its_address == address) is not (other == name):
-                self.forget(other)
+        other = self.names.get(address)
+        if other == name:
+            return
+        if other is not None:
+            self.forget(other)
+        self.forget(name)
         self.addresses[name] = address
+        self.names[address] = name
 
     def forget(self, name: str) -> None:
         """One that is gone or drains: nothing more is sent to it, and nothing of it is kept."""
-        self.addresses.pop(name, None)
+        address = self.addresses.pop(name, None)
+        if address is not None:
+            del self.names[address]
         self.heard.pop(name, None)
         self.close_idle(name)
 
@@ -205,8 +213,9 @@
         self.pool.close_idle(provider)
 
     def listed(self, update: MembershipUpdate, addresses: dict[str, str]) -> None:
-        ready = [e for e in update.endpoints if e.lifecycle is Lifecycle.READY]
-        gone = {e.address for e in update.endpoints} - {e.address for e in ready}
+        latest = {e.address: e for e in update.endpoints}  # of two entries for one provider the later one holds
+        ready = [e for e in latest.values() if e.lifecycle is Lifecycle.READY]
+        gone = latest.keys() - {e.address for e in ready}
         if update.kind in (UpdateKind.FULL, UpdateKind.REMEMBERED):
             gone |= self.pool.addresses.keys() - addresses.keys()  # a whole list merely omits them
         for name in gone:
--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -53,9 +53,11 @@
 class Discovery:
     """Calls discovery as the balancer asks, and hands over what it tells.
 
-    How soon news are read whatever fails: `listclock`. Which of two lists is newer: `_hear`. Invariants: `place` counts
-    the moves, so that an address that is left and come back to is another place; `held` is the place whose list is
-    held; `version` is that list's where both are one, else None.
+    How soon news are read whatever fails: `listclock`. Which of two lists is newer: `_hear`. Its coroutines are urgent
+    to the loop: a list binds from when it was written, however many requests wait to be decided.
+
+    Invariants: `place` counts the moves, so that an address that is left and come back to is another place; `held` is
+    the place whose list is held; `version` is that list's where both are one, else None.
     """
 
     def __init__(
@@ -93,7 +95,7 @@
 
     def _spawn_watch(self) -> Task:
         # Its place is that of now: a move may come before its first turn.
-        return self.loop.spawn(self._follow(self.place, self.address, self.version), self._crashed)
+        return self.loop.spawn(self._follow(self.place, self.address, self.version), self._crashed, urgent=True)
 
     def move(self, address: str) -> None:
         """Calls discovery at another address from now on, and at once: what it has to tell is soon taken for
@@ -116,7 +118,7 @@
             self.before = None
 
     def fetch(self) -> None:
-        self.loop.spawn(self._fetch(), self._crashed)
+        self.loop.spawn(self._fetch(), self._crashed, urgent=True)
 
     def _crashed(self, _: Exception) -> None:
         self._fail()
--- a/loftweir/net/loop.py
+++ b/loftweir/net/loop.py
@@ -36,10 +36,12 @@
 ENDED = select.EPOLLERR | select.EPOLLHUP  # reported whether asked for or not
 SWEEP_AT = 256  # dead timers
 LONGEST_POLL = 60.0  # seconds; epoll's time-out is a 32-bit number of milliseconds
-# New work begun in one turn. What is answered goes first: however much comes, an answer that is ready waits for no
-# more than this many requests to be read.
-FRESH_A_TURN = 32
-DUE_A_TURN = 256  # steps of what is under way: then what is urgent has its turn, and epoll is asked again
+# A round: steps of what is under way, then new work. What is answered goes first: however much comes, an answer that is
+# ready waits for no more than this many requests to be read.
+DUE_A_ROUND, FRESH_A_ROUND = 256, 32
+# A turn ends after the step in which this has passed, and the round goes on in the next one: epoll is asked again, and
+# what is urgent goes first. In a process with a small share of a core a whole round can outlast the drain grace.
+TURN_LASTS = 10 * MS
 
 
 class Pollable(Protocol):
@@ -204,7 +206,7 @@
         urgent: bool = False,
     ) -> Task:
         """Begins a coroutine at this loop's next turn. `fresh`: it takes new work, and events wake it after all
-        that is under way. `urgent`: it goes before all else, and must be seldom and short."""
+        that is under way. `urgent`: it goes before all else, and must be seldom."""
         task = Task(self, coroutine, crashed, self.urgent if urgent else self.fresh if fresh else self.due)
         task.lane.append(task.step)
         return task
@@ -285,26 +287,33 @@
     # ---- turns ----------------------------------------------------------------------------------
 
     def run(self) -> None:
-        """A turn: what is due by time, what is urgent, what is under way, some new work, and what epoll has by then.
-        Each part is bounded: what is urgent waits for one turn at most."""
+        """A turn: what is due by time, what is urgent, a part of the round, and what epoll has by then. Each turn is
+        bounded in time (`TURN_LASTS` and one step): what is urgent, or is to be read for it, waits no longer."""
         due, fresh, urgent, watchers = self.due, self.fresh, self.urgent, self.watchers
         offset, monotonic = self.offset, time.monotonic_ns
+        due_left, fresh_left = DUE_A_ROUND, FRESH_A_ROUND
         while not self.stopped:
             if self.dead_timers > SWEEP_AT and self.dead_timers * 2 > len(self.timers):
                 self.sweep()
             self.time = monotonic() + offset
             self.run_timers()
             while urgent:
-                self.time = monotonic() + offset
                 urgent.popleft()()
-            for _ in range(DUE_A_TURN):
-                if not due:
-                    break
                 self.time = monotonic() + offset
+            ends_at = self.time + TURN_LASTS
+            while due and due_left and self.time < ends_at:
                 due.popleft()()
-            for _ in range(min(len(fresh), FRESH_A_TURN)):
+                due_left -= 1
                 self.time = monotonic() + offset
-                fresh.popleft()()
+            if not due or not due_left:
+                while fresh and fresh_left:
+                    fresh.popleft()()
+                    fresh_left -= 1
+                    self.time = monotonic() + offset
+                    if self.time >= ends_at:
+                        break
+                if not fresh or not fresh_left:
+                    due_left, fresh_left = DUE_A_ROUND, FRESH_A_ROUND
             if due or fresh or urgent or self.stopped:
                 seconds = 0.0
             elif self.timers:
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -44,7 +44,7 @@
         self.order += 1
         heapq.heappush(self.heap, (time, self.order, task))
 
-    def spawn(self, coroutine, crashed=None):
+    def spawn(self, coroutine, crashed=None, urgent=False):
         task = Task(coroutine)
         self.at(self.time, task)
         return task
--- a/tests/test_list_crossings.py
+++ b/tests/test_list_crossings.py
@@ -5,16 +5,21 @@
 import socket
 import threading
 import time
+from dataclasses import replace
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from scene import ONCE, SECOND, SETTINGS, Party, Scene, address_of, as_list, entry, eventually, held, ok, reply
+from support import settings
 from test_list_clock import Clock
 
 from loftweir.config.model import Options
+from loftweir.http1.back import Back, Pool
 from loftweir.http1.discovery import Discovery
 from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, UpdateKind
 from loftweir.listclock import TOLD
-from loftweir.net.loop import MS, Wait
+from loftweir.net.loop import MS, READABLE, TURN_LASTS, Loop, Wait
 
 
 class Crossed(Discovery):
@@ -234,3 +239,79 @@
             thread.join(5)
             self.assertEqual(found and found[0][:2], (200, b"whole"), self.log())
             self.assertEqual(other.seen, [])
+
+
+# ---- a process that is behind, and long lists ---------------------------------------------------------
+
+
+@pytest.mark.parametrize("lane", ["due", "fresh"])
+def test_a_list_that_is_there_goes_before_the_requests_that_wait(lane):
+    """The requests that wait to be decided are begun once the list is told, however slow each of them is."""
+    loop, begun, told = Loop(), [], []
+    listener = socket.create_server(("127.0.0.1", 0))
+    discovery = Discovery(loop, address_of(listener), Options(), lambda update, _: told.append(len(begun)))
+
+    def serve():
+        yield Wait(listener, READABLE, None)
+        connection, _ = listener.accept()
+        yield Wait(connection, READABLE, None)
+        connection.recv(1000)
+
+        def request():
+            if not begun:
+                connection.send(reply(200, as_list(1, [entry("s0", "127.0.0.1:1", status="leaving")], True)))
+            begun.append(time.sleep(TURN_LASTS / SECOND))
+            loop.stopped = loop.stopped or len(begun) == 64
+
+        getattr(loop, lane).extend([request] * 64)
+
+    loop.spawn(serve())
+    discovery.fetch()
+    loop.run()
+    assert told and told[0] <= 2
+
+
+def providers(count, lifecycle=Lifecycle.READY):
+    endpoints = tuple(Endpoint(f"s{n}", "a", "m", 0, lifecycle, 1.0, 0) for n in range(count))
+    return endpoints, {f"s{n}": f"127.0.0.1:{n + 1}" for n in range(count)}
+
+
+def test_a_long_whole_list_is_taken_in_time_that_goes_with_its_length():
+    """Each entry was compared with each: 180 ms of processor time for 1,024, in which nothing else is read."""
+
+    def takes(count):
+        endpoints, addresses = providers(count)
+        update = MembershipUpdate(UpdateKind.FULL, endpoints, 1)
+        spent = []
+        for _ in range(3):
+            back = Back(Loop(), settings(), Options(), 8, 1 << 20)
+            began = time.process_time_ns()
+            back.listed(update, addresses)
+            back.listed(update, addresses)
+            spent.append(time.process_time_ns() - began)
+        return min(spent)
+
+    assert takes(4000) < 80 * takes(250), "sixteen times as long"
+
+
+def test_of_two_entries_for_one_server_in_one_list_the_later_one_holds():
+    back = Back(Loop(), settings(), Options(), 8, 1 << 20)
+    endpoints, addresses = providers(1)
+    left = replace(endpoints[0], lifecycle=Lifecycle.DRAINING)
+    back.listed(MembershipUpdate(UpdateKind.CHANGES, (*endpoints, left), 2), addresses)
+    assert not back.pool.addresses
+    back.listed(MembershipUpdate(UpdateKind.CHANGES, (left, *endpoints), 3), addresses)
+    assert back.pool.addresses == addresses
+
+
+@given(st.lists(st.tuples(st.sampled_from("abcd"), st.integers(0, 4)), max_size=30))
+def test_an_address_is_that_of_the_one_that_took_it_last(moves):
+    pool, whole = Pool(Loop(), settings(), Options(), 8), {}
+    for name, number in moves:
+        if number:
+            whole = {n: a for n, a in whole.items() if a != str(number) and n != name} | {name: str(number)}
+            pool.moved(name, str(number))
+        else:
+            whole.pop(name, None)
+            pool.forget(name)
+        assert pool.addresses == whole and pool.names == {a: n for n, a in whole.items()}
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -2,13 +2,14 @@
 
 import socket
 import time
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from loftweir.core.overload import GAIN, INTERVAL, MOST, TARGET, Overload
-from loftweir.net.loop import FRESH_A_TURN, MS, READABLE, SWEEP_AT, WOKEN, WRITABLE, Loop, Wait
+from loftweir.net.loop import DUE_A_ROUND, FRESH_A_ROUND, MS, READABLE, SWEEP_AT, WOKEN, WRITABLE, Loop, Wait
 from loftweir.net.stream import waited
 
 
@@ -165,16 +166,72 @@
 
 def test_what_is_under_way_goes_before_new_work():
     loop, order = Loop(), []
-    for number in range(3 * FRESH_A_TURN):
+    for number in range(3 * FRESH_A_ROUND):
         loop.fresh.append(lambda n=number: (order.append("new"), loop.due.append(lambda: order.append("answer"))))
 
     def nothing():
-        while len(order) < 6 * FRESH_A_TURN:
+        while len(order) < 6 * FRESH_A_ROUND:
             yield Wait(None, 0, loop.now() + MS)
 
     run(loop, nothing())
-    assert order[: FRESH_A_TURN + 1] == ["new"] * FRESH_A_TURN + ["answer"]
-    assert order.index("answer") <= FRESH_A_TURN and order.count("answer") == 3 * FRESH_A_TURN
+    assert order[: FRESH_A_ROUND + 1] == ["new"] * FRESH_A_ROUND + ["answer"]
+    assert order.index("answer") <= FRESH_A_ROUND and order.count("answer") == 3 * FRESH_A_ROUND
+
+
+STEP = 25 * MS  # of 1 ms of processor time, with a twenty-fifth of a core
+
+
+@pytest.fixture
+def slow(monkeypatch):
+    """A step that takes `STEP` by the loop's clock."""
+    ahead = [0]
+    real = time.monotonic_ns
+    monkeypatch.setattr(
+        "loftweir.net.loop.time", SimpleNamespace(time_ns=time.time_ns, monotonic_ns=lambda: real() + ahead[0])
+    )
+
+    def step():
+        ahead[0] += STEP
+
+    return step
+
+
+@pytest.mark.parametrize("lane", ["due", "fresh"])
+def test_what_is_urgent_is_read_though_many_slow_steps_wait(pair, slow, lane):
+    """Counted in steps alone, a turn went on for 0.8 s of new work, and for 6.4 s of what is under way."""
+    near, far = pair
+    loop, steps = Loop(), []
+
+    def urgent():
+        yield Wait(near, READABLE, None)
+        loop.stopped = True
+
+    def step():
+        if not steps:
+            far.send(b"x")
+        steps.append(slow())
+
+    loop.spawn(urgent(), urgent=True)
+    getattr(loop, lane).extend([step] * 256)
+    loop.run()
+    assert len(steps) <= 2
+
+
+def test_new_work_has_its_turn_though_slow_steps_under_way_have_no_end(slow):
+    loop, steps, new = Loop(), [], []
+
+    def under_way():
+        steps.append(slow())
+        loop.due.append(under_way)
+
+    def fresh():
+        new.append(slow())
+        loop.stopped = len(new) == 3 * FRESH_A_ROUND
+
+    loop.due.extend([under_way] * 8)
+    loop.fresh.extend([fresh] * 3 * FRESH_A_ROUND)
+    loop.run()
+    assert len(steps) <= 3 * DUE_A_ROUND
 
 
 def test_the_age_of_what_waits_in_a_socket_is_known():
