Discovery: a call given up is still heard, and a fleet's watches don't end in step

Seen: in virtual time, 230 of our Discovery objects before one discovery that works through calls in turn (8 ms a call, fails one that waited 3 s), a change every 6 s: of 1,150 readings of a change 436 never came, 9 of the rest later than 6 s; at 12 ms a call none came. A change answers all watches in one moment; 4 s later all of them end and come again in one moment, the last ones wait 1.84 s for their turn, are given up after 600 ms, twice made anew with 600 ms each, and each call that was given up is worked off for nobody before the next. On sockets (test_list_clock): a watch that is answered 5 s after its call, and the calls behind it later: 6 s and more after discovery had the drain, 4 of 8 requests went to the leaving server; the answer had come to a closed connection.

Ruled out: at 3 and 5 ms a call nothing is late.

At fault: Discovery._watch and _fetch closed the connection of a call that was late, and each watch waited for the same time. Now a call that is given up is heard for 4 s more beside the next ones, four at the most, by the same rule of what is newer; and each wait is shortened by up to a quarter by chance.

After, same model: at 8 ms all 1,150 read within 6 s; at 12 ms, more than discovery can do, all read, some late (119 of 1,150 over 6 s before the spread was in).

--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
+from random import Random
 from socket import socket
 from typing import NamedTuple
 
@@ -29,11 +31,24 @@
     remedy = "If it goes on, see that discovery runs at the address that is named and answers `GET /catalog/members`."
 
 
+class Answer(NamedTuple):
+    """One answer of discovery."""
+
+    update: MembershipUpdate
+    addresses: dict[str, str]
+    reusable: bool  # whether its connection can be used again
+    heard_at: int  # when it began: it is as old as that
+
+
 class Silent(CallFailed):
     """A call to discovery was not answered, or not to its end, in time. It was asked anew at once."""
 
     remedy = "See whether discovery's machine hangs or is cut off from this one. Drains are not seen meanwhile."
 
+    def __init__(self, why: str, rest: Callable[[int], Coroutine[Answer]] | None = None) -> None:
+        super().__init__(why)
+        self.rest = rest  # waits on for the answer, until then, where nothing of it has come
+
 
 class Asked(NamedTuple):
     """Of a call, when it was asked: what decides whether its list is newer than the one held (`Discovery._hear`)."""
@@ -61,9 +76,15 @@
     """
 
     def __init__(
-        self, loop: Loop, address: str, options: Options, told: Callable[[MembershipUpdate, dict[str, str]], None]
+        self,
+        loop: Loop,
+        address: str,
+        options: Options,
+        told: Callable[[MembershipUpdate, dict[str, str]], None],
+        seed: int = 0,
     ) -> None:
         self.loop = loop
+        self.random = Random(seed)
         self.options = options  # replaced whole by a reload
         self.address = address
         self.told = told
@@ -72,6 +93,7 @@
         # Of the list held; None: no list. 0 is a version like any other: taken for none, the whole list was
         # fetched over and over, and every sidecar's calls queued behind these.
         self.version: int | None = None
+        self.late = 0  # calls given up whose answers are still heard
         self.watching: Task | None = None
         self.before: Task | None = None  # the watch at the place left, until the one that follows it stands
         # Where an agent pushes lists, what it has counts as told whether asked or not: it is watched always,
@@ -141,6 +163,10 @@
             options.wait, options.silent_after, options.answer_within, options.connect_within, options.calls_apart
         )
 
+    def _held(self, clock: listclock.Clock) -> int:
+        """An agent is this sidecar's alone: its calls need no spread."""
+        return clock.wait if self.pushed else listclock.held(clock.wait, self.random.random())
+
     # ---- which list is newer --------------------------------------------------------------------
 
     def _hear(self, asked: Asked, update: MembershipUpdate, addresses: dict[str, str], stands: bool) -> bool:
@@ -187,10 +213,15 @@
             until = self.loop.now() + (clock.first if left == listclock.ANEW else clock.fresh)
             try:
                 sock = yield from self._connect(address, until)
+                kept = False
                 try:
                     update, addresses, *_ = yield from self._call(sock, PATH, until)
+                except Silent as error:
+                    kept = self._hear_late(sock, asked, error)
+                    raise
                 finally:
-                    self.loop.close(sock)
+                    if not kept:
+                        self.loop.close(sock)
             except CallFailed as error:
                 say(DISCOVERY_LIST, why=error, address=address)
                 if not left or (left == listclock.ANEW and not isinstance(error, Silent)):
@@ -236,7 +267,7 @@
         answered, due, wait = False, until, 0
         asked = self._asked(place, version)
         try:
-            sock = yield from self._connect(address, until)
+            sock, kept = (yield from self._connect(address, until)), False
             try:
                 while True:
                     asked_at = self.loop.now()
@@ -254,47 +285,82 @@
                         self.loop.close(sock)
                         sock = yield from self._connect(address, until)
                     late = self.loop.now() - heard_at - self.options.discovery.calls_apart
-                    wait = max(0, clock.wait - max(0, late)) if answered else 0
+                    wait = max(0, self._held(clock) - max(0, late)) if answered else 0
                     due = self.loop.now() + wait if wait else until
+            except Silent as error:
+                kept = self._hear_late(sock, asked, error)
+                raise
             finally:
-                self.loop.close(sock)
+                if not kept:
+                    self.loop.close(sock)
         except CallFailed as error:
             if place == self.place and not quiet:
                 say(DISCOVERY_WATCH, why=error, address=address)
             # One that breaks past its wait had fallen silent before.
             return End(answered, isinstance(error, Silent) or self.loop.now() >= due)
 
+    def _hear_late(self, sock: socket, asked: Asked, silent: Silent) -> bool:
+        """Goes on hearing a call that is given up, beside the next one; whether it does, and closes the socket then.
+
+        Where discovery is busy it waits its turn, and the next one stands behind it. Given up for good, each would be
+        worked off for nobody: a fleet with more calls than discovery can answer in time would hear of nothing."""
+        if silent.rest is None or self.late >= listclock.LATE_CALLS:
+            return False
+        self.late += 1
+        self.loop.spawn(self._outlast(sock, asked, silent.rest), urgent=True)
+        return True
+
+    def _outlast(self, sock: socket, asked: Asked, rest: Callable[[int], Coroutine[Answer]]) -> Coroutine[None]:
+        try:
+            answer = yield from rest(self.loop.now() + listclock.LATE)
+        except CallFailed:
+            return  # said when it was given up
+        finally:
+            self.late -= 1
+            self.loop.close(sock)
+        self._hear(asked, answer.update, answer.addresses, False)
+
     def _connect(self, address: str, until: int) -> Coroutine[socket]:
         try:
             return (yield from connect(self.loop, address, self._clock().connect, until))
         except NotUp:
             raise CallFailed("not up") from None
 
-    def _call(
-        self, sock: socket, target: str, until: int
-    ) -> Coroutine[tuple[MembershipUpdate, dict[str, str], bool, int]]:
-        """One answer of discovery, whether its connection can be used again, and when it began: it is as old as that.
-        One that has begun is whole soon: what trickles is as good as silent."""
+    def _call(self, sock: socket, target: str, until: int) -> Coroutine[Answer]:
         wire = Strict(sock, h11.CLIENT)
+        head = f"GET {target} HTTP/1.1\r\nHost: {self.address}\r\n\r\n"
         try:
-            head = f"GET {target} HTTP/1.1\r\nHost: {self.address}\r\n\r\n"
             yield from send(sock, [head.encode()], until)
-            answer = yield from wire.next_event(until)
-            if not isinstance(answer, h11.Response):
-                raise CallFailed("no answer")
-            heard_at = self.loop.now()
-            whole_by = min(until, heard_at + self.options.discovery.answer_within)
+        except TookTooLong:
+            raise Silent("silent") from None
+        except OSError as error:
+            raise CallFailed(f"broken: {error}") from None
+        return (yield from self._answer(wire, until))
+
+    def _answer(self, wire: Strict, until: int) -> Coroutine[Answer]:
+        """The answer to a call. One that has begun is whole soon: what trickles is as good as silent."""
+        try:
+            head = yield from wire.next_event(until)
+        except TookTooLong:
+            raise Silent("silent", partial(self._answer, wire)) from None
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise CallFailed(f"broken: {error}") from None
+        if not isinstance(head, h11.Response):
+            raise CallFailed("no answer")
+        heard_at = self.loop.now()
+        whole_by = min(until, heard_at + self.options.discovery.answer_within)
+        try:
             body = yield from wire.body(lambda _: whole_by, self.options.discovery.list_size)
         except TookTooLong:
             raise Silent("silent") from None
         except (OSError, h11.RemoteProtocolError, TooLarge) as error:
             raise CallFailed(f"broken: {error}") from None
-        if answer.status_code != 200:
-            raise CallFailed(f"answered {answer.status_code}")
+        if head.status_code != 200:
+            raise CallFailed(f"answered {head.status_code}")
         try:
             update, addresses = read_list(ujson.loads(b"".join(body)))
         except NotAList as error:
             raise CallFailed(f"not a list: {error}") from None
         except ValueError as error:
             raise CallFailed(f"not a list: not JSON: {error}") from None
-        return update, addresses, wire.whole() and not wire.rest(), heard_at
+        return Answer(update, addresses, wire.whole() and not wire.rest(), heard_at)
--- a/loftweir/listclock.py
+++ b/loftweir/listclock.py
@@ -39,6 +39,9 @@
 AGAIN = 2 * SECOND  # the longest backoff, from a failed call to the next one, whatever the settings allow; the first of
 # a row of failures is half as long at the most
 FIRST = 3 * SECOND  # the longest from a process's start to its first call
+SPREAD = 0.25  # of a wait, that it is shortened by at the most
+LATE = 4 * SECOND  # that the answer to a call that was given up is still heard, beside the next ones
+LATE_CALLS = 4  # of these at a time
 LONGEST_ANSWER = min(WITHIN - 2 * AGAIN - LEAST, WITHIN - FIRST - AGAIN // 2 - LEAST)  # 3
 
 
@@ -62,6 +65,12 @@
     return Clock(wait, silent, answer_within, fresh, min(connect_within, answer_within))
 
 
+def held(wait: int, chance: float) -> int:
+    """How long to let discovery hold the next call; `chance` from 0 to 1. A change answers the watches of a whole fleet
+    in one moment: with one wait for all, their next calls would end, and come again, in one moment too."""
+    return int(wait * (1 - SPREAD * chance))
+
+
 def faults(
     wait: int, silent_after: int, answer_within: int, apart: int, pushed: bool = False
 ) -> Iterator[tuple[str, int]]:
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -76,7 +76,7 @@
         self.life.changed = self._changed
         self.left_at = 0  # when the latest drain began
         self.desk = Desk(loop, self.life, self.listed, self._takes_clients)
-        self.discovery = Discovery(loop, platform.discovery, options, self.desk.listed)
+        self.discovery = Discovery(loop, platform.discovery, options, self.desk.listed, platform.seed)
         shared = max(int(platform.sockets * limits.consumers_of_sockets), 1)
         others = limits.other_sockets + (DESCRIPTORS if platform.operator else 0)
         self.fleet: Part | None = None
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -7,6 +7,7 @@
 import time
 from collections import Counter
 from dataclasses import replace
+from functools import partial
 
 import pytest
 from scene import SETTINGS, Scene, as_list, eventually, reply
@@ -15,7 +16,7 @@
 from loftweir import listclock
 from loftweir.config.model import MINUTE, Options, contradictions
 from loftweir.config.model import Discovery as Figures
-from loftweir.http1.discovery import CallFailed, Discovery, Silent
+from loftweir.http1.discovery import Answer, CallFailed, Discovery, Silent
 from loftweir.interface import MembershipUpdate, Timer, TimerFired, UpdateKind, Watch
 from loftweir.net.loop import Wait
 
@@ -281,6 +282,77 @@
     assert max(settled) <= 2.5 * sum(settled) / len(settled)
 
 
+class Busy:
+    """A discovery that works through calls in turn, also through those that were given up, and fails one that would
+    have waited too long."""
+
+    def __init__(self, takes, patience, changes):
+        self.takes, self.patience, self.changes, self.free_at = takes, patience, changes, 0
+
+    def version(self, now):
+        return 1 + sum(change <= now for change in self.changes)
+
+    def turn(self, now):
+        """When a call is answered, and whether it is worked off."""
+        if self.free_at > now + self.patience:
+            return now + self.patience, False
+        self.free_at = max(now, self.free_at) + self.takes
+        return self.free_at, True
+
+
+class Queued(Calls):
+    """One of many that call one `Busy`."""
+
+    def __init__(self, clock, busy, seed):
+        super().__init__(Options(), lambda *_: None, ask_within=10 * SECOND, seed=seed)
+        self.loop, self.busy, self.read, self.random = clock, busy, {}, random.Random(seed)
+        self._obey(self.balancer.handle(0, [MembershipUpdate(UpdateKind.REMEMBERED)]))
+
+    def _told(self, update, _):
+        if update.kind is not UpdateKind.FAILED:
+            for version in range(2, update.version + 1):
+                self.read.setdefault(version, self.loop.now())
+        self._obey(self.balancer.handle(self.loop.now(), [replace(update, endpoints=())]))
+
+    def _call(self, sock, target, until):
+        query = dict(part.split("=") for part in target.partition("?")[2].split("&") if part)
+        after, held = int(query.get("after", -1)), int(query.get("wait_ms", 0)) * MS
+        return (yield from self._rest(*self.busy.turn(self.loop.now()), after, held, until))
+
+    def _rest(self, turn, good, after, held, until):
+        news = next((change for change in self.busy.changes[max(0, after - 1) :]), 1 << 62)
+        answered = turn if after < 1 or not good else max(turn, min(turn + held, news))
+        yield Wait(None, 0, min(answered, until))
+        if answered > until:
+            raise Silent("silent", partial(self._rest, turn, good, after, held))
+        if not good:
+            raise CallFailed("answered 503")
+        kind = UpdateKind.FULL if after < 0 else UpdateKind.CHANGES
+        return Answer(MembershipUpdate(kind, (), self.busy.version(self.loop.now())), {}, True, self.loop.now())
+
+
+def lags(takes):
+    """Of each change at each sidecar of a fleet, how late it is read; discovery takes so long for a call."""
+    clock = Clock()
+    busy = Busy(takes, 3 * SECOND, [(20 + 6 * n) * SECOND for n in range(5)])
+    fleet = [Queued(clock, busy, seed) for seed in range(230)]
+    clock.run(80 * SECOND)
+    return [read - busy.changes[version - 2] for sidecar in fleet for version, read in sidecar.read.items()]
+
+
+def test_the_watches_that_a_change_has_answered_do_not_end_in_step():
+    """They came again in one moment, waited over 600 ms for their turn, were given up, and were made anew in step: of
+    1,150 readings of changes 436 never came."""
+    late = lags(8 * MS)
+    assert len(late) == 230 * 5 and max(late) <= listclock.TOLD
+
+
+def test_a_fleet_with_more_calls_than_discovery_answers_in_time_hears_of_every_change():
+    """Each call waits longer for its turn than its sidecar waits for it. With what was given up not heard, all stood
+    behind calls that discovery worked off for nobody, and no sidecar read any change to the end."""
+    assert len(lags(12 * MS)) == 230 * 5
+
+
 class FailingDiscovery(Scene):
     """The real program: its calls fail in one way or another while a provider begins to drain. By the settings the
     balancer may be far from asking."""
@@ -327,6 +399,24 @@
     def test_a_silent_watch(self):
         self.falls_silent(lambda gate: gate.wait(30) and b"")
 
+    def test_a_watch_that_is_given_up_and_answered_late(self):
+        """As by a discovery that is busy: so is every call after it, and the change is on the first of them."""
+        gate, calls = threading.Event(), []
+        self.addCleanup(gate.set)
+        self.begins()
+
+        def catalog(head, _):
+            calls.append(time.monotonic())
+            late = 5 if len(calls) == 1 else 30
+            gate.wait(late)
+            return reply(200, as_list(50, [self.entries[0] | {"status": "leaving"}], False))
+
+        self.catalog.answer = catalog
+        self.catalog.change()
+        self.assertTrue(eventually(lambda: calls, 5))
+        self.is_read_in_time(calls[0])
+        self.assertGreater(len(calls), 1, "nothing was asked anew")
+
     def test_an_answer_that_trickles(self):
         def trickle(gate):
             body = as_list(1, self.entries, True)
