Pushed lists: a new process hears its agent before it takes a client

Seen on sockets: the agent has a server as leaving, the platform's list, made earlier, has it active; a process is started, and a client asks as soon as health is 200: in 4 of 13 starts the first request went to the leaving server. What the agent has counts as told from a new process's first moment, so where a start takes longer than the drain grace (a small share of a core) the rule on drains is broken.

Ruled out: later requests of these starts, and processes that have read the agent's list once.

At fault: Sidecar.start opened the listener's queue and the agent's watch in one turn, and nothing ordered them. Now Front.opens_at keeps clients in the listener's queue until the first list, for 500 ms at the most: an agent is silent while discovery is down.

The test fails without the change.

--- a/loftweir/http1/front.py
+++ b/loftweir/http1/front.py
@@ -610,6 +610,7 @@
         self.idle: dict[Client, None] = {}
         self.listener: socket.socket | None = None
         self.accepting: Task | None = None
+        self.opens_at = 0  # clients wait in the listener's queue until then, or `open`
         self.shared = False  # the listener: other processes take from it too
         self.ends_at = 0  # when this process is over, whatever it still owes; 0: not known
         self.spare_descriptor: Any = lambda: False  # the back's way to make room, where there is one
@@ -722,6 +723,12 @@
         self.accepting = self.loop.spawn(self._accept(sock), fresh=True)
         self.loop.spawn(self.keep())
 
+    def open(self) -> None:
+        """What was to be known before a client is taken is known."""
+        if self.opens_at and self.accepting is not None:
+            self.accepting.wake()
+        self.opens_at = 0
+
     def stop_accepting(self) -> bool:
         """Whether the listener is closed now. Who waits in its queue has been accepted by the machine, may have sent
         a request, and would be reset with it: each is taken first. While there is no room for one, the listener
@@ -791,6 +798,8 @@
         leaves new ones waiting a moment."""
         turn = 0
         ready = READABLE | (EXCLUSIVE if self.shared else 0)
+        if self.opens_at:
+            yield Wait(None, 0, self.opens_at)
         while True:
             try:
                 if len(self.clients) < self.most_clients:
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -18,6 +18,7 @@
 from loftweir.http1.discovery import Discovery
 from loftweir.http1.front import Front
 from loftweir.interface import MembershipUpdate, Settings, UpdateKind
+from loftweir.listclock import LEAST
 from loftweir.net.loop import MS, READABLE, SECOND, WRITABLE, Coroutine, Loop, Task, Wait
 from loftweir.operations.address import DESCRIPTORS, Address
 from loftweir.operations.desk import Desk
@@ -130,6 +131,8 @@
             self.host.listed(*self.partners.through(update, addresses))
         if self.catalog is not None:
             self.catalog.listed(update, addresses)
+        if update.kind in (UpdateKind.FULL, UpdateKind.CHANGES):
+            self.front.open()
         if self.holding is not None and update.kind is not UpdateKind.FAILED:
             self.holding.told(update, addresses)
             if not self.writes:
@@ -194,6 +197,9 @@
         if self.fleet is not None:
             self.fleet.recall()
         self.desk.listed(known, addresses)
+        if platform.settings.discovery_pushes:
+            # What the agent has counts as told from this process's first moment, and the platform's list is older.
+            self.front.opens_at = self.loop.now() + LEAST
         if platform.listen_fd is None:
             self.front.listen(platform.listen)
         else:
--- a/tests/test_pushed.py
+++ b/tests/test_pushed.py
@@ -52,3 +52,44 @@
         for _ in range(8):
             self.assertEqual(self.invoke()[0], 200)
         self.assertEqual(len(self.providers[0].seen), before, "news after the silence are not taken")
+
+
+class RestartedTest(Scene):
+    """A new process: the platform's list is older than what the agent has, which counts from the first moment."""
+
+    def run_program(self, config, fault=""):
+        self.catalog.change(self.entries[0] | {"status": "leaving"})
+        answer, self.gate = self.catalog.answer, threading.Event()
+        self.addCleanup(self.gate.set)
+        self.catalog.answer = lambda head, body: answer(head, body) if self.gate.wait(self.agent_takes) else None
+        super().run_program(config, fault)
+
+    def begins(self, agent_takes):
+        self.agent_takes = agent_takes
+        self.start(ok, ok, settings=PUSHED)
+        self.assertTrue(eventually(lambda: self.catalog.seen, 10), self.log())
+        self.assertTrue(eventually(lambda: self.logged("start.listening"), 10), self.log())
+
+    def test_no_client_is_taken_before_the_agent_has_answered(self):
+        self.begins(30)
+        timer = threading.Timer(0.2, self.gate.set)
+        timer.start()
+        self.addCleanup(timer.join)
+        for _ in range(8):
+            self.assertEqual(self.invoke()[0], 200)
+        self.assertFalse(self.providers[0].seen, "a drained provider is sent to")
+
+    def test_a_silent_agent_is_not_waited_for_long(self):
+        self.begins(30)
+        began = time.monotonic()
+        self.assertEqual(self.invoke()[0], 200)
+        self.assertLess(time.monotonic() - began, 2)
+
+    def test_an_end_meanwhile_still_answers_who_waits(self):
+        self.begins(30)
+        with self.held_still():
+            client = self.client()
+            client.connect()
+            self.terminate()
+        self.assertEqual(self.invoke(client=client)[0], 200)
+        self.assertEqual(self.program.wait(10), 0)
