HTTP front split: listener, connections, one client, reading a request, writing an answer

Cause: http1/front.py held 822 lines and all five jobs; its longest function had 95 lines. Change: front.py keeps the listener; connections.py has the table of connections and who goes for want of room, client.py one connection's life, request.py what a head asks for, request_reader.py the reading, response.py the answers, access_trace.py the access line, stage.py the stages. Tests follow by their import lines only.

--- a/loftweir/catalog/hosts.py
+++ b/loftweir/catalog/hosts.py
@@ -23,7 +23,8 @@
 from loftweir.core.invocation import Invocation
 from loftweir.errors import Trouble
 from loftweir.http1.back import Back, Connection, Pool
-from loftweir.http1.front import COME_BACK, Malformed
+from loftweir.http1.request import Malformed
+from loftweir.http1.response import COME_BACK
 from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, Outcome, Settings, UpdateKind
 from loftweir.lease.duty import Duty
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Wait
--- a/loftweir/http1/named.py
+++ b/loftweir/http1/named.py
@@ -5,8 +5,9 @@
 from typing import TYPE_CHECKING
 
 from loftweir.core.invocation import Invocation
-from loftweir.http1.front import Client, Malformed
+from loftweir.http1.client import Client
 from loftweir.http1.message import Message
+from loftweir.http1.request import Malformed
 
 if TYPE_CHECKING:
     from loftweir.catalog.hosts import Hosts
@@ -21,9 +22,9 @@
 
         __slots__ = ()
 
-        def _admit(self, request: Message) -> Invocation | None:
+        def admit(self, request: Message) -> Invocation | None:
             self.host = self.front.host
-            invocation = super()._admit(request)
+            invocation = super().admit(request)
             if invocation is not None:
                 if sum(name.lower() == b"host" for name, _ in request.pairs) > 1:
                     raise Malformed("Host comes twice")
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -14,7 +14,8 @@
 
 from loftweir.config.model import Limits, Options
 from loftweir.core.life import Life
-from loftweir.http1.front import Front, Stage
+from loftweir.http1.front import Front
+from loftweir.http1.stage import Stage
 from loftweir.net.loop import SECOND, Loop, Wait
 from loftweir.net.stream import Body, Room
 
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -153,7 +153,7 @@
     def test_one_broken_part_is_logged_and_answered_and_the_process_lives(self):
         for fault, status in (
             ("http1.back import Back as part; name = 'message'", 502),
-            ("http1.front import Client as part; name = '_decided'", 500),
+            ("http1.client import Client as part; name = '_decided'", 500),
             ("balance import Balancer as part; name = '_request'", 500),
         ):
             with self.subTest(fault=fault):
--- a/tests/test_request_key.py
+++ b/tests/test_request_key.py
@@ -2,8 +2,8 @@
 
 from support import settings
 
-from loftweir.http1.front import taken
 from loftweir.http1.message import Message, by_name
+from loftweir.http1.request import to_invocation as taken
 
 
 def key_of(*more):
