Consensus core split by the parts of the protocol, still without I/O or clock

Cause: replication/core.py held 1,014 lines: storage, membership, elections, log replication, reads and transfer at once. Change: replication/raft/ has a module for each: state, storage, membership, log, terms, quorum, log replication, reads, leadership transfer, commitment, leader, follower, election, invariants. core.py puts them together, with what the host asks. Imports go one way; names and order of every decision stay. No test changes. Measured: 241 tests of replication, machine, lease, faults and histories pass.

--- /dev/null
+++ b/loftweir/replication/raft/quorum.py
@@ -0,0 +1,38 @@
+"""The quorum: what a majority has answered, and when a leader without one steps down (dissertation, 6.2)."""
+
+from __future__ import annotations
+
+from loftweir.replication.api import Role
+from loftweir.replication.raft.state import NEVER
+from loftweir.replication.raft.terms import Terms
+
+
+class Quorum(Terms):
+    """Rounds of messages, and the latest that a majority has answered."""
+
+    @property
+    def quorum_heard_at(self) -> int:
+        """Of a leader: the latest time at which it sent something that a majority has answered since (or when it began
+        to lead, or its voters changed). Of others: when they last heard from the leader; 0: from none yet. ns."""
+        if self.role is not Role.LEADER:
+            return self._leader_heard
+        return max(self._quorum_from, min(self._quorum_round(), self._now))
+
+    def _next_round(self) -> int:
+        self._round = max(self._round + 1, self._now)
+        return self._round
+
+    def _quorum_round(self) -> int:
+        """The latest round that a majority has answered, this leader with it."""
+        needed = self._others_needed()
+        if needed <= 0:
+            return NEVER
+        rounds = sorted(peer.round for peer in self._voting)
+        return rounds[-needed] if needed <= len(rounds) else 0
+
+    def _check_quorum(self) -> None:
+        heard = self.quorum_heard_at
+        if self._now - heard >= self.timing.election:
+            self._down()
+        else:
+            self._quorum_until = heard + self.timing.election if self._others_needed() else NEVER
