Emulation of the replicated state split into modules with standard names

Cause: emulator/copies.py held 763 lines: plan, disks, machine, oracle, network, callers and faults of a run at once. Change: emulator/replication_*.py has a module for each: plan, disk, machine, seat, oracle, breach, schedule, transport, members, clients, faults, and world, which puts them together. The tests' import lines follow. Measured: 116 tests of the core, the emulator and the histories pass.

--- a/benchmarks/replication_virtual.py
+++ b/benchmarks/replication_virtual.py
@@ -2,9 +2,9 @@
 
     python -m benchmarks.replication_virtual [--runs 10000] [--first 0] [--jobs 3] [--walk DEPTH]
 
-Each seed is one run of `loftweir/emulator/copies.py`, the same whatever the jobs. A violation is printed with its seed,
-which plays it again: `--first SEED --runs 1`. `--walk` goes through every order of events in small sizes instead, to
-that depth.
+Each seed is one run of `loftweir/emulator/replication_world.py`, the same whatever the jobs. A violation is printed
+with its seed, which plays it again: `--first SEED --runs 1`. `--walk` goes through every order of events in small sizes
+instead, to that depth.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 from collections import Counter
 from multiprocessing import Pool
 
-from loftweir.emulator.copies import World
+from loftweir.emulator.replication_world import World
 from loftweir.emulator.walk import Walk
 
 
--- /dev/null
+++ b/loftweir/emulator/replication_breach.py
@@ -0,0 +1,7 @@
+"""What the emulation of the replicated state raises where a promise did not hold."""
+
+from __future__ import annotations
+
+
+class Breach(AssertionError):
+    """What was promised and didn't hold."""
--- a/loftweir/emulator/walk.py
+++ b/loftweir/emulator/walk.py
@@ -15,7 +15,8 @@
 from random import Random
 from typing import NamedTuple
 
-from loftweir.emulator.copies import Breach, Disk
+from loftweir.emulator.replication_breach import Breach
+from loftweir.emulator.replication_disk import Disk
 from loftweir.replication.api import (
     AnyMessage,
     Appended,
--- a/tests/test_replication_core.py
+++ b/tests/test_replication_core.py
@@ -7,7 +7,9 @@
 import msgspec
 import pytest
 
-from loftweir.emulator.copies import MS, Breach, Plan, World
+from loftweir.emulator.replication_breach import Breach
+from loftweir.emulator.replication_plan import MS, Plan
+from loftweir.emulator.replication_world import World
 from loftweir.emulator.walk import ALL, Left, Timeless, Walk
 from loftweir.replication import api
 from loftweir.replication.api import Kind, Member, Refusal, Refused, Role, Timing
