Errors: the family's base class is LoftweirError

Cause: its name Trouble is a house word that says nothing to a newcomer. The emulator's scenario type Trouble is another thing, imported by emulator/run.py, and stays.

--- a/loftweir/catalog/hosts.py
+++ b/loftweir/catalog/hosts.py
@@ -21,7 +21,7 @@
 from loftweir.catalog.shares import Shared
 from loftweir.core.host import Host
 from loftweir.core.invocation import Invocation
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.http1.back import Back, Connection, Pool
 from loftweir.http1.request import Malformed
 from loftweir.http1.response import COME_BACK
@@ -365,7 +365,7 @@
                 for act in orders(self.claims, seen, now, DAMPING):
                     try:
                         result = yield from duty.claim(written(act), CLAIM_WITHIN)
-                    except Trouble:  # the lease or the majority is gone: whoever has it next, or the next look
+                    except LoftweirError:  # the lease or the majority is gone: whoever has it next, or the next look
                         break
                     if isinstance(result, Ok):
                         self.refused.pop(act.name, None)
--- a/loftweir/catalog/names.py
+++ b/loftweir/catalog/names.py
@@ -10,7 +10,7 @@
 
 import re
 
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 
 LONGEST = 253  # characters of a name, RFC 1035, section 2.3.4
 _LABEL = "[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?"  # RFC 1123, section 2.1, in small letters
@@ -18,7 +18,7 @@
 _mesh = re.compile(rf"{_LABEL}(?:\.{_LABEL})*", re.ASCII).fullmatch
 
 
-class BadName(Trouble, ValueError):
+class BadName(LoftweirError, ValueError):
     """A name in the catalog is not made of RFC 1123 labels, or a pin names another service than its own; its place is
     named, and nothing of what it came with is taken."""
 
--- a/loftweir/cli/explain.py
+++ b/loftweir/cli/explain.py
@@ -16,7 +16,7 @@
 from loftweir.config.model import time as duration
 from loftweir.config.operator import value_of
 from loftweir.config.units import host_and_port
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.explain import BEHAVIOURS, Explanation, Traffic
 from loftweir.explain import explain as play
 from loftweir.http1.discovery import CallFailed
@@ -85,9 +85,9 @@
             known = fetched(of_platform.discovery)
         elif list_file is not None:
             known = read_list(ujson.loads(list_file.read()), UpdateKind.FULL)[0]
-    except (OSError, ValueError, Trouble, http.client.HTTPException) as error:
+    except (OSError, ValueError, LoftweirError, http.client.HTTPException) as error:
         click.echo(f"no list: {error}", err=True)
-        if isinstance(error, Trouble):
+        if isinstance(error, LoftweirError):
             click.echo(error.remedy, err=True)
         sys.exit(2)
     found = play(
--- a/loftweir/config/faults.py
+++ b/loftweir/config/faults.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 
 MISSING = "(missing)"
 LONGEST = 80  # characters of a value that a fault repeats
@@ -25,7 +25,7 @@
         return f"{at}: got {shown}, expected {self.expected}"
 
 
-class Faulty(Trouble, ValueError):
+class Faulty(LoftweirError, ValueError):
     """A configuration, or a scenario, can't be used: each of its `faults` has the file, the path, the value and what
     was expected."""
 
--- a/loftweir/config/lists.py
+++ b/loftweir/config/lists.py
@@ -5,14 +5,14 @@
 from typing import Any
 
 from loftweir.config.faults import MISSING
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, UpdateKind
 
 MS = 1_000_000
 LIFECYCLES = {"active": Lifecycle.READY, "leaving": Lifecycle.DRAINING, "left": Lifecycle.GONE}
 
 
-class NotAList(Trouble, ValueError):
+class NotAList(LoftweirError, ValueError):
     """A list of providers is not in discovery's form: every place that is not, its value and what was expected."""
 
     remedy = (
--- a/loftweir/emulator/histories.py
+++ b/loftweir/emulator/histories.py
@@ -21,7 +21,7 @@
 from collections.abc import Callable, Hashable, Iterable, Sequence
 from typing import NamedTuple
 
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 
 Op = tuple[Hashable, ...]  # the name first
 State = Hashable
@@ -60,7 +60,7 @@
         return f"{self.key}: {call.op} by {call.client} can't have returned {call.result!r} from {states}"
 
 
-class Undecided(Trouble):
+class Undecided(LoftweirError):
     """A history has so many possible orders that the search took more steps than it was given."""
 
     remedy = "Make the history shorter, or its calls less concurrent; or give the search more steps."
--- a/loftweir/errors.py
+++ b/loftweir/errors.py
@@ -15,7 +15,7 @@
 from typing import ClassVar
 
 
-class Trouble(Exception):
+class LoftweirError(Exception):
     """An error of the program's own. `what` happened, and `where`: a file, key, member or provider; empty: here."""
 
     remedy: ClassVar[str] = ""  # what an operator can do; every type that is raised has one
@@ -25,7 +25,7 @@
         self.what, self.where = what, where
 
 
-def types(of: type[Trouble] = Trouble) -> Iterator[type[Trouble]]:
+def types(of: type[LoftweirError] = LoftweirError) -> Iterator[type[LoftweirError]]:
     """Every type of the family that has been imported, the more general before its own kinds."""
     for kind in sorted(of.__subclasses__(), key=lambda kind: kind.__name__):
         yield kind
--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -12,7 +12,7 @@
 from loftweir import listclock
 from loftweir.config.lists import NotAList, read_list
 from loftweir.config.model import Options
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError as Trouble
 from loftweir.http1.strict import Strict
 from loftweir.interface import MembershipUpdate, UpdateKind
 from loftweir.net.loop import MS, Coroutine, Loop, Task, Wait
--- a/loftweir/interface.py
+++ b/loftweir/interface.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 
 
 class Effect(Enum):
@@ -280,7 +280,7 @@
     expected: str
 
 
-class SettingsError(Trouble, ValueError):
+class SettingsError(LoftweirError, ValueError):
     """The platform's settings can be read but not used: each of the `faults` names a figure, its value and what it must
     be."""
 
--- a/loftweir/lease/duty.py
+++ b/loftweir/lease/duty.py
@@ -12,7 +12,7 @@
 from contextlib import suppress
 from random import Random
 
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.lease.holder import Answer, Begin, Event, Holder, LetGo, Send, State, Tick, Want
 from loftweir.net.loop import MS, Coroutine, Loop, Task, Wait
 from loftweir.replication.caller import Caller
@@ -33,7 +33,7 @@
 AGAIN = 1000 * MS  # after a fault of the program's own
 
 
-class NotActing(Trouble):
+class NotActing(LoftweirError):
     """A write under a duty's token was not made, or was refused: this process does not hold the duty any more."""
 
     remedy = "Nothing: whoever holds the duty goes on. If it comes again and again, see why this process stalls."
@@ -127,7 +127,7 @@
 
     def _send(self, ask: int, act: Acquire | Renew | Release) -> Coroutine[None]:
         result: AnyResult | None = None
-        with suppress(Trouble):  # it may come true yet: the holder asks again, or lets the lease run out
+        with suppress(LoftweirError):  # it may come true yet: the holder asks again, or lets the lease run out
             result = yield from self.orders.write(act, self.ttl // 2)
         self._feed(Answer(ask, result))
 
--- a/loftweir/operations/calls.py
+++ b/loftweir/operations/calls.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 
 LONGEST = 1024  # bytes of a line; an id has 64 at most
 
@@ -44,7 +44,7 @@
     id: str = ""  # or a member's or service's name
 
 
-class No(Trouble):
+class No(LoftweirError):
     """An operator's call is not done: the answer is ERR, and why in one line."""
 
     remedy = (
--- a/loftweir/partners/copies.py
+++ b/loftweir/partners/copies.py
@@ -21,7 +21,7 @@
 
 import msgspec
 
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.partners.merge import Held, Standing
 from loftweir.partners.session import Timing, aged
 from loftweir.partners.table import MASK, Route, Table
@@ -36,7 +36,7 @@
 Facts = Mapping[tuple[str, str], Fact]
 
 
-class NotReadable(Trouble):
+class NotReadable(LoftweirError):
     """What the copies hold of a partner is not in this version's form, or not whole: nothing of it is used here."""
 
     remedy = "Run one version of the program in the site; the sidecar that asks the partner writes it anew."
--- a/loftweir/partners/keeping.py
+++ b/loftweir/partners/keeping.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.lease.duty import Duty, NotActing
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Task, Wait
 from loftweir.partners import copies
@@ -20,7 +20,7 @@
 AGAIN, AGAIN_MOST = 300 * MS, 5 * SECOND  # after one that failed
 
 
-class NotKept(Trouble):
+class NotKept(LoftweirError):
     """The copies have no room for a table, or don't take it: what they held before stays, and ages."""
 
     remedy = "Lower `partners.table_size` or `routes`, or take neighbours out of the file, at all sidecars of the site."
@@ -96,7 +96,7 @@
                 again = AGAIN
             except NotActing:
                 return  # its end comes
-            except Trouble as error:
+            except LoftweirError as error:
                 say(PARTNERS_NOT_KEPT, duty=self.duty.duty, why=error)
                 yield Wait(None, 0, self.loop.now() + again)
                 again = min(2 * again, AGAIN_MOST)
--- a/loftweir/partners/link.py
+++ b/loftweir/partners/link.py
@@ -18,7 +18,7 @@
 
 from loftweir.config.model import THROUGH_COPIES
 from loftweir.config.model import Partners as Options
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.http1.strict import Strict
 from loftweir.lease.duty import Duty
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Task, Wait
@@ -46,7 +46,7 @@
 NOTES_APART = 2 * SECOND  # from one note that a partner has answered again to the next, or a quarter of the hold time
 
 
-class NotAnswered(Trouble):
+class NotAnswered(LoftweirError):
     """A call to a partner brought no table. The last good one stays until its hold time is over."""
 
     remedy = (
--- a/loftweir/partners/shown.py
+++ b/loftweir/partners/shown.py
@@ -18,7 +18,7 @@
 from collections.abc import Callable, Iterable
 
 from loftweir.config.model import Options
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.lease.duty import Duty
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Task, Wait
 from loftweir.partners import copies
@@ -128,7 +128,7 @@
     def _make_sure(self) -> Coroutine[None]:
         try:
             held = yield from self.fleet.caller.read(FactOf(DUTY, EPOCH), SURE_WITHIN)
-        except Trouble:
+        except LoftweirError:
             held = None
         if held is None or not held.sure:
             yield Wait(None, 0, self.loop.now() + AGAIN)
@@ -170,7 +170,7 @@
                 try:
                     yield from duty.put(EPOCH, str(self.loop.now() // SECOND).encode(), WITHIN)
                     put = True
-                except Trouble:
+                except LoftweirError:
                     yield Wait(None, 0, self.loop.now() + AGAIN)  # it may be there all the same
             else:
                 yield Wait(None, 0, self.loop.now() + LOOK_EVERY)
@@ -202,7 +202,7 @@
         try:
             for key in sorted(keys, key=lambda key: not key.endswith(copies.HEAD)):
                 yield from duty.put(key, b"", WITHIN)
-        except Trouble:
+        except LoftweirError:
             return
 
     def _aim(self, to: str) -> None:
--- a/loftweir/partners/table.py
+++ b/loftweir/partners/table.py
@@ -23,7 +23,7 @@
 from msgspec import Meta
 
 from loftweir.config.units import LABEL, NAME, host_and_port
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.partners.terms import Terms, plain, read_terms
 
 SHOWN = 20  # faults that an error repeats
@@ -58,7 +58,7 @@
         return f"{self.place}: {self.expected}" if self.place else self.expected
 
 
-class BadTable(Trouble, ValueError):
+class BadTable(LoftweirError, ValueError):
     """A partner's table is refused whole, and the last good one stays: each of the `faults` has its place and what was
     expected there."""
 
--- a/loftweir/replication/caller.py
+++ b/loftweir/replication/caller.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from loftweir.config.model import Replication
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Wait
 from loftweir.net.stream import NotUp
 from loftweir.replication.api import Value
@@ -41,7 +41,7 @@
 APART = 20 * MS  # after a try that brought nothing; up to as long again at random
 
 
-class NoMajority(Trouble):
+class NoMajority(LoftweirError):
     """No leader with a majority took a write or a read in time. A write does not hold, and never will."""
 
     remedy = (
@@ -50,13 +50,13 @@
     )
 
 
-class OutcomeUnknown(Trouble):
+class OutcomeUnknown(LoftweirError):
     """A write went out, and what became of it was not told in time: it may hold, or come to hold yet."""
 
     remedy = "Ask `FLEET` at a sidecar that knows a leader what holds, and say it again if that does not."
 
 
-class NotTaken(Trouble):
+class NotTaken(LoftweirError):
     """The copies turned a write down; its text says why. Nothing has changed."""
 
     remedy = "As the text says."
--- a/loftweir/replication/folder.py
+++ b/loftweir/replication/folder.py
@@ -25,7 +25,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.replication import journal
 from loftweir.replication.journal import Identity, Mark, Tape
 from loftweir.state.sealed import Damaged
@@ -36,7 +36,7 @@
 BEGINNING = {IDENTITY + NEW, MARK, MARK + NEW, f"{SEGMENT}{1:010d}", f"{SEGMENT}{1:010d}{NEW}"}
 
 
-class StorageFailed(Trouble):
+class StorageFailed(LoftweirError):
     """A read, write or sync of a voter's files failed; the voter ends its part and promises nothing more."""
 
     remedy = (
@@ -45,7 +45,7 @@
     )
 
 
-class StorageDamaged(Trouble):
+class StorageDamaged(LoftweirError):
     """A voter's files are not what it wrote: changed, cut short, lost, or of another member, cluster or version."""
 
     remedy = (
@@ -58,7 +58,7 @@
         self.file, self.at = file, at
 
 
-class FolderInUse(Trouble):
+class FolderInUse(LoftweirError):
     """Another process holds this folder."""
 
     remedy = "Give each member a folder of its own, or end the other process first."
--- a/loftweir/replication/follower.py
+++ b/loftweir/replication/follower.py
@@ -14,7 +14,7 @@
 from zlib import crc32
 
 from loftweir.config.model import Replication
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Task, Wait
 from loftweir.net.stream import NotUp, TookTooLong
 from loftweir.replication.line import Line, dial
@@ -31,7 +31,7 @@
 LARGEST = 512 * 1024 * 1024  # bytes of a machine as a whole
 
 
-class NotFollowed(Trouble):
+class NotFollowed(LoftweirError):
     """News of the copies that do not go on from what this sidecar has: they are not taken."""
 
     remedy = "Nothing, if rare: it asks another member, or gets the whole anew. Else look at the member that is named."
@@ -108,7 +108,7 @@
                 why = "not up"
             except TookTooLong:
                 why = "silent"
-            except (OSError, Trouble) as error:
+            except (OSError, LoftweirError) as error:
                 why = str(error) or type(error).__name__
             say(REPLICATION_LOST, member=self.member, why=why)
             turn += 1
--- a/loftweir/replication/machine.py
+++ b/loftweir/replication/machine.py
@@ -23,7 +23,7 @@
 
 import msgspec
 
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.replication.api import Value
 
 if TYPE_CHECKING:
@@ -48,7 +48,7 @@
 CLAIMS_FOR = "partner:"  # duties under which names are claimed begin so
 
 
-class Foreign(Trouble):
+class Foreign(LoftweirError):
     """A snapshot of the copies that this build can't read: of another version, or not in its form."""
 
     remedy = "Run the build that wrote it, or let this member begin anew: it gets all from the others."
--- a/loftweir/replication/member.py
+++ b/loftweir/replication/member.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from loftweir.config.model import Replication
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.lease.keeper import Keeper
 from loftweir.net.loop import READABLE, SECOND, Coroutine, Loop, Task, Wait
 from loftweir.replication.api import (
@@ -77,7 +77,7 @@
         seats: dict[str, str],
         opened: tuple[Disk, Kept],
         applied: Callable[[], None],
-        ended: Callable[[Trouble], None],
+        ended: Callable[[LoftweirError], None],
     ) -> None:
         self.loop = loop
         self.name = name
@@ -200,7 +200,7 @@
     def _crashed(self, error: Exception) -> None:
         self.end(MemberBroken(repr(error), where(error)))
 
-    def end(self, why: Trouble) -> None:
+    def end(self, why: LoftweirError) -> None:
         """This member's part is over; the sidecar serves on. Whoever owns it is told in a turn of its own, and closes
         it: not in the middle of what was under way here."""
         if not self.over:
@@ -265,7 +265,7 @@
     def _restore(self, action: Restore) -> None:
         try:
             self.machine = Machine.load(action.snapshot.data)
-        except Trouble as error:
+        except LoftweirError as error:
             self.end(error)
 
     def _done(self, action: Done) -> None:
@@ -398,7 +398,7 @@
         return News(after, told, self.age(), leads, self.leader()[0], members, tuple(entries), whole)
 
 
-class Removed(Trouble):
+class Removed(LoftweirError):
     """This sidecar was a member of the copies, and was taken out; it follows the others from now on."""
 
     remedy = (
@@ -406,7 +406,7 @@
     )
 
 
-class MemberBroken(Trouble):
+class MemberBroken(LoftweirError):
     """A fault of the program ended this sidecar's part as a member of the copies; it follows the others."""
 
     remedy = "Keep the log and report it; a new start takes the part up again."
--- a/loftweir/replication/part.py
+++ b/loftweir/replication/part.py
@@ -12,7 +12,7 @@
 
 from loftweir.config.model import Replication
 from loftweir.config.units import seats
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Wait
 from loftweir.operations.calls import Call, No, Word
 from loftweir.operations.record import Word as Said
@@ -152,7 +152,7 @@
             self.follower.close()
             self.follower = None
 
-    def _ended(self, why: Trouble) -> None:
+    def _ended(self, why: LoftweirError) -> None:
         """The member's part is over, the sidecar's is not."""
         say(REPLICATION_ENDED, why=why, remedy=why.remedy)
         self._end_voting()
@@ -267,7 +267,7 @@
                     return f"enabled, at index {held.index}"
             act = Say(call.id, call.word is Word.FLEET_DISABLE, self.loop.now())
             result = yield from self.caller.write(act, max(SECOND // 1000, until - self.loop.now()))
-        except Trouble as error:
+        except LoftweirError as error:
             raise No(f"{type(error).__name__}: {error}; {error.remedy}") from None
         if not isinstance(result, Ok):
             raise No(result.text)
--- a/loftweir/replication/wire.py
+++ b/loftweir/replication/wire.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.replication.api import AnyMessage, Member, Value
 
 VERSION = 1  # of the frames; another one is turned away
@@ -23,7 +23,7 @@
 LARGEST = 2 * 1024 * 1024  # of any other; an entry has half of it at most
 
 
-class BadFrame(Trouble):
+class BadFrame(LoftweirError):
     """What came on a connection of the copies is no frame of this version: damaged, too large or of another program."""
 
     remedy = (
@@ -31,7 +31,7 @@
     )
 
 
-class TurnedAway(Trouble):
+class TurnedAway(LoftweirError):
     """A sidecar of the copies would not speak with this one."""
 
     remedy = (
--- a/loftweir/settings.py
+++ b/loftweir/settings.py
@@ -10,12 +10,12 @@
 from typing import Any, NamedTuple, TypeVar
 
 from loftweir import interface as api
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 
 T = TypeVar("T")
 
 
-class WireError(Trouble):
+class WireError(LoftweirError):
     """A line is not of the simulator's wire, and `loftweir.adapter` ends with 1: which line and field, and why."""
 
     remedy = "Mend that line where it is written, in what drives `python -m loftweir.adapter`, and start both again."
--- a/loftweir/state/sealed.py
+++ b/loftweir/state/sealed.py
@@ -6,10 +6,10 @@
 
 from zlib import crc32
 
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 
 
-class Damaged(Trouble, ValueError):
+class Damaged(LoftweirError, ValueError):
     """A file that the sidecar keeps can't be trusted, and nothing of it is taken over: why, and the byte where that
     was found."""
 
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -51,7 +51,7 @@
 @pytest.mark.parametrize("kind", CAUSES, ids=lambda kind: kind.__name__)
 def test_each_is_caused_and_reads_as_it_did(kind):
     cause, text, place = CAUSES[kind]
-    with pytest.raises(errors.Trouble) as caught:
+    with pytest.raises(errors.LoftweirError) as caught:
         cause()
     assert type(caught.value) is kind and str(caught.value).startswith(text) and caught.value.where == place
     assert isinstance(caught.value, ValueError) is (kind in (Damaged, Faulty, NotAList, SettingsError))
@@ -98,4 +98,4 @@
         return {k for kind in of.__subclasses__() for k in {kind, *kinds(kind)}}
 
     outside = {k.__name__ for k in kinds(Exception) - set(FAMILY) if k.__module__.startswith("loftweir.")}
-    assert outside - {"Trouble"} == set(re.findall(r"`([A-Z]\w+)`", errors.__doc__)) - {"CallFailed"}
+    assert outside - {"LoftweirError"} == set(re.findall(r"`([A-Z]\w+)`", errors.__doc__)) - {"CallFailed"}
--- a/tests/test_partners.py
+++ b/tests/test_partners.py
@@ -12,7 +12,7 @@
 
 from loftweir.emulator import sites
 from loftweir.emulator.sites import BEGIN, HOP, MS, SECOND, TIMING, Faults, World, play, route
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.interface import SettingsError
 from loftweir.partners import merge as merging
 from loftweir.partners import table as tables
@@ -137,7 +137,7 @@
     with pytest.raises(BadTable) as caught:
         taken(None, read(broken(edit, number), "bb"))
     assert caught.value.faults[0].place.startswith(place) and caught.value.where == "partner bb"
-    assert isinstance(caught.value, Trouble) and caught.value.remedy
+    assert isinstance(caught.value, LoftweirError) and caught.value.remedy
 
 
 def test_every_place_is_named_and_limits_hold_for_changes_too():
