Operations: commands and their handler in place of words and the desk

Cause: house words for standard things: Word was an operator's command, and also the last one kept; Desk carried it out. Change: operations/command_handler.py (CommandHandler, was desk.py), calls.Command and Call.command, record.LastCommand. What is on the wire, on disk and in the log keeps its names, those of replication/machine.py and remembered.py among them. sidecar.py and the tests follow by import lines; one line of test_operations.py follows the field's name.

--- a/benchmarks/faults/fleet.py
+++ b/benchmarks/faults/fleet.py
@@ -345,7 +345,7 @@
         return bool(eventually(self.whole, seconds) and eventually(same, seconds))
 
 
-def desk(sidecar, line: str, within: float) -> tuple[str, bool]:
+def operator_call(sidecar, line: str, within: float) -> tuple[str, bool]:
     """What is answered to a line, empty where nothing is, and whether it was sent."""
     host, port = sidecar.desk.split(":")
     sent = False
--- a/benchmarks/faults/load.py
+++ b/benchmarks/faults/load.py
@@ -20,7 +20,7 @@
 from scene import ROOT, eventually
 
 from benchmarks.faults.client import Caller, Line, Nothing, Unknown, news
-from benchmarks.faults.fleet import PROVIDERS, Fleet, desk
+from benchmarks.faults.fleet import PROVIDERS, Fleet, operator_call
 from benchmarks.faults.oracle import MAY_BE_LATE, PROMISED
 from loftweir.emulator.histories import Act as Acted
 from loftweir.emulator.histories import Call
@@ -106,7 +106,7 @@
         life, answer = self.fleet.lives[where], ""
         with self.oracle.call(self.oracle.words, client, provider, ("set", out)):
             word = "FLEET-DISABLE" if out else "FLEET-ENABLE"
-            answer, sent = desk(self.fleet.sidecars[where], f"{word} {provider}", WITHIN)
+            answer, sent = operator_call(self.fleet.sidecars[where], f"{word} {provider}", WITHIN)
             if not answer and sent or "ERR OutcomeUnknown" in answer:
                 raise Unknown(answer)
             if not answer or answer.startswith(("ERR NoMajority", "ERR no such upstream")):
@@ -190,7 +190,7 @@
     def look(self, name: str, within: float) -> int:
         """What a sidecar shows now; its index, or -1."""
         life, asked = self.fleet.lives[name], time.monotonic_ns()
-        answer, _ = desk(self.fleet.sidecars[name], "FLEET", within)
+        answer, _ = operator_call(self.fleet.sidecars[name], "FLEET", within)
         if not answer.startswith("OK ") or life != self.fleet.lives[name]:
             return -1
         stands = dict(pair.split("=", 1) for pair in answer.split()[1:])
--- a/benchmarks/faults/schedule.py
+++ b/benchmarks/faults/schedule.py
@@ -16,7 +16,7 @@
 from scene import eventually
 
 from benchmarks.faults.client import Caller, Nothing, Unknown
-from benchmarks.faults.fleet import Fleet, desk
+from benchmarks.faults.fleet import Fleet, operator_call
 from benchmarks.faults.load import PEN, WITHIN, Load
 from loftweir.replication.machine import Fenced
 
@@ -270,7 +270,7 @@
     if fault.share < 0.6:
         play.fleet.kill(who)
     others = [name for name in play.fleet.sidecars if name != who]
-    desk(play.fleet.sidecars[others[int(fault.share * len(others))]], f"FLEET-REMOVE {who}", WITHIN)
+    operator_call(play.fleet.sidecars[others[int(fault.share * len(others))]], f"FLEET-REMOVE {who}", WITHIN)
 
 
 def _damage(play: Play, fault: Fault, who: str) -> None:
--- a/loftweir/operations/address.py
+++ b/loftweir/operations/address.py
@@ -100,6 +100,6 @@
         except No as reason:
             say(OPERATOR_CALL, call=repr(data[:80])[2:-1], answer="ERR", why=reason)
             return no(reason)
-        if call.word.value != "READY":
-            say(OPERATOR_CALL, call=f"{call.word.value} {call.id}".strip(), answer="OK", why="")
+        if call.command.value != "READY":
+            say(OPERATOR_CALL, call=f"{call.command.value} {call.id}".strip(), answer="OK", why="")
         return yes(text)
--- a/loftweir/operations/calls.py
+++ b/loftweir/operations/calls.py
@@ -11,7 +11,7 @@
 LONGEST = 1024  # bytes of a line; an id has 64 at most
 
 
-class Word(Enum):
+class Command(Enum):
     READY = "READY"
     DISABLE = "DISABLE"
     ENABLE = "ENABLE"
@@ -24,23 +24,23 @@
     ROUTES = "ROUTES"
 
 
-# The arguments that each word takes; one in brackets may be left out.
-ARGUMENTS: Mapping[Word, tuple[str, ...]] = {
-    Word.READY: (),
-    Word.DISABLE: ("ID",),
-    Word.ENABLE: ("ID",),
-    Word.DRAIN: (),
-    Word.UNDRAIN: (),
-    Word.FLEET: (),
-    Word.FLEET_DISABLE: ("ID",),
-    Word.FLEET_ENABLE: ("ID",),
-    Word.FLEET_REMOVE: ("NAME",),
-    Word.ROUTES: ("[SERVICE]",),
+# The arguments that each command takes; one in brackets may be left out.
+ARGUMENTS: Mapping[Command, tuple[str, ...]] = {
+    Command.READY: (),
+    Command.DISABLE: ("ID",),
+    Command.ENABLE: ("ID",),
+    Command.DRAIN: (),
+    Command.UNDRAIN: (),
+    Command.FLEET: (),
+    Command.FLEET_DISABLE: ("ID",),
+    Command.FLEET_ENABLE: ("ID",),
+    Command.FLEET_REMOVE: ("NAME",),
+    Command.ROUTES: ("[SERVICE]",),
 }
 
 
 class Call(NamedTuple):
-    word: Word
+    command: Command
     id: str = ""  # or a member's or service's name
 
 
@@ -48,7 +48,7 @@
     """An operator's call is not done: the answer is ERR, and why in one line."""
 
     remedy = (
-        "Do what the line names, then make the call again: another word or id, room in `$TMPDIR`, a moment's "
+        "Do what the line names, then make the call again: another command or id, room in `$TMPDIR`, a moment's "
         "wait for `not yet`, or the new process where this one comes to its end."
     )
 
@@ -65,13 +65,13 @@
         raise No("not plain text")
     name, *arguments = text.split()[:4] or [""]
     try:
-        word = Word(name)
+        command = Command(name)
     except ValueError:
-        raise No(f"no such call, known are {', '.join(w.value for w in Word)}") from None
-    wanted = ARGUMENTS[word]
+        raise No(f"no such call, known are {', '.join(w.value for w in Command)}") from None
+    wanted = ARGUMENTS[command]
     if not sum(not name.startswith("[") for name in wanted) <= len(arguments) <= len(wanted):
-        raise No(f"usage: {' '.join((word.value, *wanted))}")
-    return Call(word, *arguments)
+        raise No(f"usage: {' '.join((command.value, *wanted))}")
+    return Call(command, *arguments)
 
 
 def yes(text: str = "") -> bytes:
--- a/loftweir/operations/desk.py
+++ b/loftweir/operations/command_handler.py
@@ -9,10 +9,9 @@
 from loftweir.core.life import Life, Step
 from loftweir.interface import MembershipUpdate
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Wait
-from loftweir.operations.calls import Call, No, Word
+from loftweir.operations.calls import Call, Command, No
 from loftweir.operations.overlay import Overlay
-from loftweir.operations.record import Record
-from loftweir.operations.record import Word as Said
+from loftweir.operations.record import LastCommand, Record
 from loftweir.operations.store import Store
 from loftweir.state.sealed import Damaged
 from loftweir.telemetry.catalogue import RECORD_FAILED, RECORD_HELD, RECORD_READ
@@ -26,7 +25,7 @@
 
 
 class Fleet(Protocol):
-    """This sidecar's part in the copies, where the operator's file names members."""
+    """This sidecar's part in the replicated state, where the operator's file names members."""
 
     def do(self, call: Call) -> Coroutine[str]: ...
 
@@ -37,7 +36,7 @@
     def do(self, call: Call) -> str: ...
 
 
-class Desk:
+class CommandHandler:
     """Invariant: what `overlay.record` says holds: the balancer was told, and `life` stands where the drain says."""
 
     def __init__(self, loop: Loop, life: Life, told: Told, takes_clients: Callable[[], bool]) -> None:
@@ -60,17 +59,17 @@
 
     # ---- the fleet ------------------------------------------------------------------------------
 
-    def fleet_said(self, words: Mapping[str, Said], whole: bool) -> None:
+    def fleet_said(self, commands: Mapping[str, LastCommand], whole: bool) -> None:
         """What holds for the whole fleet; `whole`: nothing else does. Its times are of the clock of whoever said it:
-        of one that is ahead of this one's the provider starts now, not in an hour. Once: a word that comes again is not
+        of one that is ahead of this one's the provider starts now, not in an hour. Once: one that comes again is not
         news."""
         now, known = self.loop.now(), self.overlay.fleet
         heard = {}
-        for name, word in words.items():
+        for name, command in commands.items():
             before = known.get(name)
-            if word.at > now:
-                word = before if before is not None and before.on == word.on else Said(now, word.on)
-            heard[name] = word
+            if command.at > now:
+                command = before if before is not None and before.on == command.on else LastCommand(now, command.on)
+            heard[name] = command
         update = self.overlay.lay(heard, whole)
         if update is not None:
             self.told(*update)
@@ -79,7 +78,7 @@
         if self.fleet is None:
             raise No("replication is off: the operator's file names no replication.members")
         # What this sidecar's list does not name yet, others may serve from: it may be taken out all the same.
-        if call.word is Word.FLEET_ENABLE and not self.overlay.knows(call.id):
+        if call.command is Command.FLEET_ENABLE and not self.overlay.knows(call.id):
             raise No("no such upstream")
         return (yield from self.fleet.do(call))
 
@@ -173,34 +172,34 @@
     def do(self, call: Call) -> Coroutine[str]:
         """What is said after OK; a `No` where the call is not done."""
         now, record = self.loop.now(), self.overlay.record
-        if call.word in (Word.FLEET, Word.FLEET_DISABLE, Word.FLEET_ENABLE, Word.FLEET_REMOVE):
+        if call.command in (Command.FLEET, Command.FLEET_DISABLE, Command.FLEET_ENABLE, Command.FLEET_REMOVE):
             return (yield from self._fleet(call))
-        if call.word is Word.ROUTES:
+        if call.command is Command.ROUTES:
             if self.partners is None:
                 raise No("partners are off: the operator's file names no partners.site")
             return self.partners.do(call)
-        if call.word is Word.READY:
+        if call.command is Command.READY:
             if self.life.ends:
                 raise No("this process comes to its end")
             if not self.begun or not self.takes_clients():
                 raise No("not yet")
             return ""
-        if call.word in (Word.DRAIN, Word.UNDRAIN):
-            on = call.word is Word.DRAIN
+        if call.command in (Command.DRAIN, Command.UNDRAIN):
+            on = call.command is Command.DRAIN
             self.hold(record.drained(on, now))
-            yield from self._keep_word()
+            yield from self._keep_command()
             return "draining" if on else "serving"
         if not self.overlay.knows(call.id):
             raise No("no such upstream")
-        if call.word is Word.DISABLE:
+        if call.command is Command.DISABLE:
             # It holds in any case: a time after the call it binds, whatever is answered.
             self.hold(record.ban(call.id, True, now))
-            yield from self._keep_word()
+            yield from self._keep_command()
             return "disabled"
         if record.banned(call.id):
             # The other way round: none is sent to before it is kept that it may be.
             self.hold((yield from self._save(record.ban(call.id, False, now))))
         return "enabled"
 
-    def _keep_word(self) -> Coroutine[None]:
+    def _keep_command(self) -> Coroutine[None]:
         self.hold((yield from self._save(self.overlay.record)))
--- a/loftweir/operations/overlay.py
+++ b/loftweir/operations/overlay.py
@@ -11,7 +11,7 @@
 from dataclasses import replace
 
 from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, UpdateKind
-from loftweir.operations.record import HOUR, Record, Word, changed
+from loftweir.operations.record import HOUR, LastCommand, Record, changed
 
 
 class Overlay:
@@ -21,24 +21,24 @@
         self.listed: dict[str, Endpoint] = {}  # as discovery has them, those that are gone left out
         self.addresses: dict[str, str] = {}
         self.record = Record()
-        self.fleet: dict[str, Word] = {}
+        self.fleet: dict[str, LastCommand] = {}
 
     def knows(self, name: str) -> bool:
         return name in self.listed or self.record.banned(name) or name in self.fleet
 
     def effective(self, endpoint: Endpoint) -> Endpoint:
         name = endpoint.address
-        words = [bans[name] for bans in (self.record.bans, self.fleet) if name in bans]
-        if not words or endpoint.lifecycle is Lifecycle.GONE:
+        commands = [bans[name] for bans in (self.record.bans, self.fleet) if name in bans]
+        if not commands or endpoint.lifecycle is Lifecycle.GONE:
             return endpoint
-        if any(word.on for word in words):
+        if any(command.on for command in commands):
             return replace(endpoint, lifecycle=Lifecycle.DRAINING)
-        at = max(word.at for word in words)
-        # The fleet's words are kept for good: a start long after one is not the start that it spoke of.
+        at = max(command.at for command in commands)
+        # The fleet's commands are kept for good: a start long after one is not the start that it spoke of.
         return replace(endpoint, started_at=max(endpoint.started_at, at), called_back=endpoint.started_at <= at + HOUR)
 
     def update(self, update: MembershipUpdate, addresses: Mapping[str, str]) -> tuple[MembershipUpdate, dict[str, str]]:
-        """Discovery's word, as the balancer is to have it."""
+        """Discovery's list, as the balancer is to have it."""
         if update.kind in (UpdateKind.FULL, UpdateKind.REMEMBERED):
             self.listed, self.addresses = {}, {}
         for endpoint in update.endpoints:
@@ -56,9 +56,9 @@
         self.record = record
         return self._again(names)
 
-    def lay(self, words: Mapping[str, Word], whole: bool) -> tuple[MembershipUpdate, dict[str, str]] | None:
-        """Words to the fleet hold from now on; `whole`: in place of all before, else beside them."""
-        after = dict(words) if whole else {**self.fleet, **words}
+    def lay(self, commands: Mapping[str, LastCommand], whole: bool) -> tuple[MembershipUpdate, dict[str, str]] | None:
+        """Commands to the fleet hold from now on; `whole`: in place of all before, else beside them."""
+        after = dict(commands) if whole else {**self.fleet, **commands}
         names = changed(Record(self.fleet), Record(after))
         self.fleet = after
         return self._again(names)
--- a/loftweir/operations/record.py
+++ b/loftweir/operations/record.py
@@ -1,7 +1,7 @@
 """What the operators have said, as a value that processes can merge, and its form in a file. No I/O, no clock.
 
-Each word has the time at which it was said. The later one holds, and of two of one time the stricter: so merging is
-commutative, associative and idempotent, and nothing but a later word takes one back. Whoever says something gives it a
+Each command has the time at which it was given. The later one holds, and of two of one time the stricter: so merging is
+commutative, associative and idempotent, and nothing but a later command takes one back. Whoever gives one gives it a
 time above all that it knows of the same thing (`after`).
 """
 
@@ -19,8 +19,8 @@
 HOUR = 3_600_000_000_000
 
 
-class Word(NamedTuple):
-    """Later words are greater, and of two of one time the stricter."""
+class LastCommand(NamedTuple):
+    """Later commands are greater, and of two of one time the stricter."""
 
     at: int = 0  # Unix time, ns; 0: nothing was ever said
     on: bool = False
@@ -29,35 +29,38 @@
 class Record(NamedTuple):
     """All that holds: for each id whether it is out, and whether the sidecar is drained."""
 
-    bans: Mapping[str, Word] = {}
-    drain: Word = Word()
+    bans: Mapping[str, LastCommand] = {}
+    drain: LastCommand = LastCommand()
 
     def merged(self, other: Record) -> Record:
         bans = dict(self.bans)
-        for name, word in other.bans.items():
-            bans[name] = max(bans.get(name, word), word)
+        for name, command in other.bans.items():
+            bans[name] = max(bans.get(name, command), command)
         return Record(bans, max(self.drain, other.drain))
 
     def ban(self, name: str, on: bool, now: int) -> Record:
-        return self._replace(bans={**self.bans, name: Word(after(self.bans.get(name, Word()), now), on)})
+        return self._replace(bans={**self.bans, name: LastCommand(after(self.bans.get(name, LastCommand()), now), on)})
 
     def drained(self, on: bool, now: int) -> Record:
-        return self._replace(drain=Word(after(self.drain, now), on))
+        return self._replace(drain=LastCommand(after(self.drain, now), on))
 
     def banned(self, name: str) -> bool:
-        return self.bans.get(name, Word()).on
+        return self.bans.get(name, LastCommand()).on
 
     def pruned(self, now: int) -> Record:
         """Without ids called back long ago: no process is so far behind."""
         return self._replace(bans={n: w for n, w in self.bans.items() if w.on or w.at > now - HOUR})
 
 
-def after(word: Word, now: int) -> int:
-    return max(now, word.at + 1)
+def after(command: LastCommand, now: int) -> int:
+    return max(now, command.at + 1)
 
 
 def written(record: Record) -> bytes:
-    value = {"bans": {name: list(word) for name, word in sorted(record.bans.items())}, "drain": list(record.drain)}
+    value = {
+        "bans": {name: list(command) for name, command in sorted(record.bans.items())},
+        "drain": list(record.drain),
+    }
     body = ujson.dumps(value).encode()
     return sealed(HEAD, VERSION, body)
 
@@ -66,16 +69,18 @@
     body = opened(HEAD, VERSION, data)
     try:
         value = ujson.loads(body)
-        return Record({str(name): _word(pair) for name, pair in value["bans"].items()}, _word(value["drain"]))
+        return Record(
+            {str(name): _last_command(pair) for name, pair in value["bans"].items()}, _last_command(value["drain"])
+        )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise Damaged(f"not in its form: {error!r}") from None
 
 
-def _word(pair: Any) -> Word:
+def _last_command(pair: Any) -> LastCommand:
     at, on = pair
     if isinstance(at, bool) or not isinstance(at, int) or not isinstance(on, bool):
         raise ValueError(pair)
-    return Word(at, on)
+    return LastCommand(at, on)
 
 
 def changed(old: Record, new: Record) -> Iterable[str]:
--- a/loftweir/replication/part.py
+++ b/loftweir/replication/part.py
@@ -14,8 +14,8 @@
 from loftweir.config.units import seats
 from loftweir.errors import LoftweirError
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Wait
-from loftweir.operations.calls import Call, No, Word
-from loftweir.operations.record import Word as Said
+from loftweir.operations.calls import Call, Command, No
+from loftweir.operations.record import LastCommand
 from loftweir.replication import reception, remembered
 from loftweir.replication.api import Role
 from loftweir.replication.caller import Caller
@@ -56,7 +56,7 @@
     copies were begun anew."""
 
     def __init__(
-        self, loop: Loop, name: str, options: Replication, told: Callable[[Mapping[str, Said], bool], None]
+        self, loop: Loop, name: str, options: Replication, told: Callable[[Mapping[str, LastCommand], bool], None]
     ) -> None:
         self.loop = loop
         self.name = name
@@ -68,10 +68,10 @@
         self.index = 0  # of what holds here
         self.known_at: int | None = None  # where only what was remembered does: when it was the latest
         self.members: frozenset[str] = frozenset()  # ids of the voters that it is of
-        self.words: dict[str, Said] = {}
+        self.words: dict[str, LastCommand] = {}
         self.machine: Machine | None = None  # the state that holds here; None: none was heard of yet
         self.heard: list[Callable[[Machine], None]] = []  # who else is told of each change of it
-        self.ahead: dict[str, int] = {}  # words that were answered for, and from which index on the machine has them
+        self.ahead: dict[str, int] = {}  # commands answered for, and from which index on the machine has them
         self.saves = False  # a file is to be written
         self.saved_at = 0
         self.voter: Voter | None = None
@@ -94,7 +94,7 @@
             return
         if found is not None:
             self.index, self.known_at, self.members = found.index, found.known_at, frozenset(found.members)
-            self.words = {name: Said(*word) for name, word in found.words.items()}
+            self.words = {name: LastCommand(*command) for name, command in found.words.items()}
             self.told(self.words, True)
 
     def start(self) -> None:
@@ -209,15 +209,15 @@
         self.members = members or self.members
         if machine.index < self.index:
             return  # a voter that has yet to hear how much of its log holds, or one that joins
-        whole, words = machine.words_since(self.index)
+        whole, commands = machine.words_since(self.index)
         self.index, self.known_at, self.machine = machine.index, None, machine
         for heard in self.heard:
             heard(machine)
-        if not words and not whole and not anew:
+        if not commands and not whole and not anew:
             return
-        said = {name: Said(word.at, word.out) for name, word in words.items()}
+        said = {name: LastCommand(command.at, command.out) for name, command in commands.items()}
         self.ahead = {name: index for name, index in self.ahead.items() if index > machine.index}
-        said |= {name: self.words[name] for name in self.ahead}  # not undone by an older word on the way there
+        said |= {name: self.words[name] for name in self.ahead}  # not undone by an older one on the way
         self.words = said if whole or anew else {**self.words, **said}
         say(REPLICATION_WORDS, out=self.out(), index=self.index)
         self.told(said, whole or anew)
@@ -229,7 +229,7 @@
         self.saves, self.saved_at = False, self.loop.now()
         if self.folder is None:
             return
-        words = {name: (word.at, word.on) for name, word in self.words.items()}
+        words = {name: (command.at, command.on) for name, command in self.words.items()}
         now = self.loop.now() - (self.age() or 0)
         try:
             remembered.save(self.folder, Remembered(self.options.cluster, self.index, now, sorted(self.members), words))
@@ -237,7 +237,7 @@
             say(REPLICATION_FORGOT, folder=str(self.folder), why=error)
 
     def out(self) -> list[str]:
-        return sorted(name for name, word in self.words.items() if word.on)
+        return sorted(name for name, command in self.words.items() if command.on)
 
     def age(self) -> int | None:
         """Since what holds here was last known to be all that was promised, ns; None: not known."""
@@ -251,30 +251,30 @@
     def do(self, call: Call) -> Coroutine[str]:
         """What is said after OK, which is a promise: a majority has it on stable storage. `No` with a typed error's
         text, within `replication.write_within`."""
-        if call.word is Word.FLEET:
+        if call.command is Command.FLEET:
             return self.line()
         until = self.loop.now() + self.options.write_within
         try:
-            if call.word is Word.FLEET_REMOVE:
+            if call.command is Command.FLEET_REMOVE:
                 yield from self.caller.remove(call.id, self.options.write_within)
                 return "removed"
-            if call.word is Word.FLEET_ENABLE:
+            if call.command is Command.FLEET_ENABLE:
                 held = yield from self.caller.read(WordOf(call.id), self.options.write_within)
                 if held.sure and not (held.value and held.value[0]):
                     # As nobody took it out, it is not to begin cold; this sidecar may have yet to hear of that.
                     if held.value or call.id in self.out():
-                        self._answered(call.id, Said(held.value[2] if held.value else 0, False), held.index)
+                        self._answered(call.id, LastCommand(held.value[2] if held.value else 0, False), held.index)
                     return f"enabled, at index {held.index}"
-            act = Say(call.id, call.word is Word.FLEET_DISABLE, self.loop.now())
+            act = Say(call.id, call.command is Command.FLEET_DISABLE, self.loop.now())
             result = yield from self.caller.write(act, max(SECOND // 1000, until - self.loop.now()))
         except LoftweirError as error:
             raise No(f"{type(error).__name__}: {error}; {error.remedy}") from None
         if not isinstance(result, Ok):
             raise No(result.text)
-        self._answered(call.id, Said(act.at, act.out), result.index)
+        self._answered(call.id, LastCommand(act.at, act.out), result.index)
         return f"{'disabled' if act.out else 'enabled'}, at index {result.index}"
 
-    def _answered(self, name: str, said: Said, index: int) -> None:
+    def _answered(self, name: str, said: LastCommand, index: int) -> None:
         """What is promised at an index holds here by the time of the answer; the machine's state follows."""
         if index > max(self.index, self.ahead.get(name, 0)):
             self.ahead[name] = index
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -20,7 +20,7 @@
 from loftweir.interface import MembershipUpdate, Settings, UpdateKind
 from loftweir.net.loop import MS, READABLE, SECOND, WRITABLE, Coroutine, Loop, Task, Wait
 from loftweir.operations.address import DESCRIPTORS, Address
-from loftweir.operations.desk import Desk
+from loftweir.operations.command_handler import CommandHandler as Desk
 from loftweir.state.disk import Disk
 from loftweir.state.sealed import Damaged
 from loftweir.state.snapshot import Choice, Holding, Snapshot, choose
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -14,7 +14,7 @@
 from benchmarks.faults.schedule import Play, schedule
 from loftweir.config.model import Replication
 from loftweir.net.loop import Loop
-from loftweir.operations.record import Word as Said
+from loftweir.operations.record import LastCommand as Said
 from loftweir.replication.api import Append, Appended, AskVote, Vote
 from loftweir.replication.machine import Acquire, Fenced, Machine, Ok, Order, Word, written
 from loftweir.replication.part import Part
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -9,11 +9,12 @@
 from loftweir.core.life import TABLE, TRAITS, Life, State, Step
 from loftweir.interface import Lifecycle, MembershipUpdate, UpdateKind
 from loftweir.net.loop import Loop
-from loftweir.operations.calls import ARGUMENTS, LONGEST, Call, No, Word, no, parse
-from loftweir.operations.desk import Desk
+from loftweir.operations.calls import ARGUMENTS, LONGEST, Call, No, no, parse
+from loftweir.operations.calls import Command as Word
+from loftweir.operations.command_handler import CommandHandler as Desk
 from loftweir.operations.overlay import Overlay
 from loftweir.operations.record import HOUR, Record, read, written
-from loftweir.operations.record import Word as Said
+from loftweir.operations.record import LastCommand as Said
 from loftweir.state.sealed import Damaged
 
 IDS = st.sampled_from(["s-1", "s-2", "s-3"])
@@ -43,7 +44,7 @@
     if isinstance(found, bytes):
         assert found.startswith(b"ERR ") and found.endswith(b"\n") and found.count(b"\n") == 1
     else:
-        assert bool(found.id) == bool(ARGUMENTS[found.word])
+        assert bool(found.id) == bool(ARGUMENTS[found.command])
 
 
 @given(RECORDS, RECORDS, RECORDS)
--- a/tests/test_replication_member.py
+++ b/tests/test_replication_member.py
@@ -17,7 +17,7 @@
 from loftweir.config.model import Replication
 from loftweir.net.loop import MS, SECOND, Loop, Wait
 from loftweir.operations.calls import Call, No
-from loftweir.operations.calls import Word as Say
+from loftweir.operations.calls import Command as Say
 from loftweir.replication import api, reception, wire
 from loftweir.replication import member as member_module
 from loftweir.replication import part as part_module
--- a/tests/test_replication_wire.py
+++ b/tests/test_replication_wire.py
@@ -21,7 +21,7 @@
 from loftweir.net.loop import MS, SECOND, Loop, Wait
 from loftweir.operations.overlay import Overlay
 from loftweir.operations.record import HOUR, Record
-from loftweir.operations.record import Word as Said
+from loftweir.operations.record import LastCommand as Said
 from loftweir.replication import follower as follower_module
 from loftweir.replication import wire
 from loftweir.replication.api import Append, Entry, Kind, LeadNow, Member
