Partners' table and the replication benchmark named for what they are

Cause: two modules were called copies, which is no name of the field for a replicated state. Change: partners/replicated_table.py (was copies.py) and benchmarks/replication.py (was copies.py); pages and imports follow, the test by its import lines.

--- a/benchmarks/copies.py
+++ b/benchmarks/replication.py
@@ -1,6 +1,6 @@
 """What the copies cost, on one machine: a write, a lost leader, a replaced machine, a word to a fleet.
 
-    python -m benchmarks.copies [--writes 2000] [--leaders 20] [--behind 10000] [--followers 20]
+    python -m benchmarks.replication [--writes 2000] [--leaders 20] [--behind 10000] [--followers 20]
 
 Three voters in processes of their own, with the times of the configuration as they come. Printed are: p50 and p99 of a
 write to a voter, beside a write with fdatasync alone on the same disk; the time from the leader's SIGKILL to the next
--- a/loftweir/partners/keeping.py
+++ b/loftweir/partners/keeping.py
@@ -11,7 +11,7 @@
 from loftweir.errors import LoftweirError
 from loftweir.lease.duty import Duty, NotActing
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Task, Wait
-from loftweir.partners import copies
+from loftweir.partners import replicated_table
 from loftweir.replication.machine import Ok
 from loftweir.telemetry.catalogue import PARTNERS_NOT_KEPT
 from loftweir.telemetry.log import say
@@ -111,7 +111,7 @@
                 yield Wait(None, 0, due_at)
                 return
             noted, self.noted_at = self.confirmed_at, self.loop.now()
-            yield from self._put(copies.NOTE, copies.note(noted))
+            yield from self._put(replicated_table.NOTE, replicated_table.note(noted))
             self.noted = noted
         else:
             yield Wait(None, 0, None)
@@ -122,10 +122,10 @@
                 yield from self._put(key, data)
         if target.head != self.head:
             self.head = None
-            yield from self._put(copies.HEAD, target.head)
+            yield from self._put(replicated_table.HEAD, target.head)
             self.head = target.head
         self.done = target
-        for key in sorted(copies.litter(self.maybe, target.chunks)):
+        for key in sorted(replicated_table.litter(self.maybe, target.chunks)):
             yield from self._put(key, b"")
 
     def _put(self, key: str, value: bytes) -> Coroutine[None]:
--- a/loftweir/partners/link.py
+++ b/loftweir/partners/link.py
@@ -23,9 +23,9 @@
 from loftweir.lease.duty import Duty
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Task, Wait
 from loftweir.net.stream import NotUp, TookTooLong, connect, send
-from loftweir.partners.copies import HEAD, Cutter, Head, Shelf, written
 from loftweir.partners.file import Neighbour
 from loftweir.partners.keeping import Keeping, Target
+from loftweir.partners.replicated_table import HEAD, Cutter, Head, Shelf, written
 from loftweir.partners.session import Action, Ask, Became, Refused, Session, State, Timing
 from loftweir.partners.table import Limits
 from loftweir.replication.machine import Fact
--- a/loftweir/partners/part.py
+++ b/loftweir/partners/part.py
@@ -18,11 +18,11 @@
 from loftweir.lease.duty import Duty
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Task, Wait
 from loftweir.operations.calls import Call, No
-from loftweir.partners.copies import HEAD, NotReadable, Shelf
 from loftweir.partners.file import Sites
 from loftweir.partners.link import Link, keys_of, limits, timing
 from loftweir.partners.merge import Changed, Merged, Merger, Policy, Reason, Standing
 from loftweir.partners.offer import Listener
+from loftweir.partners.replicated_table import HEAD, NotReadable, Shelf
 from loftweir.partners.shown import DUTY as OFFERS
 from loftweir.partners.shown import Shown
 from loftweir.partners.standby import Standby, counted, gates, unfit
--- a/loftweir/partners/shown.py
+++ b/loftweir/partners/shown.py
@@ -21,11 +21,11 @@
 from loftweir.errors import LoftweirError
 from loftweir.lease.duty import Duty
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Task, Wait
-from loftweir.partners import copies
-from loftweir.partners.copies import Cutter, Head, NotReadable, Shelf, written
+from loftweir.partners import replicated_table
 from loftweir.partners.keeping import WITHIN, Keeping, Target
 from loftweir.partners.link import keys_of, limits
 from loftweir.partners.merge import Merger
+from loftweir.partners.replicated_table import Cutter, Head, NotReadable, Shelf, written
 from loftweir.partners.table import Offer, capped
 from loftweir.replication.machine import Machine
 from loftweir.replication.part import Part
@@ -190,7 +190,7 @@
             self.keeps.pop(to).end()
         for to in names - self.keeps.keys():
             keeping = self.keeps[to] = Keeping(self.loop, duty, f"{to}/")
-            head = machine.facts.get((DUTY, f"{to}/{copies.HEAD}"))
+            head = machine.facts.get((DUTY, f"{to}/{replicated_table.HEAD}"))
             keeping.begin(keys.get(to, ()), head.value if head else None)
             self._aim(to)
         left = [f"{to}/{key}" for to in keys.keys() - names for key in keys[to]]
@@ -200,7 +200,7 @@
     def _clear(self, duty: Duty, keys: list[str]) -> Coroutine[None]:
         """Of neighbours that are none any more: heads first. What can't be taken away now is by the next holder."""
         try:
-            for key in sorted(keys, key=lambda key: not key.endswith(copies.HEAD)):
+            for key in sorted(keys, key=lambda key: not key.endswith(replicated_table.HEAD)):
                 yield from duty.put(key, b"", WITHIN)
         except LoftweirError:
             return
--- a/tests/test_partner_parts.py
+++ b/tests/test_partner_parts.py
@@ -15,11 +15,12 @@
 from loftweir.interface import Effect, Endpoint, Lifecycle, MembershipUpdate, RequestClass, Scope, UpdateKind
 from loftweir.lease.duty import Duty, NotActing
 from loftweir.net.loop import Loop, Wait
-from loftweir.partners import copies, file
-from loftweir.partners.copies import Cutter, Head, NotReadable, Shelf, written
+from loftweir.partners import file
+from loftweir.partners import replicated_table as copies
 from loftweir.partners.keeping import Keeping, NotKept, Target
 from loftweir.partners.link import Link, NotAnswered
 from loftweir.partners.merge import Standing, Used
+from loftweir.partners.replicated_table import Cutter, Head, NotReadable, Shelf, written
 from loftweir.partners.session import Ask, Session, State, Timing
 from loftweir.partners.standby import Standby, gates, unfit
 from loftweir.partners.table import BadTable, Limits, OldTable, Table, fits, one_route, read
