--- a/loftweir/partners/keeping.py
+++ b/loftweir/partners/keeping.py
@@ -8,10 +8,10 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.lease.duty import Duty, NotActing
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Task, Wait
-from loftweir.partners import copies
+from loftweir.partners import replicated_table
 from loftweir.replication.machine import Ok
 from loftweir.telemetry.catalogue import PARTNERS_NOT_KEPT
 from loftweir.telemetry.log import say
@@ -20,7 +20,7 @@
 AGAIN, AGAIN_MOST = 300 * MS, 5 * SECOND  # after one that failed
 
 
-class NotKept(Trouble):
+class NotKept(LoftweirError):
     """The copies have no room for a table, or don't take it: what they held before stays, and ages."""
 
     remedy = "Lower `partners.table_size` or `routes`, or take neighbours out of the file, at all sidecars of the site."
@@ -96,7 +96,7 @@
                 again = AGAIN
             except NotActing:
                 return  # its end comes
-            except Trouble as error:
+            except LoftweirError as error:
                 say(PARTNERS_NOT_KEPT, duty=self.duty.duty, why=error)
                 yield Wait(None, 0, self.loop.now() + again)
                 again = min(2 * again, AGAIN_MOST)
@@ -111,7 +111,7 @@
                 yield Wait(None, 0, due_at)
                 return
             noted, self.noted_at = self.confirmed_at, self.loop.now()
-            yield from self._put(copies.NOTE, copies.note(noted))
+            yield from self._put(replicated_table.NOTE, replicated_table.note(noted))
             self.noted = noted
         else:
             yield Wait(None, 0, None)
@@ -122,10 +122,10 @@
                 yield from self._put(key, data)
         if target.head != self.head:
             self.head = None
-            yield from self._put(copies.HEAD, target.head)
+            yield from self._put(replicated_table.HEAD, target.head)
             self.head = target.head
         self.done = target
-        for key in sorted(copies.litter(self.maybe, target.chunks)):
+        for key in sorted(replicated_table.litter(self.maybe, target.chunks)):
             yield from self._put(key, b"")
 
     def _put(self, key: str, value: bytes) -> Coroutine[None]:
--- a/loftweir/partners/link.py
+++ b/loftweir/partners/link.py
@@ -18,14 +18,14 @@
 
 from loftweir.config.model import THROUGH_COPIES
 from loftweir.config.model import Partners as Options
-from loftweir.errors import Trouble
+from loftweir.errors import LoftweirError
 from loftweir.http1.strict import Strict
 from loftweir.lease.duty import Duty
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Task, Wait
 from loftweir.net.stream import NotUp, TookTooLong, connect, send
-from loftweir.partners.copies import HEAD, Cutter, Head, Shelf, written
 from loftweir.partners.file import Neighbour
 from loftweir.partners.keeping import Keeping, Target
+from loftweir.partners.replicated_table import HEAD, Cutter, Head, Shelf, written
 from loftweir.partners.session import Action, Ask, Became, Refused, Session, State, Timing
 from loftweir.partners.table import Limits
 from loftweir.replication.machine import Fact
@@ -46,7 +46,7 @@
 NOTES_APART = 2 * SECOND  # from one note that a partner has answered again to the next, or a quarter of the hold time
 
 
-class NotAnswered(Trouble):
+class NotAnswered(LoftweirError):
     """A call to a partner brought no table. The last good one stays until its hold time is over."""
 
     remedy = (
