--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -13,6 +13,7 @@
 from math import inf, sqrt
 from random import Random
 
+from loftweir.crowding import MOST, Crowding, UsualTime
 from loftweir.interface import (
     Action,
     Attempt,
@@ -40,8 +41,8 @@
 from loftweir.listclock import FIRST, backoff
 
 BLAMED = (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED)
-LATE_BLAME = 0.6  # of an attempt past its aim, and again when it times out: together enough
-LATE_MEMORY = 32  # attempts over which a deck's lateness is taken
+LATE_BLAME = 0.5  # of an answer so late that its server is overrun, and of a call that times out: two are enough
+RESTS = 4  # fall_afters, at the least, that a server rests that was overrun
 TRUST_MEMORY = 16  # answers over which a server's good record is taken
 TRUSTED = 0.85  # of the blame for one failure, taken off a server that has answered well
 KNOWN = 0.4  # trust from which one failure alone says little
@@ -51,15 +52,15 @@
 ROOM = {"near": 0.4, "far": 0.6}  # of the aim, up to which a further call is held to be answered in time
 ALONE, WAIT_MEMORY = 0.6, 3  # of the aim, that an answer of late may take; answers over which that is taken
 FULL_FOR, SHUT_FOR = 0.25, 1.0  # aims to pass over one that turned a call away, or took no connection
-PRESSURE_AIMS, RELEASE = 5, 6  # aims of steady crowding to full pressure; how much slower it is released
 FADE_AIMS = 8  # aims without a word of a crowd, after which half of its pressure goes in as many more
-PRESSURE_STEP = 0.25  # the most that one outcome says
 FELT = (Outcome.OK, Outcome.FULL, Outcome.TIMED_OUT)
 LATELY, WAIT_FADES = 16, 3  # calls to a server whose times are kept; fall_afters in which half of its wait is forgotten
 GAP_FROM, COME_AGAIN = 4, 3  # fall_afters that make the time between requests known; till then, how often a client asks
+DRAWS = 32  # cards that one request looks at: where so many servers are cold and have had theirs, all have
 MIX_MEMORY = 64  # requests over which the parts of the classes are taken
 RETRY_PART, RETRY_BURST = 0.25, 5.0  # further attempts earned by each request, and how many may be saved up
 COME_BACK, LEAST_AWAY = 0.25, 0.2  # of the aim, at full pressure; and the least pressure counted for it
+UNKNOWN = UsualTime()
 DISCOVERY_TAG, REQUEST_TAG, LATE_TAG = "discovery", "request:", "late:"
 
 
@@ -78,6 +79,8 @@
     suspicion: float = 0.0  # failures seen of late, each success takes some back
     out_until: int = 0  # set aside until then; 0: not set aside
     strikes: int = 0  # how often in a row it was set aside
+    overrun: bool = False  # set aside for its late answers
+    aside_at: int = 0  # when it was set aside last
     doubt: float = 0.0  # failures of late, of any class; an answer takes half of it back
     failed_at: int = 0  # the latest of them
     trust: float = 0.0  # the part of good answers of late
@@ -142,6 +145,8 @@
         self.id = request.id
         self.cls = cls
         self.deadline = now + request.patience
+        if not (cls.late_worth or cls.aim_stretch or cls.stream):  # nothing is left to win, but a server's time
+            self.deadline = min(self.deadline, now + cls.aim)
         self.tries: list[Try] = []
         self.streaming = False
 
@@ -161,10 +166,7 @@
     cards: list[Server] = field(default_factory=list)
     dealt_at: int = 0
     warmth: float = 1.0  # what the servers can do now, as a part of what they can do warm
-    pressure: float = 0.0  # the part of its traffic to turn away, from lateness and refusals seen
-    late: float = 0.0  # the part of late attempts of late
-    felt_at: int = 0
-    faded_at: int = 0
+    crowding: Crowding = field(default_factory=Crowding)
     size: float = 0.0  # of its servers together, as its traffic knows it: follows the list slowly
     sized_at: int = 0
 
@@ -176,13 +178,6 @@
         self.sized_at = now
         return self.size
 
-    def fade(self, now: int, half: int) -> None:
-        """Where all are turned away, nobody is left to tell that a crowd is over."""
-        since = max(self.faded_at, self.felt_at + half)
-        if now > since:
-            self.pressure *= 0.5 ** ((now - since) / half)
-            self.faded_at = now
-
 
 class Balancer:
     """The decisions of one balancer. Feed it every event in order; carry out what it returns, in order."""
@@ -194,10 +189,11 @@
         self.calls: dict[str, Call] = {}
         self.tries: dict[tuple[str, int], Try] = {}  # all that are out, also of requests that are over
         self.held: dict[str, Call] = {}  # calls with no attempt out, waiting for a server
-        self.near = Deck()  # the ready servers of the own zone
-        self.far = Deck()  # the ready servers of the others
+        self.near, self.far = Deck(), Deck()  # the ready servers of the own zone, and of the others
         self.retry_budget = RETRY_BURST
         self.mix: dict[str, float] = {}  # the part of each class of late
+        self.usual: dict[str, UsualTime] = {}  # by class
+        self.overrun_after: dict[str, int] = {}  # by class: an answer that takes longer tells of an overrun server
         self.gap = self.asked = 0.0  # the mean time from one request to the next, and of how many
         self.began = self.asked_at = 0  # when the first and the latest came
         self.asking, self.failures_to_ask = False, 0
@@ -229,6 +225,8 @@
         self.settings, classes = settings, settings.classes
         parts = {name: self.mix.get(name, 1 / len(classes)) for name in classes}
         self.mix = {name: part / sum(parts.values()) for name, part in parts.items()}
+        self.overrun_after = {name: min(c.aim, self.overrun_after.get(name, c.aim)) for name, c in classes.items()}
+        self.usual = {name: self.usual.get(name, UsualTime()) for name in classes}
         self.fade_half = FADE_AIMS * sum(c.aim for c in classes.values()) // len(classes)
         for server in self.servers.values():
             server.records = {name: record for name, record in server.records.items() if name in classes}
@@ -271,24 +269,24 @@
     def _deck(self, server: Server) -> Deck:
         return self.near if server.zone == self.settings.zone else self.far
 
-    def _suspect(self, server: Server, blame: float, aim: int, crowd: bool = True) -> None:
+    def _suspect(self, server: Server, blame: float, overrun: bool = False) -> None:
         """Passive outlier ejection, on this balancer's own evidence; refusals as full are not ill health."""
         server.suspicion += blame
         if server.suspicion < 1 or self.now < server.out_until:
             return
-        # Panic threshold: where most are ill by this view, the view is wrong or the rest would be drowned.
+        # Panic threshold: where most are ill by this view, the view is wrong or the rest would be drowned. One that is
+        # overrun rests all the same: what it is sent meanwhile keeps it so.
         deck = self._deck(server)
         out = sum(s.out_until > self.now for s in deck.servers)
-        if 2 * (out + 1) > len(deck.servers):
-            if crowd:  # but a zone that is shut or silent as a whole must let its traffic go
-                self._press(deck, aim, 1.0)
+        if not overrun and 2 * (out + 1) > len(deck.servers):
             return
         safety = self.settings.safety
-        rest = min(safety.warm_within, safety.fall_after * 2**server.strikes)
+        rest = min(safety.warm_within, safety.fall_after * max(2**server.strikes, RESTS if overrun else 1))
         server.strikes += 1
+        server.overrun, server.aside_at = overrun, self.now
         server.out_until = self.now + rest + self.random.randrange(rest // 4 + 1)
         server.suspicion = 0.5
-        deck.cards = [s for s in deck.cards if s is not server]
+        deck.cards = [] if overrun else [s for s in deck.cards if s is not server]
 
     def _blame(self, server: Server, cls: RequestClass, crowd: bool) -> None:
         """A failure of one that answers well otherwise is that answer's, of one that serves other classes
@@ -300,40 +298,35 @@
             return
         blame = 1 - TRUSTED * server.trust
         server.trust *= 1 - 1 / TRUST_MEMORY
-        self._suspect(server, blame, cls.aim, crowd)
-
-    def _press(self, deck: Deck, aim: int, rise: float) -> None:
-        """Pressure goes by time, in units of the aim, not by count: a balancer with much traffic must not
-        swing faster than the queues it feeds."""
-        step = min(PRESSURE_STEP, (self.now - deck.felt_at) / (PRESSURE_AIMS * aim))
-        deck.felt_at = self.now
-        deck.pressure = min(0.95, max(0.0, deck.pressure + rise * step))
-
-    def _feel(self, server: Server, cls: RequestClass, outcome: Outcome) -> None:
-        """What an outcome says of the server, and what of the crowd on its deck.
-
-        An answer in time clears both. Late answers and time-outs blame the server while its peers are in
-        time, so that a jammed or hanging server is set aside and does not read as a crowd; where all are
-        late it is the crowd. A refusal as full is the crowd's alone. Pressure is released more slowly than
-        it rises, so that many balancers do not swing together.
-        """
-        deck = self._deck(server)
-        crowded = outcome is not Outcome.OK
-        if crowded and self._frail(server):
-            return  # it is slow for being cold
-        if crowded:
-            rise = 1 - min(1.0, server.suspicion) * max(0.0, 1 - 2 * deck.late)
-        else:
-            rise = -1 / RELEASE
+        self._suspect(server, blame)
+        if crowd:  # a zone that is shut as a whole must let its traffic go
+            self._crowd(server, cls, MOST)
+
+    def _late_after(self, cls: RequestClass) -> int:
+        return self.overrun_after.get(cls.name, cls.aim)
+
+    def _crowd(self, server: Server, cls: RequestClass, stretch: float) -> None:
+        usual = self.usual.get(cls.name, UNKNOWN)
+        self._deck(server).crowding.feel(self.now, stretch, usual.mean if usual.known() else cls.aim)
+
+    def _feel(self, attempt: Try, outcome: Outcome, elapsed: int) -> None:
+        """What an outcome says of the server, and what of the crowd on its deck. An overrun server is set aside, and
+        what it held by then tells nothing of the crowd. A refusal as full is the crowd's alone."""
+        server, cls = attempt.server, attempt.cls
+        if outcome is Outcome.OK:
             server.trust += (1 - server.trust) / TRUST_MEMORY
+        if self._frail(server):
+            return  # it is slow for being cold
+        usual = self.usual.get(cls.name, UNKNOWN)
+        stretch = MOST if outcome is Outcome.FULL else usual.stretch(elapsed, cls.aim)
+        if outcome is not Outcome.FULL and elapsed >= self._late_after(cls):
+            self._suspect(server, LATE_BLAME, True)
+        elif outcome is Outcome.OK:
             server.suspicion /= 2
             if server.suspicion < 0.1:
                 server.strikes = 0
-        self._press(deck, cls.aim, rise)
-        deck.late += (crowded - deck.late) / LATE_MEMORY
-        if outcome is Outcome.TIMED_OUT and self.now - server.heard_at > cls.aim:
-            # Silent, not slow: set aside for its queue, a good server's load would push the next one over.
-            self._suspect(server, LATE_BLAME * (1 - deck.late), cls.aim)
+        if attempt.sent_at > server.aside_at:
+            self._crowd(server, cls, stretch)
 
     # ---- candidate set (PreferClose) and even spread --------------------------------------------
 
@@ -362,9 +355,12 @@
     def _harmless(self, server: Server) -> int:
         """How many calls in `fall_after` this balancer may send a frail server, whatever others send: its part of the
         chance beside the budget, 2 x root of it + 2, where all are asked for no more; else none."""
-        size, deck, settings = self._size(server), self._deck(server), self.settings
+        settings = self.settings
+        if settings.balancers > LATELY or not self._frail(server):
+            return 0
+        size, deck = self._size(server), self._deck(server)
         asked = size * settings.balancers * settings.safety.fall_after / (self.gap or inf)
-        if not size or asked > LATELY * deck.size or settings.balancers > LATELY or not self._frail(server):
+        if not size or asked > LATELY * deck.size:
             return 0
         budget = settings.safety.fall_multiple * self._able(server) * asked / max(1, self.near.size + self.far.size)
         part = int((2 * sqrt(budget) + 2) / settings.balancers)
@@ -380,7 +376,8 @@
         """A server's part of the spread: its size, less what it cannot do while it is cold, and less again in a crowd,
         whose repeats multiply what arrives. So the balancers together send it no more than it can do."""
         size, able = self._size(server), self._able(server)
-        return size if able >= 1 or self._harmless(server) else size * able * (1 - self._deck(server).pressure)
+        crowd = self._deck(server).crowding.pressure
+        return size if able >= 1 or self._harmless(server) else size * able * (1 - crowd)
 
     def _ensure(self, deck: Deck) -> None:
         """Cards to draw, and a warmth that holds now: cold servers warm while a deck of theirs is hardly drawn from."""
@@ -391,7 +388,8 @@
         """Shuffle a new deck: one card a server on average, each by its share, at random only in the rest."""
         servers = [s for s in deck.servers if s.out_until <= self.now]
         if 2 * len(servers) < len(deck.servers):
-            servers = deck.servers[:]  # the panic threshold again: servers may have left since
+            # The panic threshold again: servers may have left since. Those that rest are used last.
+            servers = [s for s in deck.servers if not s.overrun or s.out_until <= self.now] or deck.servers[:]
         if deck is self.far and self.near.servers:
             # What overflows is a crowd's, of no known size: only a cold server's own zone may feed it.
             servers = [s for s in servers if not self._frail(s)]
@@ -418,8 +416,8 @@
     def _next(self, cls: RequestClass) -> Server | None:
         """Blind to load: deal from the zone's deck, from the other zones' where the zone has no server. A zone whose
         servers are cold keeps what they can do and lets the rest overflow, which would push them over."""
-        self.near.fade(self.now, self.fade_half)
-        self.far.fade(self.now, self.fade_half)
+        self.near.crowding.fade(self.now, self.fade_half)
+        self.far.crowding.fade(self.now, self.fade_half)
         deck = self.near if any(s.out_until <= self.now for s in self.near.servers) else self.far
         deck = deck if deck.servers else self.near
         if not deck.servers:
@@ -428,10 +426,10 @@
             if self._is_due(server, cls):
                 return server
         self._ensure(deck)
-        away = 1 - deck.warmth * (1 - deck.pressure)
+        away = 1 - deck.warmth * (1 - deck.crowding.pressure)
         if deck is self.near and self.far.servers:
             self._ensure(self.far)
-            shed = away * self.far.pressure if self.far.cards else away
+            shed = away * self.far.crowding.turns_away(deck.crowding.pressure) if self.far.cards else away
         else:
             shed = away
         if self._sheds(cls, shed):
@@ -504,36 +502,36 @@
     def _draw(self, deck: Deck, cls: RequestClass) -> Server | None:
         """The next card of a server that can take a call; where none is left, one more deal."""
         for _ in range(2):
-            for _ in range(len(deck.cards)):
+            for _ in range(min(DRAWS, len(deck.cards))):
                 server = deck.cards.pop()
                 if self._has_room(server, cls) and self._sound(server, cls) and not self._slow(server, cls):
                     return server
                 if self._frail(server):
                     deck.cards.insert(0, server)  # its turn comes when its distance is kept
-            if not any(self._has_room(s, cls) for s in deck.servers):
+            if deck.cards or not any(self._has_room(s, cls) for s in deck.servers):
                 return None
             self._deal(deck)
         return None
 
     def _has_room(self, server: Server, cls: RequestClass) -> bool:
-        """Whether it can still answer in time, by this balancer's own calls there.
-
-        One that holds as many as it answers in time is not usable for the moment, like one set aside. A call out for
-        longer than its aim says that it hangs or is jammed, and one back from being set aside is tried with one."""
+        """Whether it can still answer in time, by this balancer's own calls there. One that holds as many as that is
+        not usable now. A call out for long says that it is jammed; one back from being set aside gets one."""
         if server.full_until > self.now:
             return False
-        calls, safety = self._harmless(server), self.settings.safety
-        if self._frail(server) and not (calls and server.lately[-calls] <= self.now - safety.fall_after):
+        able, fall_multiple = self._able(server), self.settings.safety.fall_multiple
+        if able * fall_multiple < 2:  # frail
             # fall_multiple times closer together than an even spread has it, no more: what others are passed over for,
             # or what comes again, would push it over. Balancers begin at moments of their own, or they do so at once.
-            rate = safety.fall_multiple * self._size(server) * self._able(server)  # 0: nothing is for it
+            rate = fall_multiple * self._size(server) * able  # 0: nothing is for it
             apart = self.gap * self._deck(server).size * (server.phase if server.sent_at < server.told_at else 1)
             if (self.now - max(server.sent_at, server.told_at)) * rate < apart:
-                return False
+                calls = self._harmless(server)
+                if not calls or server.lately[-calls] > self.now - self.settings.safety.fall_after:
+                    return False
         held = self._held_by(server, cls)
         if not held:
             return True
-        if server.strikes or self.now - held[0].sent_at > cls.aim:
+        if server.strikes or self.now - held[0].sent_at > self._late_after(cls):
             return False
         part = ROOM["near" if server.zone == self.settings.zone else "far"]
         return server.pace * (len(held) + 1) <= cls.aim * part
@@ -541,14 +539,16 @@
     def _slow(self, server: Server, cls: RequestClass) -> bool:
         """Whether answers of late took too long there, though none of ours waits: met seldom, its queue is made of
         others' calls. Forgotten with time, so that it is tried again; and no reason to turn a request away."""
+        return self.now - server.sent_at > cls.aim and self._wait(server) > self._late_after(cls) * ALONE
+
+    def _wait(self, server: Server) -> float:
         half = max(1, WAIT_FADES * self.settings.safety.fall_after)
-        wait = server.wait * 0.5 ** ((self.now - server.heard_at) / half)
-        return self.now - server.sent_at > cls.aim and wait > cls.aim * ALONE
+        return float(server.wait * 0.5 ** ((self.now - server.heard_at) / half))
 
     def _held_by(self, server: Server, cls: RequestClass) -> list[Try]:
         """The calls it holds. One past its aim while later ones were answered is lost, on a connection that
         fell silent or with an answer that stopped short: it is no load, and says nothing of the rest."""
-        since = self.now - cls.aim
+        since = self.now - self._late_after(cls)
         return [t for t in server.out if t.sent_at > server.answered or t.sent_at >= since]
 
     def _another(self, call: Call) -> Server | None:
@@ -623,7 +623,7 @@
         tries.append(Try(server, cls, self.now))
         self.tries[call.id, len(tries) - 1] = tries[-1]
         self.actions.append(Attempt(call.id, server.address, call.deadline, send_by))
-        self.actions.append(Timer(cls.aim, f"{LATE_TAG}{len(tries) - 1}:{call.id}", call.id))
+        self.actions.append(Timer(self._late_after(cls), f"{LATE_TAG}{len(tries) - 1}:{call.id}", call.id))
         return True
 
     def _attempt_ended(self, event: AttemptEnded) -> None:
@@ -639,10 +639,9 @@
         elif event.outcome is Outcome.CONNECT_FAILED:
             done.server.full_until = self.now + int(call.cls.aim * SHUT_FOR)
         if event.outcome is Outcome.TIMED_OUT and done.late and done.sent_at >= done.server.heard_at:
-            self._suspect(done.server, LATE_BLAME * (1 - self._deck(done.server).late), call.cls.aim)
+            self._suspect(done.server, LATE_BLAME, True)
         elif event.outcome in FELT and not done.late:
-            late = event.outcome is Outcome.OK and event.elapsed > call.cls.aim
-            self._feel(done.server, call.cls, Outcome.TIMED_OUT if late else event.outcome)
+            self._feel(done, event.outcome, event.elapsed)
         done.out = False
         done.never_ran = event.outcome.never_ran
         if event.request_over or event.outcome is Outcome.OK:
@@ -655,11 +654,15 @@
         server = ended.server
         server.out.pop(ended, None)
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.RESET):
-            server.heard_at = self.now
+            server.wait, server.heard_at = self._wait(server), self.now
             self._record(server, ended.cls, event.outcome is not Outcome.OK)
             server.answered = max(server.answered, ended.sent_at)
         if event.outcome is Outcome.OK:
             server.doubt /= 2
+            usual = self.usual.get(ended.cls.name)
+            if usual is not None:  # its class may have gone from the settings
+                usual.learn(self.now, event.elapsed)
+                self.overrun_after[ended.cls.name] = usual.overrun_after(ended.cls.aim)
             server.wait += (event.elapsed - server.wait) / WAIT_MEMORY
             pace = event.elapsed / ended.place
             server.pace += (pace - server.pace) / PACE_MEMORY if server.pace else pace
@@ -692,7 +695,7 @@
                 # Felt when the aim passes: the answer may take many aims more, and a jam grows meanwhile.
                 late.late = True
                 if late.sent_at >= late.server.answered:
-                    self._feel(late.server, call.cls, Outcome.TIMED_OUT)
+                    self._feel(late, Outcome.TIMED_OUT, max(self.now - late.sent_at, self._late_after(call.cls)))
                 else:  # lost: what hangs one class may answer the others
                     self._record(late.server, call.cls, True)
         elif tag.startswith(REQUEST_TAG):
@@ -714,15 +717,12 @@
         self._forget(call.id)
 
     def _come_back(self, cls: RequestClass) -> int:
-        """How long a client should stay away: the longer, the more is turned away now.
-
-        Never longer than a part of its aim: what is turned away comes by chance, so that a new try has a
-        chance of its own soon, and one that comes too late to be in time only adds to the next crowd.
-        """
+        """How long a client should stay away: the longer, the more is turned away now. Never longer than a part of its
+        aim: a new try has a chance of its own soon, and one that comes too late only adds to the next crowd."""
         if not self.settings.retry_after:
             return 0
         deck = self.near if self.near.servers else self.far
-        away = 1 - deck.warmth * (1 - deck.pressure)
+        away = 1 - deck.warmth * (1 - deck.crowding.pressure)
         return min(self.settings.max_retry_after, int(cls.aim * COME_BACK * max(away, LEAST_AWAY)))
 
     def _forget(self, request_id: str) -> None:
