--- a/loftweir/standins/toy.py
+++ b/loftweir/standins/toy.py
@@ -10,6 +10,7 @@
 import sys
 import threading
 from collections.abc import Iterable
+from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -50,6 +51,15 @@
 class Quiet(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
 
+    def handle(self) -> None:
+        """A caller that ends while its answer is written, as a sidecar does at SIGTERM, is no fault of the stand-in."""
+        with suppress(BrokenPipeError, ConnectionResetError):
+            super().handle()
+
+    def finish(self) -> None:
+        with suppress(BrokenPipeError, ConnectionResetError):
+            super().finish()
+
     def reply(self, body: bytes, kind: str = "text/plain", status: int = 200) -> None:
         self.send_response(status)
         self.send_header("Content-Type", kind)
