Catalog: a service's connections keep the index of addresses that their pool has

Cause: Lane sets up Pool's fields itself and had no 'names', added when whole lists became linear; each request to a service broke (500). Seen by three tests of test_catalog_serves; 35 of 35 pass with it.

--- a/loftweir/catalog/hosts.py
+++ b/loftweir/catalog/hosts.py
@@ -55,6 +55,7 @@
         self.whole, self.shared, self.key = whole, shared, key
         self.loop, self.most, self.resting = whole.loop, whole.most, whole.resting
         self.addresses: dict[str, str] = {}
+        self.names: dict[str, str] = {}  # the same the other way round, as in `Pool`
         self.heard: dict[str, int] = {}
         self.idle: dict[str, dict[Connection, None]] = {}
 
