--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+import os
 from math import log2
 from random import Random
 
@@ -60,6 +61,23 @@
 MIX_MEMORY = 64  # requests over which the parts of the classes are taken
 RETRY_PART, RETRY_BURST = 0.25, 5.0  # further attempts earned by each request, and how many may be saved up
 COME_BACK, LEAST_AWAY = 0.25, 0.2  # of the aim, at full pressure; and the least pressure counted for it
+def E(name, default):
+    return float(os.environ.get("X_" + name, default))
+
+
+GIVE_UP = E("GIVE_UP", 1)  # give up at the aim where a late answer is worth nothing
+LIMIT = E("LIMIT", 0)  # times the usual time, at which an answer is late; 0: the aim
+PRESSURE_AIMS, RELEASE = E("PAIMS", PRESSURE_AIMS), E("RELEASE", RELEASE)
+UP, DOWN = E("UP", 64), E("DOWN", 64)
+NEW = E("NEW", 1)
+HIGH, LOW, CAP = E("HIGH", 3.0), E("LOW", 2.0), E("CAP", 8)
+REST, RESTS = E("REST", 8), E("RESTS", 5)  # times usual that rests a server; how long, s
+TD, TU = E("TD", 8), E("TU", 60)
+RMEM = E("RMEM", 12)
+MOVE = E("MOVE", 0.0)
+FARP = E("FARP", 1.0)
+SLOWSTEP = E("SLOWSTEP", 0.6)
+BEND, BENDK, SMEM, BENDMIN = E("BEND", 0.0), E("BENDK", 1.2), E("SMEM", 4), E("BENDMIN", 0.3)
 DISCOVERY_TAG = "discovery"
 REQUEST_TAG = "request:"
 LATE_TAG = "late:"
@@ -89,6 +107,10 @@
     wait: float = 0.0  # what an answer takes, of late
     pace: float = 0.0  # what one more call out adds to the time of an answer; 0: not known yet
     full_until: int = 0  # it turned a call away, or took no connection: passed over until then
+    slow: float = 0.0
+    ratio: float = 1.0
+    rests: int = 0
+    resting: bool = False
     called_back: bool = False  # its operators say that it may serve again
 
     def update(self, endpoint: Endpoint) -> None:
@@ -163,6 +185,7 @@
     warmth: float = 1.0  # what the servers can do now, as a part of what they can do warm
     pressure: float = 0.0  # the part of its traffic to turn away, from lateness and refusals seen
     late: float = 0.0  # the part of late attempts of late
+    ratio: float = 1.0
     felt_at: int = 0
     faded_at: int = 0
     size: float = 0.0  # of its servers together, as its traffic knows it: follows the list slowly
@@ -197,6 +220,7 @@
         self.near = Deck()  # the ready servers of the own zone
         self.far = Deck()  # the ready servers of the others
         self.retry_budget = RETRY_BURST
+        self.usual: dict[str, list[float]] = {}
         self.mix: dict[str, float] = {}  # the part of each class of late
         self.gap = 0.0  # between one request and the next, of late
         self.asked_at = 0  # when the latest came
@@ -271,6 +295,62 @@
             self.asking = True
             self.actions.append(Timer(self.random.randint(least, min(most, FIRST)), DISCOVERY_TAG))
 
+    def _limit(self, cls: RequestClass) -> int:
+        if NEW:
+            u = self.usual.get(cls.name)
+            return cls.aim if u is None or u[1] < 8 else int(min(cls.aim, REST * u[0]))
+        u = self.usual.get(cls.name)
+        if not LIMIT or u is None or u[1] < 8:
+            return cls.aim
+        return int(min(cls.aim, LIMIT * u[0]))
+
+    def _ratio(self, cls, elapsed):
+        u = self.usual.get(cls.name)
+        if u is None or u[1] < 8:
+            return 0.0
+        return min(CAP, elapsed / u[0])
+
+    def _sample(self, server, cls, elapsed, full=False):
+        """A sample of how crowded the deck is, and of whether the server is overdriven."""
+        ratio = CAP if full else self._ratio(cls, elapsed)
+        if elapsed > cls.aim:
+            ratio = CAP
+        if not ratio or self._frail(server):
+            return
+        deck = self._deck(server)
+        server.ratio += (ratio - server.ratio) / SMEM
+        limit = min(REST, cls.aim / self.usual[cls.name][0]) if cls.name in self.usual else REST
+        if not full and ratio >= limit:
+            server.slow += SLOWSTEP
+        elif not full:
+            server.slow /= 2
+        if server.slow >= 1 and self.now >= server.out_until:
+            server.slow = 0.5
+            server.rests = min(3, server.rests + 1)
+            server.out_until = self.now + int(RESTS * 1e9 * (0.8 + 0.4 * self.random.random()))
+            server.resting = True
+            deck.cards = [x for x in deck.cards if x is not server]
+        if self.now < server.out_until:
+            return
+        dt = min(self.now - deck.felt_at, 250_000_000)
+        deck.felt_at = self.now
+        deck.ratio += (ratio - deck.ratio) / RMEM
+        unit = sum(u[0] for u in self.usual.values()) / max(1, len(self.usual)) or cls.aim
+        if deck.ratio > HIGH:
+            deck.pressure = min(0.95, deck.pressure + (1 - deck.pressure) * min(1, deck.ratio / HIGH - 1) * dt / (TD * unit))
+        elif deck.ratio < LOW:
+            deck.pressure = max(0.0, deck.pressure - dt / (TU * unit))
+
+    def _learn(self, cls: RequestClass, elapsed: int, crowded: bool) -> None:
+        u = self.usual.setdefault(cls.name, [0.0, 0])
+        u[1] += 1
+        if not u[0]:
+            u[0] = elapsed
+            return
+        x = min(elapsed, 3 * u[0])
+        n = min(u[1], UP if x > u[0] else DOWN) * (4 if crowded and x > u[0] else 1)
+        u[0] += (x - u[0]) / n
+
     # ---- health -----------------------------------------------------------------------------------
 
     def _deck(self, server: Server) -> Deck:
@@ -305,7 +385,7 @@
             return
         blame = 1 - TRUSTED * server.trust
         server.trust *= 1 - 1 / TRUST_MEMORY
-        self._suspect(server, blame, cls.aim, crowd)
+        self._suspect(server, blame, self._limit(cls), crowd)
 
     def _press(self, deck: Deck, aim: int, rise: float) -> None:
         """Pressure goes by time, in units of the aim, not by count: a balancer with much traffic must not
@@ -314,7 +394,15 @@
         deck.felt_at = self.now
         deck.pressure = min(0.95, max(0.0, deck.pressure + rise * step))
 
-    def _feel(self, server: Server, cls: RequestClass, outcome: Outcome) -> None:
+    def _feel(self, server: Server, cls: RequestClass, outcome: Outcome, elapsed: int = 0) -> None:
+        if NEW:
+            if outcome is Outcome.OK:
+                server.trust += (1 - server.trust) / TRUST_MEMORY
+                server.suspicion /= 2
+                if server.suspicion < 0.1:
+                    server.strikes = 0
+            self._sample(server, cls, elapsed, outcome is Outcome.FULL)
+            return
         """What an outcome says of the server, and what of the crowd on its deck.
 
         An answer in time clears both. Late answers and time-outs blame the server while its peers are in
@@ -334,11 +422,11 @@
             server.suspicion /= 2
             if server.suspicion < 0.1:
                 server.strikes = 0
-        self._press(deck, cls.aim, rise)
+        self._press(deck, self._limit(cls), rise)
         deck.late += (crowded - deck.late) / LATE_MEMORY
-        if outcome is Outcome.TIMED_OUT and self.now - server.heard_at > cls.aim:
+        if outcome is Outcome.TIMED_OUT and self.now - server.heard_at > self._limit(cls):
             # Silent, not slow: set aside for its queue, a good server's load would push the next one over.
-            self._suspect(server, LATE_BLAME * (1 - deck.late), cls.aim)
+            self._suspect(server, LATE_BLAME * (1 - deck.late), self._limit(cls))
 
     # ---- candidate set (PreferClose) and even spread --------------------------------------------
 
@@ -381,12 +469,14 @@
         many they are. In a crowd the repeats of refused requests multiply what arrives: it gets less then.
         """
         size = self._size(server)
+        if BEND:
+            size *= max(BENDMIN, min(1.0, BENDK * max(1.0, self._deck(server).ratio) / max(server.ratio, 0.01)) ** BEND)
         able = self._able(server)
         return size if able >= 1 else size * able * (1 - self._deck(server).pressure)
 
     def _ensure(self, deck: Deck) -> None:
         """Cards to draw, and a warmth that holds now: cold servers warm while a deck of theirs is hardly drawn from."""
-        if not deck.cards or (deck.warmth < 1 and self.now - deck.dealt_at >= self.settings.safety.fall_after):
+        if not deck.cards or ((deck.warmth < 1 or NEW) and self.now - deck.dealt_at >= self.settings.safety.fall_after):
             self._deal(deck)
 
     def _deal(self, deck: Deck) -> None:
@@ -409,6 +499,8 @@
         whole = sum(self._size(s) for s in servers)
         if any(self._frail(s) for s in servers):
             whole = max(whole, self._settle(deck))
+        if NEW:
+            whole = max(whole, sum(self._size(s) for s in deck.servers if s.resting and s.out_until > self.now) * (1 - MOVE) + whole)
         deck.warmth = total / whole
         scale, point = len(servers) / total, self.random.random()
         for server, share in zip(servers, shares, strict=True):
@@ -437,7 +529,7 @@
         away = 1 - deck.warmth * (1 - deck.pressure)
         if deck is self.near and self.far.servers:
             self._ensure(self.far)
-            shed = away * self.far.pressure if self.far.cards else away
+            shed = away * max(self.far.pressure, FARP * self.near.pressure) if self.far.cards else away
         else:
             shed = away
         if self._sheds(cls, shed):
@@ -537,7 +629,7 @@
         held = self._held_by(server, cls)
         if not held:
             return True
-        if server.strikes or self.now - held[0].sent_at > cls.aim:
+        if server.strikes or self.now - held[0].sent_at > self._limit(cls):
             return False
         part = ROOM["near" if server.zone == self.settings.zone else "far"]
         return server.pace * (len(held) + 1) <= cls.aim * part
@@ -547,12 +639,12 @@
         others' calls. Forgotten with time, so that it is tried again; and no reason to turn a request away."""
         half = max(1, WAIT_FADES * self.settings.safety.fall_after)
         wait = server.wait * 0.5 ** ((self.now - server.heard_at) / half)
-        return self.now - server.sent_at > cls.aim and wait > cls.aim * ALONE
+        return self.now - server.sent_at > self._limit(cls) and wait > self._limit(cls) * ALONE
 
     def _held_by(self, server: Server, cls: RequestClass) -> list[Try]:
         """The calls it holds. One past its aim while later ones were answered is lost, on a connection that
         fell silent or with an answer that stopped short: it is no load, and says nothing of the rest."""
-        since = self.now - cls.aim
+        since = self.now - self._limit(cls)
         return [t for t in server.out if t.sent_at > server.answered or t.sent_at >= since]
 
     def _another(self, call: Call) -> Server | None:
@@ -589,6 +681,8 @@
             self.actions.append(Refuse(request.id, self._come_back(cls)))
             return
         call = self.calls[request.id] = Call(request, cls, self.now)
+        if GIVE_UP and cls.late_worth == 0 and cls.aim_stretch == 0 and not cls.stream:
+            call.deadline = min(call.deadline, self.now + cls.aim)
         self._serve(call)
 
     def _serve(self, call: Call) -> None:
@@ -625,7 +719,7 @@
         tries.append(Try(server, cls, self.now))
         self.tries[call.id, len(tries) - 1] = tries[-1]
         self.actions.append(Attempt(call.id, server.address, call.deadline, send_by))
-        self.actions.append(Timer(cls.aim, f"{LATE_TAG}{len(tries) - 1}:{call.id}", call.id))
+        self.actions.append(Timer(self._limit(cls), f"{LATE_TAG}{len(tries) - 1}:{call.id}", call.id))
         return True
 
     def _attempt_ended(self, event: AttemptEnded) -> None:
@@ -637,14 +731,14 @@
         if event.outcome in BLAMED:
             self._blame(done.server, call.cls, event.outcome is Outcome.CONNECT_FAILED)
         if event.outcome is Outcome.FULL:
-            done.server.full_until = self.now + int(call.cls.aim * FULL_FOR)
+            done.server.full_until = self.now + int(self._limit(call.cls) * FULL_FOR)
         elif event.outcome is Outcome.CONNECT_FAILED:
-            done.server.full_until = self.now + int(call.cls.aim * SHUT_FOR)
+            done.server.full_until = self.now + int(self._limit(call.cls) * SHUT_FOR)
         if event.outcome is Outcome.TIMED_OUT and done.late and done.sent_at >= done.server.heard_at:
-            self._suspect(done.server, LATE_BLAME * (1 - self._deck(done.server).late), call.cls.aim)
+            self._suspect(done.server, LATE_BLAME * (1 - self._deck(done.server).late), self._limit(call.cls))
         elif event.outcome in FELT and not done.late:
-            late = event.outcome is Outcome.OK and event.elapsed > call.cls.aim
-            self._feel(done.server, call.cls, Outcome.TIMED_OUT if late else event.outcome)
+            late = event.outcome is Outcome.OK and event.elapsed > self._limit(call.cls)
+            self._feel(done.server, call.cls, Outcome.TIMED_OUT if late else event.outcome, event.elapsed)
         done.out = False
         done.never_ran = event.outcome.never_ran
         if event.request_over or event.outcome is Outcome.OK:
@@ -661,6 +755,7 @@
             self._record(server, ended.cls, event.outcome is not Outcome.OK)
             server.answered = max(server.answered, ended.sent_at)
         if event.outcome is Outcome.OK:
+            self._learn(ended.cls, event.elapsed, self._deck(server).pressure > 0.05)
             server.doubt /= 2
             server.wait += (event.elapsed - server.wait) / WAIT_MEMORY
             pace = event.elapsed / ended.place
@@ -696,7 +791,7 @@
                 # Felt when the aim passes: the answer may take many aims more, and a jam grows meanwhile.
                 late.late = True
                 if late.sent_at >= late.server.answered:
-                    self._feel(late.server, call.cls, Outcome.TIMED_OUT)
+                    self._feel(late.server, call.cls, Outcome.TIMED_OUT, self.now - late.sent_at)
                 else:  # lost: what hangs one class may answer the others
                     self._record(late.server, call.cls, True)
         elif tag.startswith(REQUEST_TAG):
