--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -13,6 +13,7 @@
 from math import inf, sqrt
 from random import Random
 
+from loftweir.crowding import MOST, Crowding, UsualTime
 from loftweir.interface import (
     Action,
     Attempt,
@@ -40,8 +41,9 @@
 from loftweir.listclock import FIRST, backoff
 
 BLAMED = (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED)
-LATE_BLAME = 0.6  # of an attempt past its aim, and again when it times out: together enough
-LATE_MEMORY = 32  # attempts over which a deck's lateness is taken
+LATE_BLAME = 0.6  # of an answer so late that its server is overrun, or of a call that times out: two are enough
+RESTS = 4  # fall_afters, at the least, that a server rests that was overrun
+MOVED = 0.5  # of the part of resting servers, that the others of their zone take over
 TRUST_MEMORY = 16  # answers over which a server's good record is taken
 TRUSTED = 0.85  # of the blame for one failure, taken off a server that has answered well
 KNOWN = 0.4  # trust from which one failure alone says little
@@ -51,9 +53,7 @@
 ROOM = {"near": 0.4, "far": 0.6}  # of the aim, up to which a further call is held to be answered in time
 ALONE, WAIT_MEMORY = 0.6, 3  # of the aim, that an answer of late may take; answers over which that is taken
 FULL_FOR, SHUT_FOR = 0.25, 1.0  # aims to pass over one that turned a call away, or took no connection
-PRESSURE_AIMS, RELEASE = 5, 6  # aims of steady crowding to full pressure; how much slower it is released
 FADE_AIMS = 8  # aims without a word of a crowd, after which half of its pressure goes in as many more
-PRESSURE_STEP = 0.25  # the most that one outcome says
 FELT = (Outcome.OK, Outcome.FULL, Outcome.TIMED_OUT)
 LATELY, WAIT_FADES = 16, 3  # calls to a server whose times are kept; fall_afters in which half of its wait is forgotten
 GAP_FROM, COME_AGAIN = 4, 3  # fall_afters that make the time between requests known; till then, how often a client asks
@@ -78,6 +78,7 @@
     suspicion: float = 0.0  # failures seen of late, each success takes some back
     out_until: int = 0  # set aside until then; 0: not set aside
     strikes: int = 0  # how often in a row it was set aside
+    overrun: bool = False  # set aside for its late answers
     doubt: float = 0.0  # failures of late, of any class; an answer takes half of it back
     failed_at: int = 0  # the latest of them
     trust: float = 0.0  # the part of good answers of late
@@ -90,10 +91,6 @@
     wait: float = 0.0  # what an answer takes, of late
     pace: float = 0.0  # what one more call out adds to the time of an answer; 0: not known yet
     full_until: int = 0  # it turned a call away, or took no connection: passed over until then
-    slow: float = 0.0
-    ratio: float = 1.0
-    rests: int = 0
-    resting: bool = False
     called_back: bool = False  # its operators say that it may serve again
 
     def update(self, endpoint: Endpoint, now: int) -> None:
@@ -146,6 +143,9 @@
         self.id = request.id
         self.cls = cls
         self.deadline = now + request.patience
+        if not (cls.late_worth or cls.aim_stretch or cls.stream):
+            # Nothing is left to win: it would only hold its place in a server that is behind.
+            self.deadline = min(self.deadline, now + cls.aim)
         self.tries: list[Try] = []
         self.streaming = False
 
@@ -165,11 +165,7 @@
     cards: list[Server] = field(default_factory=list)
     dealt_at: int = 0
     warmth: float = 1.0  # what the servers can do now, as a part of what they can do warm
-    pressure: float = 0.0  # the part of its traffic to turn away, from lateness and refusals seen
-    late: float = 0.0  # the part of late attempts of late
-    ratio: float = 1.0
-    felt_at: int = 0
-    faded_at: int = 0
+    crowding: Crowding = field(default_factory=Crowding)
     size: float = 0.0  # of its servers together, as its traffic knows it: follows the list slowly
     sized_at: int = 0
 
@@ -181,13 +177,6 @@
         self.sized_at = now
         return self.size
 
-    def fade(self, now: int, half: int) -> None:
-        """Where all are turned away, nobody is left to tell that a crowd is over."""
-        since = max(self.faded_at, self.felt_at + half)
-        if now > since:
-            self.pressure *= 0.5 ** ((now - since) / half)
-            self.faded_at = now
-
 
 class Balancer:
     """The decisions of one balancer. Feed it every event in order; carry out what it returns, in order."""
@@ -202,8 +191,8 @@
         self.near = Deck()  # the ready servers of the own zone
         self.far = Deck()  # the ready servers of the others
         self.retry_budget = RETRY_BURST
-        self.usual: dict[str, list[float]] = {}
         self.mix: dict[str, float] = {}  # the part of each class of late
+        self.usual: dict[str, UsualTime] = {}  # by class
         self.gap = self.asked = 0.0  # the mean time from one request to the next, and of how many
         self.began = self.asked_at = 0  # when the first and the latest came
         self.asking, self.failures_to_ask = False, 0
@@ -235,6 +224,7 @@
         self.settings, classes = settings, settings.classes
         parts = {name: self.mix.get(name, 1 / len(classes)) for name in classes}
         self.mix = {name: part / sum(parts.values()) for name, part in parts.items()}
+        self.usual = {name: self.usual.get(name, UsualTime()) for name in classes}
         self.fade_half = FADE_AIMS * sum(c.aim for c in classes.values()) // len(classes)
         for server in self.servers.values():
             server.records = {name: record for name, record in server.records.items() if name in classes}
@@ -272,85 +262,29 @@
             self.asking = True
             self.actions.append(Timer(self.random.randint(least, min(most, FIRST)), DISCOVERY_TAG))
 
-    def _limit(self, cls: RequestClass) -> int:
-        if NEW:
-            u = self.usual.get(cls.name)
-            return cls.aim if u is None or u[1] < 8 else int(min(cls.aim, REST * u[0]))
-        u = self.usual.get(cls.name)
-        if not LIMIT or u is None or u[1] < 8:
-            return cls.aim
-        return int(min(cls.aim, LIMIT * u[0]))
-
-    def _ratio(self, cls, elapsed):
-        u = self.usual.get(cls.name)
-        if u is None or u[1] < 8:
-            return 0.0
-        return min(CAP, elapsed / u[0])
-
-    def _sample(self, server, cls, elapsed, full=False):
-        """A sample of how crowded the deck is, and of whether the server is overdriven."""
-        ratio = CAP if full else self._ratio(cls, elapsed)
-        if elapsed > cls.aim:
-            ratio = CAP
-        if not ratio or self._frail(server):
-            return
-        deck = self._deck(server)
-        server.ratio += (ratio - server.ratio) / SMEM
-        limit = min(REST, cls.aim / self.usual[cls.name][0]) if cls.name in self.usual else REST
-        if not full and ratio >= limit:
-            server.slow += SLOWSTEP
-        elif not full:
-            server.slow /= 2
-        if server.slow >= 1 and self.now >= server.out_until:
-            server.slow = 0.5
-            server.rests = min(3, server.rests + 1)
-            server.out_until = self.now + int(RESTS * 1e9 * (0.8 + 0.4 * self.random.random()))
-            server.resting = True
-            deck.cards = [x for x in deck.cards if x is not server]
-        if self.now < server.out_until:
-            return
-        dt = min(self.now - deck.felt_at, 250_000_000)
-        deck.felt_at = self.now
-        deck.ratio += (ratio - deck.ratio) / RMEM
-        unit = sum(u[0] for u in self.usual.values()) / max(1, len(self.usual)) or cls.aim
-        if deck.ratio > HIGH:
-            deck.pressure = min(0.95, deck.pressure + (1 - deck.pressure) * min(1, deck.ratio / HIGH - 1) * dt / (TD * unit))
-        elif deck.ratio < LOW:
-            deck.pressure = max(0.0, deck.pressure - dt / (TU * unit))
-
-    def _learn(self, cls: RequestClass, elapsed: int, crowded: bool) -> None:
-        u = self.usual.setdefault(cls.name, [0.0, 0])
-        u[1] += 1
-        if not u[0]:
-            u[0] = elapsed
-            return
-        x = min(elapsed, 3 * u[0])
-        n = min(u[1], UP if x > u[0] else DOWN) * (4 if crowded and x > u[0] else 1)
-        u[0] += (x - u[0]) / n
-
     # ---- health -----------------------------------------------------------------------------------
 
     def _deck(self, server: Server) -> Deck:
         return self.near if server.zone == self.settings.zone else self.far
 
-    def _suspect(self, server: Server, blame: float, aim: int, crowd: bool = True) -> None:
+    def _suspect(self, server: Server, blame: float, overrun: bool = False) -> None:
         """Passive outlier ejection, on this balancer's own evidence; refusals as full are not ill health."""
         server.suspicion += blame
         if server.suspicion < 1 or self.now < server.out_until:
             return
-        # Panic threshold: where most are ill by this view, the view is wrong or the rest would be drowned.
+        # Panic threshold: where most are ill by this view, the view is wrong or the rest would be drowned. One that is
+        # overrun rests all the same: what it is sent meanwhile keeps it so, and the rest don't get its whole part.
         deck = self._deck(server)
         out = sum(s.out_until > self.now for s in deck.servers)
-        if 2 * (out + 1) > len(deck.servers):
-            if crowd:  # but a zone that is shut or silent as a whole must let its traffic go
-                self._press(deck, aim, 1.0)
+        if not overrun and 2 * (out + 1) > len(deck.servers):
             return
         safety = self.settings.safety
-        rest = min(safety.warm_within, safety.fall_after * 2**server.strikes)
+        rest = min(safety.warm_within, safety.fall_after * max(2**server.strikes, RESTS if overrun else 1))
         server.strikes += 1
+        server.overrun = overrun
         server.out_until = self.now + rest + self.random.randrange(rest // 4 + 1)
         server.suspicion = 0.5
-        deck.cards = [s for s in deck.cards if s is not server]
+        deck.cards = [] if overrun else [s for s in deck.cards if s is not server]
 
     def _blame(self, server: Server, cls: RequestClass, crowd: bool) -> None:
         """A failure of one that answers well otherwise is that answer's, of one that serves other classes
@@ -362,48 +296,38 @@
             return
         blame = 1 - TRUSTED * server.trust
         server.trust *= 1 - 1 / TRUST_MEMORY
-        self._suspect(server, blame, self._limit(cls), crowd)
-
-    def _press(self, deck: Deck, aim: int, rise: float) -> None:
-        """Pressure goes by time, in units of the aim, not by count: a balancer with much traffic must not
-        swing faster than the queues it feeds."""
-        step = min(PRESSURE_STEP, (self.now - deck.felt_at) / (PRESSURE_AIMS * aim))
-        deck.felt_at = self.now
-        deck.pressure = min(0.95, max(0.0, deck.pressure + rise * step))
-
-    def _feel(self, server: Server, cls: RequestClass, outcome: Outcome, elapsed: int = 0) -> None:
-        if NEW:
-            if outcome is Outcome.OK:
-                server.trust += (1 - server.trust) / TRUST_MEMORY
-                server.suspicion /= 2
-                if server.suspicion < 0.1:
-                    server.strikes = 0
-            self._sample(server, cls, elapsed, outcome is Outcome.FULL)
-            return
-        """What an outcome says of the server, and what of the crowd on its deck.
-
-        An answer in time clears both. Late answers and time-outs blame the server while its peers are in
-        time, so that a jammed or hanging server is set aside and does not read as a crowd; where all are
-        late it is the crowd. A refusal as full is the crowd's alone. Pressure is released more slowly than
-        it rises, so that many balancers do not swing together.
-        """
-        deck = self._deck(server)
-        crowded = outcome is not Outcome.OK
-        if crowded and self._frail(server):
+        self._suspect(server, blame)
+        if crowd:  # a zone that is shut as a whole must let its traffic go
+            self._crowd(server, MOST)
+
+    def _overrun_after(self, cls: RequestClass) -> int:
+        usual = self.usual.get(cls.name)
+        return usual.overrun_after(cls.aim) if usual else cls.aim
+
+    def _crowd(self, server: Server, stretch: float) -> None:
+        usual = [u.mean for u in self.usual.values() if u.known()] or [c.aim for c in self.settings.classes.values()]
+        self._deck(server).crowding.feel(self.now, stretch, sum(usual) / len(usual))
+
+    def _feel(self, server: Server, cls: RequestClass, outcome: Outcome, elapsed: int) -> None:
+        """What an outcome says of the server, and what of the crowd on its deck. An overrun server is set aside, and
+        tells nothing of the crowd from then on. A refusal as full is the crowd's alone."""
+        if outcome is Outcome.OK:
+            server.trust += (1 - server.trust) / TRUST_MEMORY
+        if self._frail(server):
             return  # it is slow for being cold
-        if crowded:
-            rise = 1 - min(1.0, server.suspicion) * max(0.0, 1 - 2 * deck.late)
+        usual = self.usual.get(cls.name, UsualTime())
+        if outcome is Outcome.FULL:
+            stretch = MOST
+        elif elapsed >= usual.overrun_after(cls.aim):
+            stretch = usual.stretch(elapsed, cls.aim)
+            self._suspect(server, LATE_BLAME, True)
         else:
-            rise = -1 / RELEASE
-            server.trust += (1 - server.trust) / TRUST_MEMORY
+            stretch = usual.stretch(elapsed, cls.aim)
             server.suspicion /= 2
             if server.suspicion < 0.1:
                 server.strikes = 0
-        self._press(deck, self._limit(cls), rise)
-        deck.late += (crowded - deck.late) / LATE_MEMORY
-        if outcome is Outcome.TIMED_OUT and self.now - server.heard_at > self._limit(cls):
-            # Silent, not slow: set aside for its queue, a good server's load would push the next one over.
-            self._suspect(server, LATE_BLAME * (1 - deck.late), self._limit(cls))
+        if stretch and server.out_until <= self.now:
+            self._crowd(server, stretch)
 
     # ---- candidate set (PreferClose) and even spread --------------------------------------------
 
@@ -450,11 +374,12 @@
         """A server's part of the spread: its size, less what it cannot do while it is cold, and less again in a crowd,
         whose repeats multiply what arrives. So the balancers together send it no more than it can do."""
         size, able = self._size(server), self._able(server)
-        return size if able >= 1 or self._harmless(server) else size * able * (1 - self._deck(server).pressure)
+        harmless = able >= 1 or self._harmless(server)
+        return size if harmless else size * able * (1 - self._deck(server).crowding.pressure)
 
     def _ensure(self, deck: Deck) -> None:
         """Cards to draw, and a warmth that holds now: cold servers warm while a deck of theirs is hardly drawn from."""
-        if not deck.cards or ((deck.warmth < 1 or NEW) and self.now - deck.dealt_at >= self.settings.safety.fall_after):
+        if not deck.cards or (deck.warmth < 1 and self.now - deck.dealt_at >= self.settings.safety.fall_after):
             self._deal(deck)
 
     def _deal(self, deck: Deck) -> None:
@@ -476,8 +401,7 @@
         whole = sum(self._size(s) for s in servers)
         if any(self._frail(s) for s in servers):
             whole = max(whole, self._settle(deck))
-        if NEW:
-            whole = max(whole, sum(self._size(s) for s in deck.servers if s.resting and s.out_until > self.now) * (1 - MOVE) + whole)
+        whole += (1 - MOVED) * sum(self._size(s) for s in deck.servers if s.overrun and s.out_until > self.now)
         deck.warmth = total / whole
         scale, point = len(servers) / total, self.random.random()
         for server, share in zip(servers, shares, strict=True):
@@ -490,8 +414,8 @@
     def _next(self, cls: RequestClass) -> Server | None:
         """Blind to load: deal from the zone's deck, from the other zones' where the zone has no server. A zone whose
         servers are cold keeps what they can do and lets the rest overflow, which would push them over."""
-        self.near.fade(self.now, self.fade_half)
-        self.far.fade(self.now, self.fade_half)
+        self.near.crowding.fade(self.now, self.fade_half)
+        self.far.crowding.fade(self.now, self.fade_half)
         deck = self.near if any(s.out_until <= self.now for s in self.near.servers) else self.far
         deck = deck if deck.servers else self.near
         if not deck.servers:
@@ -500,10 +424,11 @@
             if self._is_due(server, cls):
                 return server
         self._ensure(deck)
-        away = 1 - deck.warmth * (1 - deck.pressure)
+        away = 1 - deck.warmth * (1 - deck.crowding.pressure)
         if deck is self.near and self.far.servers:
             self._ensure(self.far)
-            shed = away * max(self.far.pressure, FARP * self.near.pressure) if self.far.cards else away
+            # Of the others this balancer knows little: where its own zone is crowded, they may well be.
+            shed = away * max(deck.crowding.pressure, self.far.crowding.pressure) if self.far.cards else away
         else:
             shed = away
         if self._sheds(cls, shed):
@@ -605,7 +530,7 @@
         held = self._held_by(server, cls)
         if not held:
             return True
-        if server.strikes or self.now - held[0].sent_at > self._limit(cls):
+        if server.strikes or self.now - held[0].sent_at > self._overrun_after(cls):
             return False
         part = ROOM["near" if server.zone == self.settings.zone else "far"]
         return server.pace * (len(held) + 1) <= cls.aim * part
@@ -615,12 +540,12 @@
         others' calls. Forgotten with time, so that it is tried again; and no reason to turn a request away."""
         half = max(1, WAIT_FADES * self.settings.safety.fall_after)
         wait = server.wait * 0.5 ** ((self.now - server.heard_at) / half)
-        return self.now - server.sent_at > self._limit(cls) and wait > self._limit(cls) * ALONE
+        return self.now - server.sent_at > cls.aim and wait > self._overrun_after(cls) * ALONE
 
     def _held_by(self, server: Server, cls: RequestClass) -> list[Try]:
         """The calls it holds. One past its aim while later ones were answered is lost, on a connection that
         fell silent or with an answer that stopped short: it is no load, and says nothing of the rest."""
-        since = self.now - self._limit(cls)
+        since = self.now - self._overrun_after(cls)
         return [t for t in server.out if t.sent_at > server.answered or t.sent_at >= since]
 
     def _another(self, call: Call) -> Server | None:
@@ -659,8 +584,6 @@
             self.actions.append(Refuse(request.id, self._come_back(cls)))
             return
         call = self.calls[request.id] = Call(request, cls, self.now)
-        if GIVE_UP and cls.late_worth == 0 and cls.aim_stretch == 0 and not cls.stream:
-            call.deadline = min(call.deadline, self.now + cls.aim)
         self._serve(call)
 
     def _serve(self, call: Call) -> None:
@@ -697,7 +620,7 @@
         tries.append(Try(server, cls, self.now))
         self.tries[call.id, len(tries) - 1] = tries[-1]
         self.actions.append(Attempt(call.id, server.address, call.deadline, send_by))
-        self.actions.append(Timer(self._limit(cls), f"{LATE_TAG}{len(tries) - 1}:{call.id}", call.id))
+        self.actions.append(Timer(self._overrun_after(cls), f"{LATE_TAG}{len(tries) - 1}:{call.id}", call.id))
         return True
 
     def _attempt_ended(self, event: AttemptEnded) -> None:
@@ -709,14 +632,13 @@
         if event.outcome in BLAMED:
             self._blame(done.server, call.cls, event.outcome is Outcome.CONNECT_FAILED)
         if event.outcome is Outcome.FULL:
-            done.server.full_until = self.now + int(self._limit(call.cls) * FULL_FOR)
+            done.server.full_until = self.now + int(call.cls.aim * FULL_FOR)
         elif event.outcome is Outcome.CONNECT_FAILED:
-            done.server.full_until = self.now + int(self._limit(call.cls) * SHUT_FOR)
+            done.server.full_until = self.now + int(call.cls.aim * SHUT_FOR)
         if event.outcome is Outcome.TIMED_OUT and done.late and done.sent_at >= done.server.heard_at:
-            self._suspect(done.server, LATE_BLAME * (1 - self._deck(done.server).late), self._limit(call.cls))
+            self._suspect(done.server, LATE_BLAME, True)
         elif event.outcome in FELT and not done.late:
-            late = event.outcome is Outcome.OK and event.elapsed > self._limit(call.cls)
-            self._feel(done.server, call.cls, Outcome.TIMED_OUT if late else event.outcome, event.elapsed)
+            self._feel(done.server, call.cls, event.outcome, event.elapsed)
         done.out = False
         done.never_ran = event.outcome.never_ran
         if event.request_over or event.outcome is Outcome.OK:
@@ -733,8 +655,9 @@
             self._record(server, ended.cls, event.outcome is not Outcome.OK)
             server.answered = max(server.answered, ended.sent_at)
         if event.outcome is Outcome.OK:
-            self._learn(ended.cls, event.elapsed, self._deck(server).pressure > 0.05)
             server.doubt /= 2
+            crowded = self._deck(server).crowding.pressure > 0
+            self.usual.get(ended.cls.name, UsualTime()).learn(event.elapsed, crowded)
             server.wait += (event.elapsed - server.wait) / WAIT_MEMORY
             pace = event.elapsed / ended.place
             server.pace += (pace - server.pace) / PACE_MEMORY if server.pace else pace
@@ -797,7 +720,7 @@
         if not self.settings.retry_after:
             return 0
         deck = self.near if self.near.servers else self.far
-        away = 1 - deck.warmth * (1 - deck.pressure)
+        away = 1 - deck.warmth * (1 - deck.crowding.pressure)
         return min(self.settings.max_retry_after, int(cls.aim * COME_BACK * max(away, LEAST_AWAY)))
 
     def _forget(self, request_id: str) -> None:
