--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -41,9 +41,8 @@
 from loftweir.listclock import FIRST, backoff
 
 BLAMED = (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED)
-LATE_BLAME = 0.6  # of an answer so late that its server is overrun, or of a call that times out: two are enough
-RESTS = 4  # fall_afters, at the least, that a server rests that was overrun
-MOVED = 0.5  # of the part of resting servers, that the others of their zone take over
+LATE_BLAME = 0.4  # of an answer so late that its server is overrun, and of a call that times out: three are enough
+RESTS = 2  # fall_afters, at the least, that a server rests that was overrun
 TRUST_MEMORY = 16  # answers over which a server's good record is taken
 TRUSTED = 0.85  # of the blame for one failure, taken off a server that has answered well
 KNOWN = 0.4  # trust from which one failure alone says little
@@ -79,6 +78,7 @@
     out_until: int = 0  # set aside until then; 0: not set aside
     strikes: int = 0  # how often in a row it was set aside
     overrun: bool = False  # set aside for its late answers
+    aside_at: int = 0  # when it was set aside last
     doubt: float = 0.0  # failures of late, of any class; an answer takes half of it back
     failed_at: int = 0  # the latest of them
     trust: float = 0.0  # the part of good answers of late
@@ -281,7 +281,7 @@
         safety = self.settings.safety
         rest = min(safety.warm_within, safety.fall_after * max(2**server.strikes, RESTS if overrun else 1))
         server.strikes += 1
-        server.overrun = overrun
+        server.overrun, server.aside_at = overrun, self.now
         server.out_until = self.now + rest + self.random.randrange(rest // 4 + 1)
         server.suspicion = 0.5
         deck.cards = [] if overrun else [s for s in deck.cards if s is not server]
@@ -308,25 +308,23 @@
         usual = [u.mean for u in self.usual.values() if u.known()] or [c.aim for c in self.settings.classes.values()]
         self._deck(server).crowding.feel(self.now, stretch, sum(usual) / len(usual))
 
-    def _feel(self, server: Server, cls: RequestClass, outcome: Outcome, elapsed: int) -> None:
+    def _feel(self, attempt: Try, outcome: Outcome, elapsed: int) -> None:
         """What an outcome says of the server, and what of the crowd on its deck. An overrun server is set aside, and
-        tells nothing of the crowd from then on. A refusal as full is the crowd's alone."""
+        what it held by then tells nothing of the crowd. A refusal as full is the crowd's alone."""
+        server, cls = attempt.server, attempt.cls
         if outcome is Outcome.OK:
             server.trust += (1 - server.trust) / TRUST_MEMORY
         if self._frail(server):
             return  # it is slow for being cold
         usual = self.usual.get(cls.name, UsualTime())
-        if outcome is Outcome.FULL:
-            stretch = MOST
-        elif elapsed >= usual.overrun_after(cls.aim):
-            stretch = usual.stretch(elapsed, cls.aim)
+        stretch = MOST if outcome is Outcome.FULL else usual.stretch(elapsed, cls.aim)
+        if outcome is not Outcome.FULL and elapsed >= usual.overrun_after(cls.aim):
             self._suspect(server, LATE_BLAME, True)
-        else:
-            stretch = usual.stretch(elapsed, cls.aim)
+        elif outcome is Outcome.OK:
             server.suspicion /= 2
             if server.suspicion < 0.1:
                 server.strikes = 0
-        if stretch and server.out_until <= self.now:
+        if stretch and attempt.sent_at > server.aside_at:
             self._crowd(server, stretch)
 
     # ---- candidate set (PreferClose) and even spread --------------------------------------------
@@ -386,7 +384,8 @@
         """Shuffle a new deck: one card a server on average, each by its share, at random only in the rest."""
         servers = [s for s in deck.servers if s.out_until <= self.now]
         if 2 * len(servers) < len(deck.servers):
-            servers = deck.servers[:]  # the panic threshold again: servers may have left since
+            # The panic threshold again: servers may have left since. Those that rest are used last.
+            servers = [s for s in deck.servers if not s.overrun or s.out_until <= self.now] or deck.servers[:]
         if deck is self.far and self.near.servers:
             # What overflows is a crowd's, of no known size: only a cold server's own zone may feed it.
             servers = [s for s in servers if not self._frail(s)]
@@ -401,7 +400,6 @@
         whole = sum(self._size(s) for s in servers)
         if any(self._frail(s) for s in servers):
             whole = max(whole, self._settle(deck))
-        whole += (1 - MOVED) * sum(self._size(s) for s in deck.servers if s.overrun and s.out_until > self.now)
         deck.warmth = total / whole
         scale, point = len(servers) / total, self.random.random()
         for server, share in zip(servers, shares, strict=True):
@@ -427,8 +425,7 @@
         away = 1 - deck.warmth * (1 - deck.crowding.pressure)
         if deck is self.near and self.far.servers:
             self._ensure(self.far)
-            # Of the others this balancer knows little: where its own zone is crowded, they may well be.
-            shed = away * max(deck.crowding.pressure, self.far.crowding.pressure) if self.far.cards else away
+            shed = away * self.far.crowding.turns_away(deck.crowding.pressure) if self.far.cards else away
         else:
             shed = away
         if self._sheds(cls, shed):
@@ -538,9 +535,11 @@
     def _slow(self, server: Server, cls: RequestClass) -> bool:
         """Whether answers of late took too long there, though none of ours waits: met seldom, its queue is made of
         others' calls. Forgotten with time, so that it is tried again; and no reason to turn a request away."""
+        return self.now - server.sent_at > cls.aim and self._wait(server) > self._overrun_after(cls) * ALONE
+
+    def _wait(self, server: Server) -> float:
         half = max(1, WAIT_FADES * self.settings.safety.fall_after)
-        wait = server.wait * 0.5 ** ((self.now - server.heard_at) / half)
-        return self.now - server.sent_at > cls.aim and wait > self._overrun_after(cls) * ALONE
+        return float(server.wait * 0.5 ** ((self.now - server.heard_at) / half))
 
     def _held_by(self, server: Server, cls: RequestClass) -> list[Try]:
         """The calls it holds. One past its aim while later ones were answered is lost, on a connection that
@@ -638,7 +637,7 @@
         if event.outcome is Outcome.TIMED_OUT and done.late and done.sent_at >= done.server.heard_at:
             self._suspect(done.server, LATE_BLAME, True)
         elif event.outcome in FELT and not done.late:
-            self._feel(done.server, call.cls, event.outcome, event.elapsed)
+            self._feel(done, event.outcome, event.elapsed)
         done.out = False
         done.never_ran = event.outcome.never_ran
         if event.request_over or event.outcome is Outcome.OK:
@@ -651,7 +650,7 @@
         server = ended.server
         server.out.pop(ended, None)
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.RESET):
-            server.heard_at = self.now
+            server.wait, server.heard_at = self._wait(server), self.now
             self._record(server, ended.cls, event.outcome is not Outcome.OK)
             server.answered = max(server.answered, ended.sent_at)
         if event.outcome is Outcome.OK:
@@ -690,7 +689,7 @@
                 # Felt when the aim passes: the answer may take many aims more, and a jam grows meanwhile.
                 late.late = True
                 if late.sent_at >= late.server.answered:
-                    self._feel(late.server, call.cls, Outcome.TIMED_OUT, self.now - late.sent_at)
+                    self._feel(late, Outcome.TIMED_OUT, max(self.now - late.sent_at, self._overrun_after(call.cls)))
                 else:  # lost: what hangs one class may answer the others
                     self._record(late.server, call.cls, True)
         elif tag.startswith(REQUEST_TAG):
--- a/loftweir/crowding.py
+++ b/loftweir/crowding.py
@@ -83,6 +83,12 @@
             self.pressure -= passed / NO_PRESSURE
         self.pressure = min(MOST_PRESSURE, max(0.0, self.pressure))
 
+    def turns_away(self, pressure: float) -> float:
+        """The part of what another group sends on, having this `pressure` of its own, that is to be turned away: none
+        where answers come here as if it were alone, and all of that pressure where they are about to be a crowd."""
+        crowded = (self.stretch - 1) / (HIGH - 1)
+        return max(self.pressure, pressure * min(1.0, max(0.0, crowded)))
+
     def fade(self, now: int, half: int) -> None:
         """Where all are turned away, nobody is left to tell that a crowd is over."""
         since = max(self.faded_at, self.felt_at + half)
