--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -324,7 +324,7 @@
             server.suspicion /= 2
             if server.suspicion < 0.1:
                 server.strikes = 0
-        if stretch and attempt.sent_at > server.aside_at:
+        if attempt.sent_at > server.aside_at:
             self._crowd(server, stretch)
 
     # ---- candidate set (PreferClose) and even spread --------------------------------------------
--- a/loftweir/crowding.py
+++ b/loftweir/crowding.py
@@ -26,6 +26,7 @@
 FULL_PRESSURE, NO_PRESSURE = 4, 60  # usual times from none to most pressure at twice `HIGH`, and back below `LOW`
 LONGEST_STEP = 2  # usual times that one answer speaks for at most
 MOST_PRESSURE = 0.95  # someone must be let in to tell when it is over
+LEAST_PRESSURE = 0.05  # faded below that, the crowd is forgotten
 
 
 @dataclass(slots=True)
@@ -55,10 +56,11 @@
         return min(aim, int(OVERRUN * self.mean)) if self.known() else aim
 
     def stretch(self, elapsed: int, aim: int) -> float:
-        """Of an answer that took `elapsed`, or of a call out for so long; 0: it can't be said yet."""
+        """Of an answer that took `elapsed`, or of a call out for so long. Until the usual time is known, what is in time
+        counts as usual."""
         if elapsed >= aim:
             return MOST
-        return min(MOST, elapsed / self.mean) if self.known() else 0.0
+        return min(MOST, elapsed / self.mean) if self.known() else 1.0
 
 
 @dataclass(slots=True)
@@ -93,5 +95,9 @@
         """Where all are turned away, nobody is left to tell that a crowd is over."""
         since = max(self.faded_at, self.felt_at + half)
         if now > since:
-            self.pressure *= 0.5 ** ((now - since) / half)
+            kept = 0.5 ** ((now - since) / half)
+            self.pressure *= kept
+            self.stretch = 1 + (self.stretch - 1) * kept
             self.faded_at = now
+            if self.pressure < LEAST_PRESSURE:
+                self.pressure = 0.0
--- a/loftweir/interface.py
+++ b/loftweir/interface.py
@@ -247,7 +247,7 @@
     scope: Scope = Scope.ALL
     window: int = 0  # BY_KEY: how long the scope remembers, from the first attempt that may have run
     worth: float = 1.0
-    late_worth: float = 0.0  # the part of the worth left after the aim
+    late_worth: float = 1.0  # the part of the worth left after the aim; 0: an attempt is given up at the aim
     aim_stretch: float = 0.0  # the aim grows by this many times the request's work
     stream: bool = False
 
--- a/loftweir/settings.py
+++ b/loftweir/settings.py
@@ -321,7 +321,7 @@
             scope=p.member(f"{at}.dedupScope", scopes, None if keyed else api.Scope.ALL),
             window=p.integer(f"{at}.window", None if keyed else 0),
             worth=p.number(f"{at}.worth", 1.0),
-            late_worth=p.number(f"{at}.lateWorth", 0.0),
+            late_worth=p.number(f"{at}.lateWorth", 1.0),
             aim_stretch=p.number(f"{at}.aimStretch", 0.0),
             stream=p.flag(f"{at}.stream"),
         )
