--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -655,8 +655,7 @@
             server.answered = max(server.answered, ended.sent_at)
         if event.outcome is Outcome.OK:
             server.doubt /= 2
-            crowded = self._deck(server).crowding.pressure > 0
-            self.usual.get(ended.cls.name, UsualTime()).learn(event.elapsed, crowded)
+            self.usual.get(ended.cls.name, UsualTime()).learn(self.now, event.elapsed)
             server.wait += (event.elapsed - server.wait) / WAIT_MEMORY
             pace = event.elapsed / ended.place
             server.pace += (pace - server.pace) / PACE_MEMORY if server.pace else pace
--- a/loftweir/crowding.py
+++ b/loftweir/crowding.py
@@ -18,7 +18,7 @@
 USUAL_MEMORY = 64  # answers over which the usual time is taken
 USUAL_FROM = 8  # answers of a class from which it is known
 LONGEST_TAKEN = 3  # usual times that one answer counts for at most: a queue is not the rule
-SLOWER_IN_A_CROWD = 4  # times slower that the usual time rises while there is pressure
+DOUBLES_IN = 300  # usual times in which the usual time doubles at the fastest, once it has its memory
 CROWD_MEMORY = 12  # answers over which the mean stretch is taken
 HIGH, LOW = 3.0, 2.0  # mean stretches; an M/M/4 queue has them at loads of about 0.9 and 0.8
 OVERRUN = 5  # usual times from which one answer says that its server is overrun
@@ -35,28 +35,28 @@
 
     mean: float = 0.0
     answers: int = 0
+    learnt_at: int = 0
 
     def known(self) -> bool:
         return self.answers >= USUAL_FROM
 
-    def learn(self, elapsed: int, crowded: bool) -> None:
-        """Takes one answer. In a crowd it rises more slowly, but it does: what stays so long is the rule."""
+    def learn(self, now: int, elapsed: int) -> None:
+        """Takes one answer. It rises slowly, however many answers a queue makes long; what stays long is the rule."""
         self.answers += 1
         if self.answers == 1:
             self.mean = elapsed
-            return
-        taken = min(elapsed, LONGEST_TAKEN * self.mean)
-        memory = min(self.answers, USUAL_MEMORY)
-        if crowded and taken > self.mean:
-            memory *= SLOWER_IN_A_CROWD
-        self.mean += (taken - self.mean) / memory
+        step = (min(elapsed, LONGEST_TAKEN * self.mean) - self.mean) / min(self.answers, USUAL_MEMORY)
+        if self.answers > USUAL_MEMORY:
+            step = min(step, (now - self.learnt_at) / DOUBLES_IN)
+        self.mean += step
+        self.learnt_at = now
 
     def overrun_after(self, aim: int) -> int:
         """From how long on an answer, or none, says that its server is overrun."""
         return min(aim, int(OVERRUN * self.mean)) if self.known() else aim
 
     def stretch(self, elapsed: int, aim: int) -> float:
-        """Of an answer that took `elapsed`, or of a call out for so long. Until the usual time is known, what is in time
+        """Of an answer that took `elapsed`, or of a call out for so long. Until the usual time is known, one in time
         counts as usual."""
         if elapsed >= aim:
             return MOST
