--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -41,8 +41,8 @@
 from loftweir.listclock import FIRST, backoff
 
 BLAMED = (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED)
-LATE_BLAME = 0.4  # of an answer so late that its server is overrun, and of a call that times out: three are enough
-RESTS = 2  # fall_afters, at the least, that a server rests that was overrun
+LATE_BLAME = 0.5  # of an answer so late that its server is overrun, and of a call that times out: three are enough
+RESTS = 6  # fall_afters, at the least, that a server rests that was overrun
 TRUST_MEMORY = 16  # answers over which a server's good record is taken
 TRUSTED = 0.85  # of the blame for one failure, taken off a server that has answered well
 KNOWN = 0.4  # trust from which one failure alone says little
