--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -41,8 +41,8 @@
 from loftweir.listclock import FIRST, backoff
 
 BLAMED = (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED)
-LATE_BLAME = 0.5  # of an answer so late that its server is overrun, and of a call that times out: three are enough
-RESTS = 6  # fall_afters, at the least, that a server rests that was overrun
+LATE_BLAME = 0.5  # of an answer so late that its server is overrun, and of a call that times out: two are enough
+RESTS = 4  # fall_afters, at the least, that a server rests that was overrun
 TRUST_MEMORY = 16  # answers over which a server's good record is taken
 TRUSTED = 0.85  # of the blame for one failure, taken off a server that has answered well
 KNOWN = 0.4  # trust from which one failure alone says little
@@ -56,9 +56,11 @@
 FELT = (Outcome.OK, Outcome.FULL, Outcome.TIMED_OUT)
 LATELY, WAIT_FADES = 16, 3  # calls to a server whose times are kept; fall_afters in which half of its wait is forgotten
 GAP_FROM, COME_AGAIN = 4, 3  # fall_afters that make the time between requests known; till then, how often a client asks
+DRAWS = 32  # cards that one request looks at: where so many servers are cold and have had theirs, all have
 MIX_MEMORY = 64  # requests over which the parts of the classes are taken
 RETRY_PART, RETRY_BURST = 0.25, 5.0  # further attempts earned by each request, and how many may be saved up
 COME_BACK, LEAST_AWAY = 0.25, 0.2  # of the aim, at full pressure; and the least pressure counted for it
+UNKNOWN = UsualTime()
 DISCOVERY_TAG, REQUEST_TAG, LATE_TAG = "discovery", "request:", "late:"
 
 
@@ -143,8 +145,7 @@
         self.id = request.id
         self.cls = cls
         self.deadline = now + request.patience
-        if not (cls.late_worth or cls.aim_stretch or cls.stream):
-            # Nothing is left to win: it would only hold its place in a server that is behind.
+        if not (cls.late_worth or cls.aim_stretch or cls.stream):  # nothing is left to win, but a server's time
             self.deadline = min(self.deadline, now + cls.aim)
         self.tries: list[Try] = []
         self.streaming = False
@@ -188,11 +189,11 @@
         self.calls: dict[str, Call] = {}
         self.tries: dict[tuple[str, int], Try] = {}  # all that are out, also of requests that are over
         self.held: dict[str, Call] = {}  # calls with no attempt out, waiting for a server
-        self.near = Deck()  # the ready servers of the own zone
-        self.far = Deck()  # the ready servers of the others
+        self.near, self.far = Deck(), Deck()  # the ready servers of the own zone, and of the others
         self.retry_budget = RETRY_BURST
         self.mix: dict[str, float] = {}  # the part of each class of late
         self.usual: dict[str, UsualTime] = {}  # by class
+        self.overrun_after: dict[str, int] = {}  # by class: an answer that takes longer tells of an overrun server
         self.gap = self.asked = 0.0  # the mean time from one request to the next, and of how many
         self.began = self.asked_at = 0  # when the first and the latest came
         self.asking, self.failures_to_ask = False, 0
@@ -224,6 +225,7 @@
         self.settings, classes = settings, settings.classes
         parts = {name: self.mix.get(name, 1 / len(classes)) for name in classes}
         self.mix = {name: part / sum(parts.values()) for name, part in parts.items()}
+        self.overrun_after = {name: min(c.aim, self.overrun_after.get(name, c.aim)) for name, c in classes.items()}
         self.usual = {name: self.usual.get(name, UsualTime()) for name in classes}
         self.fade_half = FADE_AIMS * sum(c.aim for c in classes.values()) // len(classes)
         for server in self.servers.values():
@@ -273,7 +275,7 @@
         if server.suspicion < 1 or self.now < server.out_until:
             return
         # Panic threshold: where most are ill by this view, the view is wrong or the rest would be drowned. One that is
-        # overrun rests all the same: what it is sent meanwhile keeps it so, and the rest don't get its whole part.
+        # overrun rests all the same: what it is sent meanwhile keeps it so.
         deck = self._deck(server)
         out = sum(s.out_until > self.now for s in deck.servers)
         if not overrun and 2 * (out + 1) > len(deck.servers):
@@ -298,15 +300,14 @@
         server.trust *= 1 - 1 / TRUST_MEMORY
         self._suspect(server, blame)
         if crowd:  # a zone that is shut as a whole must let its traffic go
-            self._crowd(server, MOST)
+            self._crowd(server, cls, MOST)
 
-    def _overrun_after(self, cls: RequestClass) -> int:
-        usual = self.usual.get(cls.name)
-        return usual.overrun_after(cls.aim) if usual else cls.aim
+    def _late_after(self, cls: RequestClass) -> int:
+        return self.overrun_after.get(cls.name, cls.aim)
 
-    def _crowd(self, server: Server, stretch: float) -> None:
-        usual = [u.mean for u in self.usual.values() if u.known()] or [c.aim for c in self.settings.classes.values()]
-        self._deck(server).crowding.feel(self.now, stretch, sum(usual) / len(usual))
+    def _crowd(self, server: Server, cls: RequestClass, stretch: float) -> None:
+        usual = self.usual.get(cls.name, UNKNOWN)
+        self._deck(server).crowding.feel(self.now, stretch, usual.mean if usual.known() else cls.aim)
 
     def _feel(self, attempt: Try, outcome: Outcome, elapsed: int) -> None:
         """What an outcome says of the server, and what of the crowd on its deck. An overrun server is set aside, and
@@ -316,16 +317,16 @@
             server.trust += (1 - server.trust) / TRUST_MEMORY
         if self._frail(server):
             return  # it is slow for being cold
-        usual = self.usual.get(cls.name, UsualTime())
+        usual = self.usual.get(cls.name, UNKNOWN)
         stretch = MOST if outcome is Outcome.FULL else usual.stretch(elapsed, cls.aim)
-        if outcome is not Outcome.FULL and elapsed >= usual.overrun_after(cls.aim):
+        if outcome is not Outcome.FULL and elapsed >= self._late_after(cls):
             self._suspect(server, LATE_BLAME, True)
         elif outcome is Outcome.OK:
             server.suspicion /= 2
             if server.suspicion < 0.1:
                 server.strikes = 0
         if attempt.sent_at > server.aside_at:
-            self._crowd(server, stretch)
+            self._crowd(server, cls, stretch)
 
     # ---- candidate set (PreferClose) and even spread --------------------------------------------
 
@@ -354,9 +355,12 @@
     def _harmless(self, server: Server) -> int:
         """How many calls in `fall_after` this balancer may send a frail server, whatever others send: its part of the
         chance beside the budget, 2 x root of it + 2, where all are asked for no more; else none."""
-        size, deck, settings = self._size(server), self._deck(server), self.settings
+        settings = self.settings
+        if settings.balancers > LATELY or not self._frail(server):
+            return 0
+        size, deck = self._size(server), self._deck(server)
         asked = size * settings.balancers * settings.safety.fall_after / (self.gap or inf)
-        if not size or asked > LATELY * deck.size or settings.balancers > LATELY or not self._frail(server):
+        if not size or asked > LATELY * deck.size:
             return 0
         budget = settings.safety.fall_multiple * self._able(server) * asked / max(1, self.near.size + self.far.size)
         part = int((2 * sqrt(budget) + 2) / settings.balancers)
@@ -372,8 +376,8 @@
         """A server's part of the spread: its size, less what it cannot do while it is cold, and less again in a crowd,
         whose repeats multiply what arrives. So the balancers together send it no more than it can do."""
         size, able = self._size(server), self._able(server)
-        harmless = able >= 1 or self._harmless(server)
-        return size if harmless else size * able * (1 - self._deck(server).crowding.pressure)
+        crowd = self._deck(server).crowding.pressure
+        return size if able >= 1 or self._harmless(server) else size * able * (1 - crowd)
 
     def _ensure(self, deck: Deck) -> None:
         """Cards to draw, and a warmth that holds now: cold servers warm while a deck of theirs is hardly drawn from."""
@@ -498,36 +502,36 @@
     def _draw(self, deck: Deck, cls: RequestClass) -> Server | None:
         """The next card of a server that can take a call; where none is left, one more deal."""
         for _ in range(2):
-            for _ in range(len(deck.cards)):
+            for _ in range(min(DRAWS, len(deck.cards))):
                 server = deck.cards.pop()
                 if self._has_room(server, cls) and self._sound(server, cls) and not self._slow(server, cls):
                     return server
                 if self._frail(server):
                     deck.cards.insert(0, server)  # its turn comes when its distance is kept
-            if not any(self._has_room(s, cls) for s in deck.servers):
+            if deck.cards or not any(self._has_room(s, cls) for s in deck.servers):
                 return None
             self._deal(deck)
         return None
 
     def _has_room(self, server: Server, cls: RequestClass) -> bool:
-        """Whether it can still answer in time, by this balancer's own calls there.
-
-        One that holds as many as it answers in time is not usable for the moment, like one set aside. A call out for
-        longer than its aim says that it hangs or is jammed, and one back from being set aside is tried with one."""
+        """Whether it can still answer in time, by this balancer's own calls there. One that holds as many as that is
+        not usable now. A call out for long says that it is jammed; one back from being set aside gets one."""
         if server.full_until > self.now:
             return False
-        calls, safety = self._harmless(server), self.settings.safety
-        if self._frail(server) and not (calls and server.lately[-calls] <= self.now - safety.fall_after):
+        able, fall_multiple = self._able(server), self.settings.safety.fall_multiple
+        if able * fall_multiple < 2:  # frail
             # fall_multiple times closer together than an even spread has it, no more: what others are passed over for,
             # or what comes again, would push it over. Balancers begin at moments of their own, or they do so at once.
-            rate = safety.fall_multiple * self._size(server) * self._able(server)  # 0: nothing is for it
+            rate = fall_multiple * self._size(server) * able  # 0: nothing is for it
             apart = self.gap * self._deck(server).size * (server.phase if server.sent_at < server.told_at else 1)
             if (self.now - max(server.sent_at, server.told_at)) * rate < apart:
-                return False
+                calls = self._harmless(server)
+                if not calls or server.lately[-calls] > self.now - self.settings.safety.fall_after:
+                    return False
         held = self._held_by(server, cls)
         if not held:
             return True
-        if server.strikes or self.now - held[0].sent_at > self._overrun_after(cls):
+        if server.strikes or self.now - held[0].sent_at > self._late_after(cls):
             return False
         part = ROOM["near" if server.zone == self.settings.zone else "far"]
         return server.pace * (len(held) + 1) <= cls.aim * part
@@ -535,7 +539,7 @@
     def _slow(self, server: Server, cls: RequestClass) -> bool:
         """Whether answers of late took too long there, though none of ours waits: met seldom, its queue is made of
         others' calls. Forgotten with time, so that it is tried again; and no reason to turn a request away."""
-        return self.now - server.sent_at > cls.aim and self._wait(server) > self._overrun_after(cls) * ALONE
+        return self.now - server.sent_at > cls.aim and self._wait(server) > self._late_after(cls) * ALONE
 
     def _wait(self, server: Server) -> float:
         half = max(1, WAIT_FADES * self.settings.safety.fall_after)
@@ -544,7 +548,7 @@
     def _held_by(self, server: Server, cls: RequestClass) -> list[Try]:
         """The calls it holds. One past its aim while later ones were answered is lost, on a connection that
         fell silent or with an answer that stopped short: it is no load, and says nothing of the rest."""
-        since = self.now - self._overrun_after(cls)
+        since = self.now - self._late_after(cls)
         return [t for t in server.out if t.sent_at > server.answered or t.sent_at >= since]
 
     def _another(self, call: Call) -> Server | None:
@@ -619,7 +623,7 @@
         tries.append(Try(server, cls, self.now))
         self.tries[call.id, len(tries) - 1] = tries[-1]
         self.actions.append(Attempt(call.id, server.address, call.deadline, send_by))
-        self.actions.append(Timer(self._overrun_after(cls), f"{LATE_TAG}{len(tries) - 1}:{call.id}", call.id))
+        self.actions.append(Timer(self._late_after(cls), f"{LATE_TAG}{len(tries) - 1}:{call.id}", call.id))
         return True
 
     def _attempt_ended(self, event: AttemptEnded) -> None:
@@ -655,7 +659,10 @@
             server.answered = max(server.answered, ended.sent_at)
         if event.outcome is Outcome.OK:
             server.doubt /= 2
-            self.usual.get(ended.cls.name, UsualTime()).learn(self.now, event.elapsed)
+            usual = self.usual.get(ended.cls.name)
+            if usual is not None:  # its class may have gone from the settings
+                usual.learn(self.now, event.elapsed)
+                self.overrun_after[ended.cls.name] = usual.overrun_after(ended.cls.aim)
             server.wait += (event.elapsed - server.wait) / WAIT_MEMORY
             pace = event.elapsed / ended.place
             server.pace += (pace - server.pace) / PACE_MEMORY if server.pace else pace
@@ -688,7 +695,7 @@
                 # Felt when the aim passes: the answer may take many aims more, and a jam grows meanwhile.
                 late.late = True
                 if late.sent_at >= late.server.answered:
-                    self._feel(late, Outcome.TIMED_OUT, max(self.now - late.sent_at, self._overrun_after(call.cls)))
+                    self._feel(late, Outcome.TIMED_OUT, max(self.now - late.sent_at, self._late_after(call.cls)))
                 else:  # lost: what hangs one class may answer the others
                     self._record(late.server, call.cls, True)
         elif tag.startswith(REQUEST_TAG):
@@ -710,11 +717,8 @@
         self._forget(call.id)
 
     def _come_back(self, cls: RequestClass) -> int:
-        """How long a client should stay away: the longer, the more is turned away now.
-
-        Never longer than a part of its aim: what is turned away comes by chance, so that a new try has a
-        chance of its own soon, and one that comes too late to be in time only adds to the next crowd.
-        """
+        """How long a client should stay away: the longer, the more is turned away now. Never longer than a part of its
+        aim: a new try has a chance of its own soon, and one that comes too late only adds to the next crowd."""
         if not self.settings.retry_after:
             return 0
         deck = self.near if self.near.servers else self.far
--- a/loftweir/crowding.py
+++ b/loftweir/crowding.py
@@ -20,10 +20,10 @@
 LONGEST_TAKEN = 3  # usual times that one answer counts for at most: a queue is not the rule
 DOUBLES_IN = 300  # usual times in which the usual time doubles at the fastest, once it has its memory
 CROWD_MEMORY = 12  # answers over which the mean stretch is taken
-HIGH, LOW = 3.0, 2.6  # mean stretches; an M/M/4 queue has them at loads of about 0.9 and 0.8
+HIGH, LOW = 3.0, 2.0  # mean stretches; an M/M/4 queue has them at loads of about 0.9 and 0.8
 OVERRUN = 5  # usual times from which one answer says that its server is overrun
 MOST = 8.0  # the stretch of what is late for its aim, and of a server that is full
-FULL_PRESSURE, NO_PRESSURE = 4, 20  # usual times from none to most pressure at twice `HIGH`, and back below `LOW`
+FULL_PRESSURE, NO_PRESSURE = 4, 40  # usual times from none to most pressure at twice `HIGH`, and back below `LOW`
 LONGEST_STEP = 2  # usual times that one answer speaks for at most
 MOST_PRESSURE = 0.95  # someone must be let in to tell when it is over
 LEAST_PRESSURE = 0.05  # faded below that, the crowd is forgotten
@@ -78,6 +78,8 @@
         self.stretch += (stretch - self.stretch) / CROWD_MEMORY
         passed = min((now - self.felt_at) / max(1.0, usual), LONGEST_STEP)
         self.felt_at = now
+        if self.stretch < LOW and not self.pressure:
+            return
         if self.stretch > HIGH:
             excess = min(1.0, self.stretch / HIGH - 1)
             self.pressure += (1 - self.pressure) * excess * passed / FULL_PRESSURE
