Crowding is not counted in times far shorter than the aim

Cause: where answers take 2 ms and the aim is 600 ms, two hiccups of 10 ms of a busy machine set a server aside, and requests were refused with no crowd about (test_log and test_upgrade, 503 among 200, at a load of 10 to 14). Change: the usual time counts for a sixteenth of the aim at the least (UsualTime.counted).

--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -306,8 +306,8 @@
         return self.overrun_after.get(cls.name, cls.aim)
 
     def _crowd(self, server: Server, cls: RequestClass, stretch: float) -> None:
-        usual = self.usual.get(cls.name, UNKNOWN)
-        self._deck(server).crowding.feel(self.now, stretch, usual.mean if usual.known() else cls.aim)
+        usual = self.usual.get(cls.name, UNKNOWN).counted(cls.aim)
+        self._deck(server).crowding.feel(self.now, stretch, usual)
 
     def _feel(self, attempt: Try, outcome: Outcome, elapsed: int) -> None:
         """What an outcome says of the server, and what of the crowd on its deck. An overrun server is set aside, and
--- a/loftweir/crowding.py
+++ b/loftweir/crowding.py
@@ -18,6 +18,7 @@
 USUAL_MEMORY = 64  # answers over which the usual time is taken
 USUAL_FROM = 8  # answers of a class from which it is known
 LONGEST_TAKEN = 3  # usual times that one answer counts for at most: a queue is not the rule
+SHORTEST = 1 / 16  # of the aim: a queue of shorter times costs nobody an aim, and may be the noise of a busy machine
 DOUBLES_IN = 300  # usual times in which the usual time doubles at the fastest, once it has its memory
 CROWD_MEMORY = 12  # answers over which the mean stretch is taken
 HIGH, LOW = 3.0, 2.0  # mean stretches; an M/M/4 queue has them at loads of about 0.9 and 0.8
@@ -51,16 +52,20 @@
         self.mean += step
         self.learnt_at = now
 
+    def counted(self, aim: int) -> float:
+        """What crowding is counted in: not much shorter than the aim, and the aim itself until the time is known."""
+        return max(self.mean, aim * SHORTEST) if self.known() else aim
+
     def overrun_after(self, aim: int) -> int:
         """From how long on an answer, or none, says that its server is overrun."""
-        return min(aim, int(OVERRUN * self.mean)) if self.known() else aim
+        return min(aim, int(OVERRUN * self.counted(aim)))
 
     def stretch(self, elapsed: int, aim: int) -> float:
         """Of an answer that took `elapsed`, or of a call out for so long. Until the usual time is known, one in time
         counts as usual."""
         if elapsed >= aim:
             return MOST
-        return min(MOST, elapsed / self.mean) if self.known() else 1.0
+        return min(MOST, elapsed / self.counted(aim)) if self.known() else 1.0
 
 
 @dataclass(slots=True)
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -48,6 +48,11 @@
     assert usual.stretch(2 * USUAL, 2 * USUAL) == MOST
 
 
+def test_times_far_shorter_than_the_aim_are_no_queue():
+    usual = usual_time()
+    assert usual.overrun_after(100 * AIM) > 30 * AIM and usual.stretch(20 * USUAL, 100 * AIM) < 1
+
+
 def test_a_queue_does_not_pass_for_the_usual_time_but_what_stays_becomes_it():
     usual = usual_time()
     for n in range(USUAL_MEMORY):
