Late answers are the crowd's alone: no server is set aside for them; pressure from five usual times

Change: a late answer counts for the crowd only, silence blames the server as before; HIGH and LOW 5 and 3.5 in place of 3 and 2.

--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -41,8 +41,7 @@
 from loftweir.listclock import FIRST, backoff
 
 BLAMED = (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED)
-LATE_BLAME = 0.5  # of an answer so late that its server is overrun, and of a call that times out: two are enough
-RESTS = 4  # fall_afters, at the least, that a server rests that was overrun
+LATE_BLAME = 0.6  # of an attempt that hears nothing, when it is late and again when it times out: together enough
 TRUST_MEMORY = 16  # answers over which a server's good record is taken
 TRUSTED = 0.85  # of the blame for one failure, taken off a server that has answered well
 KNOWN = 0.4  # trust from which one failure alone says little
@@ -79,8 +78,6 @@
     suspicion: float = 0.0  # failures seen of late, each success takes some back
     out_until: int = 0  # set aside until then; 0: not set aside
     strikes: int = 0  # how often in a row it was set aside
-    overrun: bool = False  # set aside for its late answers
-    aside_at: int = 0  # when it was set aside last
     doubt: float = 0.0  # failures of late, of any class; an answer takes half of it back
     failed_at: int = 0  # the latest of them
     trust: float = 0.0  # the part of good answers of late
@@ -269,24 +266,22 @@
     def _deck(self, server: Server) -> Deck:
         return self.near if server.zone == self.settings.zone else self.far
 
-    def _suspect(self, server: Server, blame: float, overrun: bool = False) -> None:
+    def _suspect(self, server: Server, blame: float) -> None:
         """Passive outlier ejection, on this balancer's own evidence; refusals as full are not ill health."""
         server.suspicion += blame
         if server.suspicion < 1 or self.now < server.out_until:
             return
-        # Panic threshold: where most are ill by this view, the view is wrong or the rest would be drowned. One that is
-        # overrun rests all the same: what it is sent meanwhile keeps it so.
+        # Panic threshold: where most are ill by this view, the view is wrong or the rest would be drowned.
         deck = self._deck(server)
         out = sum(s.out_until > self.now for s in deck.servers)
-        if not overrun and 2 * (out + 1) > len(deck.servers):
+        if 2 * (out + 1) > len(deck.servers):
             return
         safety = self.settings.safety
-        rest = min(safety.warm_within, safety.fall_after * max(2**server.strikes, RESTS if overrun else 1))
+        rest = min(safety.warm_within, safety.fall_after * 2**server.strikes)
         server.strikes += 1
-        server.overrun, server.aside_at = overrun, self.now
         server.out_until = self.now + rest + self.random.randrange(rest // 4 + 1)
         server.suspicion = 0.5
-        deck.cards = [] if overrun else [s for s in deck.cards if s is not server]
+        deck.cards = [s for s in deck.cards if s is not server]
 
     def _blame(self, server: Server, cls: RequestClass, crowd: bool) -> None:
         """A failure of one that answers well otherwise is that answer's, of one that serves other classes
@@ -310,8 +305,8 @@
         self._deck(server).crowding.feel(self.now, stretch, usual)
 
     def _feel(self, attempt: Try, outcome: Outcome, elapsed: int) -> None:
-        """What an outcome says of the server, and what of the crowd on its deck. An overrun server is set aside, and
-        what it held by then tells nothing of the crowd. A refusal as full is the crowd's alone."""
+        """What an outcome says of the server, and what of the crowd on its deck. Late answers are the crowd's, and so
+        are refusals as full; silence blames the server, the less the more of a crowd there is."""
         server, cls = attempt.server, attempt.cls
         if outcome is Outcome.OK:
             server.trust += (1 - server.trust) / TRUST_MEMORY
@@ -319,13 +314,13 @@
             return  # it is slow for being cold
         usual = self.usual.get(cls.name, UNKNOWN)
         stretch = MOST if outcome is Outcome.FULL else usual.stretch(elapsed, cls.aim)
-        if outcome is not Outcome.FULL and elapsed >= self._late_after(cls):
-            self._suspect(server, LATE_BLAME, True)
-        elif outcome is Outcome.OK:
+        if outcome is Outcome.OK and elapsed <= cls.aim:
             server.suspicion /= 2
             if server.suspicion < 0.1:
                 server.strikes = 0
-        if attempt.sent_at > server.aside_at:
+        elif outcome is Outcome.TIMED_OUT and self.now - server.heard_at > cls.aim:
+            self._suspect(server, LATE_BLAME * (1 - self._deck(server).crowding.pressure))
+        if server.out_until <= self.now:
             self._crowd(server, cls, stretch)
 
     # ---- candidate set (PreferClose) and even spread --------------------------------------------
@@ -388,8 +383,7 @@
         """Shuffle a new deck: one card a server on average, each by its share, at random only in the rest."""
         servers = [s for s in deck.servers if s.out_until <= self.now]
         if 2 * len(servers) < len(deck.servers):
-            # The panic threshold again: servers may have left since. Those that rest are used last.
-            servers = [s for s in deck.servers if not s.overrun or s.out_until <= self.now] or deck.servers[:]
+            servers = deck.servers[:]  # the panic threshold again: servers may have left since
         if deck is self.far and self.near.servers:
             # What overflows is a crowd's, of no known size: only a cold server's own zone may feed it.
             servers = [s for s in servers if not self._frail(s)]
@@ -639,7 +633,7 @@
         elif event.outcome is Outcome.CONNECT_FAILED:
             done.server.full_until = self.now + int(call.cls.aim * SHUT_FOR)
         if event.outcome is Outcome.TIMED_OUT and done.late and done.sent_at >= done.server.heard_at:
-            self._suspect(done.server, LATE_BLAME, True)
+            self._suspect(done.server, LATE_BLAME * (1 - self._deck(done.server).crowding.pressure))
         elif event.outcome in FELT and not done.late:
             self._feel(done, event.outcome, event.elapsed)
         done.out = False
--- a/loftweir/crowding.py
+++ b/loftweir/crowding.py
@@ -21,10 +21,10 @@
 SHORTEST = 1 / 16  # of the aim: a queue of shorter times costs nobody an aim, and may be the noise of a busy machine
 DOUBLES_IN = 300  # usual times in which the usual time doubles at the fastest, once it has its memory
 CROWD_MEMORY = 12  # answers over which the mean stretch is taken
-HIGH, LOW = 3.0, 2.0  # mean stretches; an M/M/4 queue has them at loads of about 0.9 and 0.8
+HIGH, LOW = 5.0, 3.5  # mean stretches at which servers queue far more than their cores, and no longer
 OVERRUN = 5  # usual times from which one answer says that its server is overrun
-MOST = 8.0  # the stretch of what is late for its aim, and of a server that is full
-FULL_PRESSURE, NO_PRESSURE = 4, 40  # usual times from none to most pressure at twice `HIGH`, and back below `LOW`
+MOST = 10.0  # the stretch of what is late for its aim, and of a server that is full
+FULL_PRESSURE, NO_PRESSURE = 2, 40  # usual times from none to most pressure at twice `HIGH`, and back below `LOW`
 LONGEST_STEP = 2  # usual times that one answer speaks for at most
 MOST_PRESSURE = 0.95  # someone must be let in to tell when it is over
 LEAST_PRESSURE = 0.05  # faded below that, the crowd is forgotten
@@ -104,7 +104,7 @@
         if now > since:
             kept = 0.5 ** ((now - since) / half)
             self.pressure *= kept
-            self.stretch = 1 + (self.stretch - 1) * kept
+            self.stretch = 1 + (self.stretch - 1) * kept**0.5  # more slowly: a crowd that is still there is known again
             self.faded_at = now
             if self.pressure < LEAST_PRESSURE:
                 self.pressure = 0.0
