--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -5,6 +5,7 @@
 from loftweir.crowding import (
     HIGH,
     LEAST_PRESSURE,
+    LOW,
     MOST,
     MOST_PRESSURE,
     OVERRUN,
