Test of 1,024 servers frees its listeners: later tests met descriptors over 1,023

A count of open descriptors after each test of the whole suite rose from 16 to 1,042 at test_a_list_of_1024_servers and never fell: its selector thread held the listeners after close. select() takes none over 1,023. The thread is now ended and its sockets closed.

--- a/tests/test_many_servers.py
+++ b/tests/test_many_servers.py
@@ -21,6 +21,7 @@
 ADDITIONS, REFERENCE = 100_000, 0.006  # and the processor time of so many on a machine at full speed, in seconds
 PLAYS, REQUESTS, SLICE = 5, 2400, 50  # of the same play; requests of one; those that are timed together
 ANSWER = 20 * MS
+ENDS_WITHIN = 10  # s for the thread that accepts connections
 
 
 class VirtualTime:
@@ -121,27 +122,39 @@
     def __init__(self, count):
         self.listeners = [listener() for _ in range(count)]
         self.addresses = [address_of(sock) for sock in self.listeners]
+        self.stopped, self.stop = socket.socketpair()
+        self.ended = threading.Event()
         super().__init__(ok)
 
     def _accept(self):
-        ready = selectors.DefaultSelector()
-        for sock in self.listeners:
-            ready.register(sock, selectors.EVENT_READ)
-        while True:
-            for key, _ in ready.select():
-                with suppress(OSError):
-                    sock, _ = key.fileobj.accept()
-                    self.sockets.append(sock)
-                    threading.Thread(target=self._serve, args=(sock, address_of(sock)), daemon=True).start()
+        with selectors.DefaultSelector() as ready:
+            ready.register(self.stopped, selectors.EVENT_READ)
+            for sock in self.listeners:
+                ready.register(sock, selectors.EVENT_READ)
+            while True:
+                sources = [key.fileobj for key, _ in ready.select()]
+                if self.stopped in sources:
+                    break
+                for source in sources:
+                    self._accept_from(source)
+        self.ended.set()
+
+    def _accept_from(self, source):
+        with suppress(OSError):
+            sock, _ = source.accept()
+            self.sockets.append(sock)
+            threading.Thread(target=self._serve, args=(sock, address_of(sock)), daemon=True).start()
 
     def seen_by(self):
         return {address for _, _, address in self.seen}
 
     def close(self):
+        """Ends the thread first, so that every descriptor is free for the tests that follow."""
+        self.stop.close()
+        assert self.ended.wait(ENDS_WITHIN), "the thread that accepts goes on"
         super().close()
-        for sock in self.listeners:
-            with suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
+        for sock in (self.stopped, *self.listeners):
+            sock.close()
 
 
 class ProcessTest(Scene):
