--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -53,7 +53,7 @@
 FULL_FOR, SHUT_FOR = 0.25, 1.0  # aims to pass over one that turned a call away, or took no connection
 LATELY, WAIT_FADES = 16, 3  # calls to a server whose times are kept; fall_afters in which half of its wait is forgotten
 GAP_FROM, COME_AGAIN = 4, 3  # fall_afters that make the time between requests known; till then, how often a client asks
-DRAWS = 32  # cards that one request looks at: where so many servers are cold and have had theirs, all have
+MOST_TURNS = 32  # turns that one request looks at: where so many servers are cold and have had theirs, all have
 MIX_MEMORY = 64  # requests over which the parts of the classes are taken
 RETRY_PART, RETRY_BURST = 0.25, 5.0  # further attempts earned by each request, and how many may be saved up
 COME_BACK, LEAST_AWAY = 0.25, 0.2  # of the aim, at full pressure; and the least pressure counted for it
@@ -155,12 +155,12 @@
 
 
 @dataclass(slots=True, eq=False)
-class Deck:
-    """Servers to spread over, and the cards still to be dealt."""
+class Pool:
+    """Servers to spread over, in rounds: each has its turns in a round, by its share."""
 
     servers: list[Server] = field(default_factory=list)
-    cards: list[Server] = field(default_factory=list)
-    dealt_at: int = 0
+    turns: list[Server] = field(default_factory=list)
+    round_began_at: int = 0
     warmth: float = 1.0  # what the servers can do now, as a part of what they can do warm
     all_frail: bool = False  # so all of them have only just started
     crowding: Crowding = field(default_factory=Crowding)
@@ -186,7 +186,7 @@
         self.calls: dict[str, Call] = {}
         self.tries: dict[tuple[str, int], Try] = {}  # all that are out, also of requests that are over
         self.held: dict[str, Call] = {}  # calls with no attempt out, waiting for a server
-        self.near, self.far = Deck(), Deck()  # the ready servers of the own zone, and of the others
+        self.near, self.far = Pool(), Pool()  # the ready servers of the own zone, and of the others
         self.retry_budget = RETRY_BURST
         self.mix: dict[str, float] = {}  # the part of each class of late
         self.usual: dict[str, UsualTime] = {}  # by class
@@ -267,7 +267,7 @@
 
     # ---- health -----------------------------------------------------------------------------------
 
-    def _deck(self, server: Server) -> Deck:
+    def _pool(self, server: Server) -> Pool:
         return self.near if server.zone == self.settings.zone else self.far
 
     def _suspect(self, server: Server, blame: float) -> None:
@@ -276,16 +276,16 @@
         if server.suspicion < 1 or self.now < server.out_until:
             return
         # Panic threshold: where most are ill by this view, the view is wrong or the rest would be drowned.
-        deck = self._deck(server)
-        out = sum(s.out_until > self.now for s in deck.servers)
-        if 2 * (out + 1) > len(deck.servers):
+        pool = self._pool(server)
+        out = sum(s.out_until > self.now for s in pool.servers)
+        if 2 * (out + 1) > len(pool.servers):
             return
         safety = self.settings.safety
         rest = min(safety.warm_within, safety.fall_after * 2**server.strikes)
         server.strikes += 1
         server.out_until = self.now + rest + self.random.randrange(rest // 4 + 1)
         server.suspicion = 0.5
-        deck.cards = [s for s in deck.cards if s is not server]
+        pool.turns = [s for s in pool.turns if s is not server]
 
     def _blame(self, server: Server, cls: RequestClass, crowd: bool) -> None:
         """A failure of one that answers well otherwise is that answer's, of one that serves other classes
@@ -299,7 +299,7 @@
         server.trust *= 1 - 1 / TRUST_MEMORY
         self._suspect(server, blame)
         if crowd:  # a zone that is shut as a whole must let its traffic go
-            self._deck(server).crowding.unreachable()
+            self._pool(server).crowding.unreachable()
 
     def _late_after(self, cls: RequestClass) -> int:
         return self.usual.get(cls.name, UNKNOWN).overrun_after(cls.aim)
@@ -318,7 +318,7 @@
         crowd there is. One that is cold is slow for that."""
         if self._frail(server):
             return
-        crowding = self._deck(server).crowding
+        crowding = self._pool(server).crowding
         if self.now - server.heard_at > cls.aim:
             self._suspect(server, LATE_BLAME * (1 - crowding.pressure))
         if server.out_until <= self.now and not self.usual.get(cls.name, UNKNOWN).known():
@@ -328,9 +328,9 @@
 
     def _rebuild(self) -> None:
         """KEP-4444, PreferClose: ready servers of the own zone, else all ready servers."""
-        for deck in (self.near, self.far):
-            self._settle(deck)
-            deck.cards = []
+        for pool in (self.near, self.far):
+            self._settle(pool)
+            pool.turns = []
         ready = [s for s in self.servers.values() if s.ready]
         self.near.servers = [s for s in ready if s.zone == self.settings.zone]
         self.far.servers = [s for s in ready if s.zone != self.settings.zone]
@@ -354,82 +354,82 @@
         settings = self.settings
         if settings.balancers > LATELY or not self._frail(server):
             return 0
-        size, deck = self._size(server), self._deck(server)
+        size, pool = self._size(server), self._pool(server)
         asked = size * settings.balancers * settings.safety.fall_after / (self.gap or inf)
-        if not size or asked > LATELY * deck.size:
+        if not size or asked > LATELY * pool.size:
             return 0
         budget = settings.safety.fall_multiple * self._able(server) * asked / max(1, self.near.size + self.far.size)
         part = int((2 * sqrt(budget) + 2) / settings.balancers)
-        return part if asked <= part * settings.balancers * deck.size else 0
+        return part if asked <= part * settings.balancers * pool.size else 0
 
     def _size(self, server: Server) -> float:
         return server.weight if self.settings.capacity_known else 1.0
 
-    def _settle(self, deck: Deck) -> float:
-        return deck.settle(self.now, self.settings.safety.warm_within // 2, sum(map(self._size, deck.servers)))
+    def _settle(self, pool: Pool) -> float:
+        return pool.settle(self.now, self.settings.safety.warm_within // 2, sum(map(self._size, pool.servers)))
 
     def _share(self, server: Server) -> float:
         """A server's part of the spread: its size, less what it cannot do while it is cold, and less again in a crowd,
         whose repeats multiply what arrives. So the balancers together send it no more than it can do."""
         size, able = self._size(server), self._able(server)
-        crowd = self._deck(server).crowding.pressure
+        crowd = self._pool(server).crowding.pressure
         return size if able >= 1 or self._harmless(server) else size * able * (1 - crowd)
 
-    def _ensure(self, deck: Deck) -> None:
-        """Cards to draw, and a warmth that holds now: cold servers warm while a deck of theirs is hardly drawn from."""
-        if not deck.cards or (deck.warmth < 1 and self.now - deck.dealt_at >= self.settings.safety.fall_after):
-            self._deal(deck)
-
-    def _deal(self, deck: Deck) -> None:
-        """Shuffle a new deck: one card a server on average, each by its share, at random only in the rest."""
-        servers = [s for s in deck.servers if s.out_until <= self.now]
-        if 2 * len(servers) < len(deck.servers):
-            servers = deck.servers[:]  # the panic threshold again: servers may have left since
-        if deck is self.far and self.near.servers:
+    def _refresh(self, pool: Pool) -> None:
+        """Turns to take, and a warmth that holds now: cold servers warm while a pool of theirs is hardly drawn from."""
+        if not pool.turns or (pool.warmth < 1 and self.now - pool.round_began_at >= self.settings.safety.fall_after):
+            self._begin_round(pool)
+
+    def _begin_round(self, pool: Pool) -> None:
+        """A new round: one turn a server on average, each by its share, at random only in the rest."""
+        servers = [s for s in pool.servers if s.out_until <= self.now]
+        if 2 * len(servers) < len(pool.servers):
+            servers = pool.servers[:]  # the panic threshold again: servers may have left since
+        if pool is self.far and self.near.servers:
             # What overflows is a crowd's, of no known size: only a cold server's own zone may feed it.
             servers = [s for s in servers if not self._frail(s)]
         if not servers:
             return
-        deck.cards = []
-        deck.dealt_at = self.now
+        pool.turns = []
+        pool.round_began_at = self.now
         self.random.shuffle(servers)
         shares = [self._share(s) for s in servers]
         total = sum(shares)
         # Servers set aside, or gone of late, count in the whole while some are cold: these must not get their part.
         whole = sum(self._size(s) for s in servers)
         if any(self._frail(s) for s in servers):
-            whole = max(whole, self._settle(deck))
-        deck.warmth, deck.all_frail = total / whole, all(map(self._frail, servers))
+            whole = max(whole, self._settle(pool))
+        pool.warmth, pool.all_frail = total / whole, all(map(self._frail, servers))
         scale, point = len(servers) / total, self.random.random()
         for server, share in zip(servers, shares, strict=True):
             point -= share * scale
             while point < 0:
-                deck.cards.append(server)
+                pool.turns.append(server)
                 point += 1
-        self.random.shuffle(deck.cards)
+        self.random.shuffle(pool.turns)
 
     def _next(self, cls: RequestClass) -> Server | None:
-        """Blind to load: deal from the zone's deck, from the other zones' where the zone has no server. A zone whose
+        """Blind to load: the next turn of the own zone, or of the other zones where that has no server. A zone whose
         servers are cold keeps what they can do and lets the rest overflow, which would push them over."""
-        deck = self.near if any(s.out_until <= self.now for s in self.near.servers) else self.far
-        deck = deck if deck.servers else self.near
-        if not deck.servers:
+        pool = self.near if any(s.out_until <= self.now for s in self.near.servers) else self.far
+        pool = pool if pool.servers else self.near
+        if not pool.servers:
             return None
-        for server in self.back if deck is self.near else ():
+        for server in self.back if pool is self.near else ():
             if self._is_due(server, cls):
                 return server
-        self._ensure(deck)
-        away = shed = 1 - deck.warmth * (1 - deck.crowding.pressure)
-        if deck is self.near and self.far.servers:
-            self._ensure(self.far)
-            if self.far.cards:
+        self._refresh(pool)
+        away = shed = 1 - pool.warmth * (1 - pool.crowding.pressure)
+        if pool is self.near and self.far.servers:
+            self._refresh(self.far)
+            if self.far.turns:
                 far = self.far.crowding
-                shed *= far.pressure if deck.all_frail else deck.crowding.turned_away(far)
+                shed *= far.pressure if pool.all_frail else pool.crowding.turned_away(far)
         if self._sheds(cls, shed):
             return None
-        if deck is self.near and self.random.random() * (1 - shed) < away - shed:
-            deck = self.far
-        drawn = self._draw(deck, cls) or (self._draw(self.far, cls) if deck is self.near else None)
+        if pool is self.near and self.random.random() * (1 - shed) < away - shed:
+            pool = self.far
+        drawn = self._draw(pool, cls) or (self._draw(self.far, cls) if pool is self.near else None)
         if drawn is not None:
             return drawn
         up = [s for s in self.near.servers + self.far.servers if s.out_until <= self.now]
@@ -492,18 +492,18 @@
         record.row = min(LONGEST_ROW, record.row + 1) if failed else 0
         record.at = self.now
 
-    def _draw(self, deck: Deck, cls: RequestClass) -> Server | None:
-        """The next card of a server that can take a call; where none is left, one more deal."""
+    def _draw(self, pool: Pool, cls: RequestClass) -> Server | None:
+        """The next turn of a server that can take a call; where none is left, one more round."""
         for _ in range(2):
-            for _ in range(min(DRAWS, len(deck.cards))):
-                server = deck.cards.pop()
+            for _ in range(min(MOST_TURNS, len(pool.turns))):
+                server = pool.turns.pop()
                 if self._has_room(server, cls) and self._sound(server, cls) and not self._slow(server, cls):
                     return server
                 if self._frail(server):
-                    deck.cards.insert(0, server)  # its turn comes when its distance is kept
-            if deck.cards or not any(self._has_room(s, cls) for s in deck.servers):
+                    pool.turns.insert(0, server)  # its turn comes when its distance is kept
+            if pool.turns or not any(self._has_room(s, cls) for s in pool.servers):
                 return None
-            self._deal(deck)
+            self._begin_round(pool)
         return None
 
     def _has_room(self, server: Server, cls: RequestClass) -> bool:
@@ -516,7 +516,7 @@
             # fall_multiple times closer together than an even spread has it, no more: what others are passed over for,
             # or what comes again, would push it over. Balancers begin at moments of their own, or they do so at once.
             rate = fall_multiple * self._size(server) * able  # 0: nothing is for it
-            apart = self.gap * self._deck(server).size * (server.phase if server.sent_at < server.told_at else 1)
+            apart = self.gap * self._pool(server).size * (server.phase if server.sent_at < server.told_at else 1)
             if (self.now - max(server.sent_at, server.told_at)) * rate < apart:
                 calls = self._harmless(server)
                 if not calls or server.lately[-calls] > self.now - self.settings.safety.fall_after:
@@ -618,7 +618,7 @@
         tries.append(attempt)
         self.tries[call.id, len(tries) - 1] = attempt
         if not self._frail(server) and server.out_until <= self.now:  # else it is slow for reasons of its own
-            attempt.counted = self._deck(server).crowding.count(self.usual.get(cls.name, UNKNOWN).counted(cls.aim))
+            attempt.counted = self._pool(server).crowding.count(self.usual.get(cls.name, UNKNOWN).counted(cls.aim))
         self.actions.append(Attempt(call.id, server.address, call.deadline, send_by))
         self.actions.append(Timer(self._late_after(cls), f"{LATE_TAG}{len(tries) - 1}:{call.id}", call.id))
         return True
@@ -636,11 +636,11 @@
         elif event.outcome is Outcome.CONNECT_FAILED:
             done.server.full_until = self.now + int(call.cls.aim * SHUT_FOR)
         if event.outcome is Outcome.FULL and not self._frail(done.server):
-            self._deck(done.server).crowding.refused()
+            self._pool(done.server).crowding.refused()
         elif event.outcome is Outcome.OK and not done.late:
             self._answered(done, event.elapsed)
         elif event.outcome is Outcome.TIMED_OUT and done.late and done.sent_at >= done.server.heard_at:
-            self._suspect(done.server, LATE_BLAME * (1 - self._deck(done.server).crowding.pressure))
+            self._suspect(done.server, LATE_BLAME * (1 - self._pool(done.server).crowding.pressure))
         elif event.outcome is Outcome.TIMED_OUT and not done.late:
             self._overrun(done.server, done.cls)
         done.out = False
@@ -722,8 +722,8 @@
         aim: a new try has a chance of its own soon, and one that comes too late only adds to the next crowd."""
         if not self.settings.retry_after:
             return 0
-        deck = self.near if self.near.servers else self.far
-        away = 1 - deck.warmth * (1 - deck.crowding.pressure)
+        pool = self.near if self.near.servers else self.far
+        away = 1 - pool.warmth * (1 - pool.crowding.pressure)
         return min(self.settings.max_retry_after, int(cls.aim * COME_BACK * max(away, LEAST_AWAY)))
 
     def _forget(self, request_id: str) -> None:
