FLEET names the member a sidecar follows; a test read that from a log that leaves out repeats

That event is said once in 10 s for each member, so a sidecar that comes back to a member within 10 s follows it while its log ends with another one.

Change: `FLEET` answers `follows=`, from the first news a member has told until it is lost. The test waits for that, as strict as before, and another one goes round three voters in under 10 s.

--- a/loftweir/replication/follower.py
+++ b/loftweir/replication/follower.py
@@ -74,6 +74,7 @@
         self.members: frozenset[str] = frozenset()  # ids of the ones followed
         self.leader = ""
         self.member = ""  # who is asked
+        self.follows = ""  # the member whose news it takes; empty: none has told it any yet
         self.known_at: int | None = None  # when what is held was last known to be of a leader with a majority
         self.random = Random(f"{name} {id}")
         self.over = False
@@ -110,6 +111,7 @@
                 why = "silent"
             except (OSError, LoftweirError) as error:
                 why = str(error) or type(error).__name__
+            self.follows = ""
             say(REPLICATION_LOST, member=self.member, why=why)
             turn += 1
             if self.loop.now() - begun_at > self.options.follow_wait + SILENT_AFTER:
@@ -135,6 +137,7 @@
                 raise Gap(f"not news: {type(news).__name__}", self.member)
             yield from self._take(line, news, after)
             if first:
+                self.follows = self.member
                 say(REPLICATION_FOLLOWS, member=self.member, index=self.machine.index, behind=news.index - after)
             first = False
 
--- a/loftweir/replication/part.py
+++ b/loftweir/replication/part.py
@@ -283,9 +283,12 @@
 
     def line(self) -> str:
         """How it stands, in one line."""
-        role, term, leader = "follows", "-", self.follower.leader if self.follower is not None else ""
+        role, term, leader, followed = "follows", "-", "", ""
+        if self.follower is not None:
+            leader, followed = self.follower.leader, self.follower.follows
         if self.voter is not None:
             role, term, leader = self.voter.core.role.value, str(self.voter.core.term), self.voter.leader()[0]
         age = self.age()
         aged, out = "-" if age is None else str(age // MS), ",".join(self.out())
-        return f"role={role} leader={leader or '-'} term={term} index={self.index} age_ms={aged} out={out or '-'}"
+        member = f"role={role} leader={leader or '-'} follows={followed or '-'} term={term}"
+        return f"{member} index={self.index} age_ms={aged} out={out or '-'}"
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -204,18 +204,30 @@
         self.up(followers=3, follow_wait="200ms")
         load = Load(self, 3, operators=3).start()
         for name in ("f0", "f1", "f2"):
-            at = self.sidecars[name].logged("replication.follows")[-1]["member"]
+            sidecar = self.sidecars[name]
+            at = self.wait(lambda s=sidecar: s.stands().get("follows", "-").strip("-"))
             if name == "f2":
                 self.link[name, at].silence()
             else:
                 self.kill(at)
-            sidecar = self.sidecars[name]
-            self.wait(lambda s=sidecar, at=at: s.logged("replication.follows")[-1]["member"] != at, 20)
+            self.wait(lambda s=sidecar, at=at: s.stands().get("follows", "-") not in ("-", at), 20)
             before = len(self.oracle.promises)
             self.wait(lambda before=before: len(self.oracle.promises) > before + 10, 20)
             self.resume()
         self.at_rest(load)
 
+    def test_a_follower_tells_whom_it_follows_also_when_it_comes_back_to_a_member_within_seconds(self):
+        self.up(voters=3, followers=1, follow_wait="200ms")
+        follower = self.sidecars["f0"]
+        followed = []
+        for _ in range(4):  # of three voters: at least one for the second time
+            at = self.wait(lambda: follower.stands().get("follows", "-").strip("-"))
+            followed.append(at)
+            self.link["f0", at].refuse()
+            self.wait(lambda at=at: follower.stands().get("follows", "-") not in ("-", at))
+            self.link["f0", at].heal()
+        self.assertLess(len(set(followed)), len(followed))
+
 
 class DiskTest(Faults):
     def test_who_lost_the_disk_is_another_member_and_the_old_one_is_turned_away(self):
