A server that holds more calls than its peers is passed over; pressure has one bound

Change: a server's turn goes to its peers while it holds 1.25 times the mean of what the balancer has out, and one (bounded loads, Mirrokni et al. 2018); LOW is out, pressure falls below HIGH; FALL 15 to 8 steps.

--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -53,6 +53,7 @@
 FULL_FOR, SHUT_FOR = 0.25, 1.0  # aims to pass over one that turned a call away, or took no connection
 LATELY, WAIT_FADES = 16, 3  # calls to a server whose times are kept; fall_afters in which half of its wait is forgotten
 GAP_FROM, COME_AGAIN = 4, 3  # fall_afters that make the time between requests known; till then, how often a client asks
+MOST_HELD = 1.25  # of the mean that servers hold of this balancer's calls, a server may hold, and one more
 MOST_TURNS = 32  # turns that one request looks at: where so many servers are cold and have had theirs, all have
 MIX_MEMORY = 64  # requests over which the parts of the classes are taken
 RETRY_PART, RETRY_BURST = 0.25, 5.0  # further attempts earned by each request, and how many may be saved up
@@ -432,8 +433,7 @@
         drawn = self._draw(pool, cls) or (self._draw(self.far, cls) if pool is self.near else None)
         if drawn is not None:
             return drawn
-        up = [s for s in self.near.servers + self.far.servers if s.out_until <= self.now]
-        up = [s for s in up if not self._frail(s)]
+        up = [s for s in self.near.servers + self.far.servers if s.out_until <= self.now and not self._frail(s)]
         mean = sum(part * self.settings.classes[name].worth for name, part in self.mix.items())
         if cls.worth >= mean * (1 - 1e-9):
             # What is worth most is sent as long as it may be in time at all: the rest left it that room.
@@ -493,11 +493,14 @@
         record.at = self.now
 
     def _draw(self, pool: Pool, cls: RequestClass) -> Server | None:
-        """The next turn of a server that can take a call; where none is left, one more round."""
+        """The next turn of a server that can take a call; where none is left, one more round. One that holds more calls
+        than its peers is slower than they are: its turn goes to them, as in bounded loads (Mirrokni et al., 2018)."""
+        most = 1 + MOST_HELD * len(self.tries) / max(1, len(pool.servers))
         for _ in range(2):
             for _ in range(min(MOST_TURNS, len(pool.turns))):
                 server = pool.turns.pop()
-                if self._has_room(server, cls) and self._sound(server, cls) and not self._slow(server, cls):
+                room = len(server.out) < most and self._has_room(server, cls)
+                if room and self._sound(server, cls) and not self._slow(server, cls):
                     return server
                 if self._frail(server):
                     pool.turns.insert(0, server)  # its turn comes when its distance is kept
@@ -709,11 +712,7 @@
     def _end(self, call: Call) -> None:
         """The final answer where none was served: a refusal where it is harmless, else a failure."""
         ran = call.may_have_run()
-        harmless = (
-            ran is None
-            or call.cls.effect is Effect.REPEATABLE
-            or (call.cls.effect is Effect.BY_KEY and call.cls.scope is Scope.ALL)
-        )
+        harmless = ran is None or call.cls.repeats_anywhere
         self.actions.append(Refuse(call.id, self._come_back(call.cls)) if harmless else Fail(call.id))
         self._forget(call.id)
 
--- a/loftweir/crowding.py
+++ b/loftweir/crowding.py
@@ -31,9 +31,9 @@
 
 MEMORY = 4  # steps over which the stretch is taken
 PRIOR = 3.0  # calls of one usual time that are counted beside those seen: one slow call alone is no crowd
-HIGH, LOW = 2.0, 1.6  # stretches from which pressure rises, and below which it falls
+HIGH = 2.0  # the stretch from which pressure rises, and below which it falls
 REFUSED = 5.0  # usual times that a call counts for which a server refused for want of room: one alone is no crowd
-RISE, FALL = 1, 15  # steps in which pressure goes from none to most at twice `HIGH`, and back below `LOW`
+RISE, FALL = 1, 8  # steps in which pressure goes from none to most at twice `HIGH`, and back below it
 MOST_PRESSURE = 0.95  # someone must be let in to tell when it is over
 
 LEAST_OPEN = 0.02  # the part of another group's overflow that is taken before any of it was answered
@@ -110,9 +110,8 @@
             self.pressure += (1 - self.pressure) * min(1.0, excess * passed / RISE)
             self.open *= 1 - passed / CLOSES
         else:
-            self.open *= 1 + passed / OPENS if wanted else 1 - passed / FORGETS
-        if self.stretch < LOW:
             self.pressure -= passed / FALL
+            self.open *= 1 + passed / OPENS if wanted else 1 - passed / FORGETS
         self.pressure = min(MOST_PRESSURE, max(0.0, self.pressure))
         self.open = min(1.0, max(LEAST_OPEN, self.open))
 
--- a/loftweir/interface.py
+++ b/loftweir/interface.py
@@ -251,6 +251,11 @@
     aim_stretch: float = 0.0  # the aim grows by this many times the request's work
     stream: bool = False
 
+    @property
+    def repeats_anywhere(self) -> bool:
+        """Whether a request that may have run can be sent again, to any server, with no second effect."""
+        return self.effect is Effect.REPEATABLE or (self.effect is Effect.BY_KEY and self.scope is Scope.ALL)
+
 
 @dataclass(slots=True, frozen=True)
 class Tenant:
