--- a/loftweir/crowding.py
+++ b/loftweir/crowding.py
@@ -23,8 +23,8 @@
 STEPS_OF_AIM = 8  # a step is this part of the mean aim: the time scale on which a queue costs worth,
 REQUESTS_OF_STEP = 2  # or longer, so that so many requests come in it
 
-USUAL_MEMORY = 32  # answers over which the time of answers is taken
-USUAL_FROM = 8  # answers of a class from which its usual time is known
+USUAL_MEMORY = 64  # answers over which the time of answers is taken
+USUAL_FROM = 16  # answers of a class from which its usual time is known
 USUAL_GROWTH = 300  # usual times in which the usual time doubles at the fastest: a queue is not the rule
 SHORTEST = 1 / 16  # of the aim: a queue of shorter times costs nobody an aim, and may be the noise of a busy machine
 OVERRUN = 4  # usual times from which one call says that its server is overrun; the group's stretch has no more of it
