--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -53,6 +53,7 @@
 FULL_FOR, SHUT_FOR = 0.25, 1.0  # aims to pass over one that turned a call away, or took no connection
 LATELY, WAIT_FADES = 16, 3  # calls to a server whose times are kept; fall_afters in which half of its wait is forgotten
 GAP_FROM, COME_AGAIN = 4, 3  # fall_afters that make the time between requests known; till then, how often a client asks
+MOST_HELD = 1.25  # of the mean of its peers, that a server holds beside one call until its turns go to them
 MOST_TURNS = 32  # turns that one request looks at: where so many servers are cold and have had theirs, all have
 MIX_MEMORY = 64  # requests over which the parts of the classes are taken
 RETRY_PART, RETRY_BURST = 0.25, 5.0  # further attempts earned by each request, and how many may be saved up
@@ -492,9 +493,9 @@
         record.at = self.now
 
     def _draw(self, pool: Pool, cls: RequestClass) -> Server | None:
-        """The next turn of a server that can take a call; where none is left, one more round. One that holds over one
-        call more than the mean is slower than its peers: its turn goes to them (bounded loads, Mirrokni et al.)."""
-        most = 1 + len(self.tries) / max(1, len(pool.servers))
+        """The next turn of a server that can take a call; where none is left, one more round. One that holds many
+        more calls than its peers is slower: its turn goes to them (bounded loads, Mirrokni et al., 2018)."""
+        most = 1 + MOST_HELD * len(self.tries) / max(1, len(pool.servers))
         for _ in range(2):
             for _ in range(min(MOST_TURNS, len(pool.turns))):
                 server = pool.turns.pop()
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -222,7 +222,7 @@
             held.append(attempt)
         else:
             balancer.handle(now + MS // 2, [ended(attempt, Outcome.OK, elapsed=MS // 2)])
-    assert len(held) == 2  # one more than the mean of these two over four servers
+    assert len(held) == 2  # 1 and `MOST_HELD` times the mean of these two over four servers
     for n in range(12):  # nobody answers any more: it takes its part
         now += MS
         held += attempts(balancer.handle(now, [request(f"s{n}")]))
