--- a/benchmarks/faults/fleet.py
+++ b/benchmarks/faults/fleet.py
@@ -347,7 +347,7 @@
 
 def operator_call(sidecar, line: str, within: float) -> tuple[str, bool]:
     """What is answered to a line, empty where nothing is, and whether it was sent."""
-    host, port = sidecar.desk.split(":")
+    host, port = sidecar.operator_address.split(":")
     sent = False
     with suppress(OSError), socket.create_connection((host, int(port)), timeout=1) as sock:
         sock.settimeout(within)
--- a/loftweir/catalog/hosts.py
+++ b/loftweir/catalog/hosts.py
@@ -93,7 +93,7 @@
         self.shared.give(self.key)
 
 
-class Desk:
+class NoDiscovery:
     """Discovery's side of a service's balancer: the sidecar's first one asks for them all."""
 
     def watch(self, on: bool) -> None: ...
@@ -199,7 +199,7 @@
     def _begin(self, service: Service) -> At:
         side = copy.copy(self.back)
         side.pool = Lane(self.back.pool, self.shared, service.key)
-        host = Host(self.loop, self._fitted(service), self.seed ^ crc32(service.key.encode()), side, Desk())
+        host = Host(self.loop, self._fitted(service), self.seed ^ crc32(service.key.encode()), side, NoDiscovery())
         host.invocations, host.overload = self.first.invocations, self.first.overload
         side.ended = host.ended
         at = self.ats[service.key] = At(host, Follower(self._grace()), service)
--- a/loftweir/emulator/emulation.py
+++ b/loftweir/emulator/emulation.py
@@ -9,12 +9,12 @@
 from loftweir.balance import Balancer
 from loftweir.emulator.clients import Clients
 from loftweir.emulator.context import BEGAN, LEAD, MS, SECOND, Context
+from loftweir.emulator.faults import FaultInjector
 from loftweir.emulator.fleet import Fleet
 from loftweir.emulator.instance import Instance, Make
 from loftweir.emulator.lists import Lists
 from loftweir.emulator.result import Result
 from loftweir.emulator.scenario import Scenario
-from loftweir.emulator.troubles import Troubles
 
 
 class Emulation:
@@ -32,7 +32,7 @@
             for _ in range(spec.count):
                 number = len(self.instances)
                 self.instances.append(Instance(self.context, self.clients, self.lists, number, make, spec))
-        Troubles(self.context, fleet, self.lists, self.clients, self.instances).schedule()
+        FaultInjector(self.context, fleet, self.lists, self.clients, self.instances).schedule()
 
     def play(self) -> Result:
         """Plays the run to its end, which is when the last request has its answer."""
--- a/loftweir/emulator/replication_world.py
+++ b/loftweir/emulator/replication_world.py
@@ -23,7 +23,7 @@
         super().__init__(seed, plan, make, same_id)
 
     def run(self) -> World:
-        """Troubles, then all is well again: what was promised must hold, and the copies must go on."""
+        """Faults, then all is well again: what was promised must hold, and the copies must go on."""
         self._calls()
         self.later(5 * MS, self.administer)
         if self.plan.troubles:
--- a/loftweir/emulator/scenario.py
+++ b/loftweir/emulator/scenario.py
@@ -126,7 +126,7 @@
     most: Annotated[int, time("", MS, HOUR)] = 25 * SECOND  # after so long it recovers anyway
 
 
-class Trouble(Table, frozen=True, kw_only=True):
+class InjectedFault(Table, frozen=True, kw_only=True):
     """Something that goes wrong, from `at` for `lasts`."""
 
     kind: Annotated[str, choice("", *KINDS)]
@@ -149,7 +149,7 @@
     classes: tuple[Class, ...]
     nodes: tuple[Nodes, ...]
     instances: tuple[Instances, ...]
-    troubles: tuple[Trouble, ...] = ()
+    troubles: tuple[InjectedFault, ...] = ()
 
 
 def decode(data: Mapping[str, Any], file: str = "scenario") -> Scenario:
--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -14,7 +14,7 @@
 from loftweir import listclock
 from loftweir.config.lists import NotAList, read_list
 from loftweir.config.model import Options
-from loftweir.errors import LoftweirError as Trouble
+from loftweir.errors import LoftweirError
 from loftweir.http1.strict import Strict
 from loftweir.interface import MembershipUpdate, UpdateKind
 from loftweir.net.loop import MS, Coroutine, Loop, Task, Wait
@@ -25,7 +25,7 @@
 PATH = "/catalog/members"
 
 
-class CallFailed(Trouble):
+class CallFailed(LoftweirError):
     """A call to discovery brought no list: says why. A sidecar serves on with the list that it holds."""
 
     remedy = "If it goes on, see that discovery runs at the address that is named and answers `GET /catalog/members`."
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -21,7 +21,7 @@
 from loftweir.listclock import LEAST
 from loftweir.net.loop import MS, READABLE, SECOND, WRITABLE, Coroutine, Loop, Task, Wait
 from loftweir.operations.address import DESCRIPTORS, Address
-from loftweir.operations.command_handler import CommandHandler as Desk
+from loftweir.operations.command_handler import CommandHandler
 from loftweir.state.disk import Disk
 from loftweir.state.sealed import Damaged
 from loftweir.state.snapshot import Choice, Holding, Snapshot, choose
@@ -76,8 +76,8 @@
         self.life = Life()
         self.life.changed = self._changed
         self.left_at = 0  # when the latest drain began
-        self.desk = Desk(loop, self.life, self.listed, self._takes_clients)
-        self.discovery = Discovery(loop, platform.discovery, options, self.desk.listed, platform.seed)
+        self.commands = CommandHandler(loop, self.life, self.listed, self._takes_clients)
+        self.discovery = Discovery(loop, platform.discovery, options, self.commands.listed, platform.seed)
         shared = max(int(platform.sockets * limits.consumers_of_sockets), 1)
         others = limits.other_sockets + (DESCRIPTORS if platform.operator else 0)
         self.fleet: Part | None = None
@@ -85,7 +85,9 @@
             # Here: a sidecar whose operator names no members has no use for it, and does not pay for it.
             from loftweir.replication import part
 
-            self.fleet = self.desk.fleet = part.Part(loop, platform.name, options.replication, self.desk.fleet_said)
+            self.fleet = self.commands.fleet = part.Part(
+                loop, platform.name, options.replication, self.commands.fleet_said
+            )
             others += part.descriptors(platform.name, options.replication)
         self.partners: Partners | None = None
         if sites is not None and self.fleet is not None:
@@ -94,7 +96,7 @@
             self.partners = partners.Partners(
                 loop, platform.name, options, sites, self.fleet, self._tell, self._settings
             )
-            self.desk.partners = self.partners
+            self.commands.partners = self.partners
             others += partners.descriptors(options.partners, sites)
         most_calls = max(platform.sockets - shared - others, 1)
         self.back = Back(loop, platform.settings, options, most_calls, int(memory * limits.answers_of_memory))
@@ -193,10 +195,10 @@
         for number in OBEYED:
             signal.signal(number, note)
         if platform.operator:
-            self.desk.begin(os.environ.get("TMPDIR"))
+            self.commands.begin(os.environ.get("TMPDIR"))
         if self.fleet is not None:
             self.fleet.recall()
-        self.desk.listed(known, addresses)
+        self.commands.listed(known, addresses)
         if platform.settings.discovery_pushes:
             # What the agent has counts as told from this process's first moment, and the platform's list is older.
             self.front.opens_at = self.loop.now() + LEAST
@@ -205,10 +207,10 @@
         else:
             self.front.inherit(platform.listen_fd)
         if platform.operator:
-            Address(self.loop, self.desk.do).listen(platform.operator)
-        if self.desk.store is not None:
-            self.desk.store.serve()
-        if self.desk.follows:
+            Address(self.loop, self.commands.do).listen(platform.operator)
+        if self.commands.store is not None:
+            self.commands.store.serve()
+        if self.commands.follows:
             # News bind soon after this process says that it is ready, and there is one of it: no crowd to spread.
             self.discovery.watch(True)
         self.discovery.push(platform.settings.discovery_pushes)
@@ -331,7 +333,7 @@
         last = now + min(longest, LONGEST_COUNTED) + SECOND
         latest = now + longest + SECOND  # SIGKILL may come far later: what was taken with more time still has it
         front.ends_at = last - ENDS_BEFORE
-        if self.desk.store is not None and not self.desk.store.alone():
+        if self.commands.store is not None and not self.commands.store.alone():
             front.stop_accepting()
         yield Wait(None, 0, now + limits.accept_after_term)
         while not front.stop_accepting() and self.loop.now() < front.ends_at:
--- a/tests/fleet_scene.py
+++ b/tests/fleet_scene.py
@@ -29,7 +29,7 @@
         self.folder.mkdir()
         (self.folder / "tmp").mkdir()
         self.copies = self.folder / "copies"  # what a voter keeps
-        self.listen, self.desk = fleet.free(), fleet.free()
+        self.listen, self.operator_address = fleet.free(), fleet.free()
         self.program = None
         self.fault = ""  # code that runs before the program
         self.more = ""  # text of the operator's file
@@ -48,7 +48,7 @@
             "name": self.name,
             "listen": self.listen,
             "discovery": catalog.address,
-            "operator": self.desk,
+            "operator": self.operator_address,
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.fleet.sockets},
             "known": json.loads(as_list(catalog.index, catalog.entries, True)),
@@ -100,7 +100,7 @@
 
     def call(self, line, timeout=10):
         """One line to its operators' address, and the line that answers; empty: none."""
-        host, port = self.desk.split(":")
+        host, port = self.operator_address.split(":")
         try:
             with socket.create_connection((host, int(port)), timeout=timeout) as sock:
                 sock.sendall(line.encode() + b"\n")
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -505,9 +505,9 @@
             with self.subTest(state=state, drain_first=drain_first):
                 gate = threading.Event()
                 with listener() as free:
-                    desk = address_of(free)
-                self.begin(held(gate), operator=desk)
-                host, port = desk.split(":")
+                    operator_address = address_of(free)
+                self.begin(held(gate), operator=operator_address)
+                host, port = operator_address.split(":")
                 out, comes, rests = self.connect(), self.connect(), self.connect()
                 out.sendall(REQUEST % b"out")
                 rests.sendall(b"GET /_health HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -11,7 +11,7 @@
 from loftweir.net.loop import Loop
 from loftweir.operations.calls import ARGUMENTS, LONGEST, Call, No, no, parse
 from loftweir.operations.calls import Command as Word
-from loftweir.operations.command_handler import CommandHandler as Desk
+from loftweir.operations.command_handler import CommandHandler
 from loftweir.operations.overlay import Overlay
 from loftweir.operations.record import HOUR, Record, read, written
 from loftweir.operations.record import LastCommand as Said
@@ -146,10 +146,10 @@
 
 def test_a_word_to_the_fleet_by_a_clock_that_is_ahead_leaves_no_provider_cold_for_as_long():
     loop, told = Loop(), []
-    desk = Desk(loop, Life(), lambda update, addresses: told.append(update), lambda: True)
-    desk.listed(full(endpoint("s0")), {"s0": "a:1"})
+    handler = CommandHandler(loop, Life(), lambda update, addresses: told.append(update), lambda: True)
+    handler.listed(full(endpoint("s0")), {"s0": "a:1"})
     for _ in range(2):
-        desk.fleet_said({"s0": Said(loop.now() + 3600 * SECOND, False)}, True)
+        handler.fleet_said({"s0": Said(loop.now() + 3600 * SECOND, False)}, True)
     assert len(told) == 2 and 0 < told[1].endpoints[0].started_at <= loop.now()
-    desk.fleet_said({"s0": Said(5, False)}, True)
+    handler.fleet_said({"s0": Said(5, False)}, True)
     assert told[2].endpoints[0].started_at == 5
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -220,7 +220,7 @@
         self.begin()
         self.assertRegex(sidecars["n0"].call("FLEET-DISABLE s0"), "^OK")
         leader = self.leader()
-        old, leader.desk, leader.listen = leader.program, self.free(), self.free()
+        old, leader.operator_address, leader.listen = leader.program, self.free(), self.free()
         self.addCleanup(old.wait, 10)
         self.addCleanup(old.kill)
         leader.start()  # beside the one before it, on the same folder and for the same address
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -28,7 +28,7 @@
         self.shared = Path(folder.name)
         self.door = listener()
         self.addCleanup(self.door.close)
-        self.desk = self.free()
+        self.operator_address = self.free()
         if self.left_behind:
             (self.shared / NAME).write_bytes(self.left_behind)
         self.start(*answers, listen=address_of(self.door), **changes)
@@ -39,20 +39,24 @@
         with listener() as sock:
             return address_of(sock)
 
-    def launch(self, desk=None, **environment):
+    def launch(self, operator_address=None, **environment):
         number = self.door.fileno()
-        shared = {"RELAY_LISTEN_FD": str(number), "RELAY_OPERATOR": desk or self.desk, "TMPDIR": str(self.shared)}
+        shared = {
+            "RELAY_LISTEN_FD": str(number),
+            "RELAY_OPERATOR": operator_address or self.operator_address,
+            "TMPDIR": str(self.shared),
+        }
         return super().launch(pass_fds=(number,), **(shared | environment))
 
     def beside(self):
         """A second process, ready."""
-        desk = self.free()
-        program = self.launch(desk)
-        self.assertTrue(eventually(lambda: self.call("READY", desk) == "OK"), self.log())
-        return program, desk
+        operator_address = self.free()
+        program = self.launch(operator_address)
+        self.assertTrue(eventually(lambda: self.call("READY", operator_address) == "OK"), self.log())
+        return program, operator_address
 
-    def call(self, line, desk=None):
-        host, port = (desk or self.desk).split(":")
+    def call(self, line, operator_address=None):
+        host, port = (operator_address or self.operator_address).split(":")
         try:
             with socket.create_connection((host, int(port)), timeout=5) as sock:
                 sock.sendall(line if isinstance(line, bytes) else f"{line}\n".encode())
@@ -79,7 +83,7 @@
             self.assertEqual(self.call(line), "ERR", line)
         for line in (b"READY\r\n", b"READY\nmore"):
             self.assertEqual(self.call(line), "OK", line)
-        host, port = self.desk.split(":")
+        host, port = self.operator_address.split(":")
         with socket.create_connection((host, int(port))) as sock:
             for byte in b"DISABLE s0\n":
                 sock.sendall(bytes([byte]))
@@ -92,7 +96,7 @@
 
     def test_it_answers_within_a_second_under_full_load_and_with_callers_that_finish_nothing(self):
         self.open(ok)
-        host, port = self.desk.split(":")
+        host, port = self.operator_address.split(":")
         open_ended = [socket.create_connection((host, int(port))) for _ in range(40)]
         for sock in open_ended:
             self.addCleanup(sock.close)
@@ -233,7 +237,7 @@
         try:
             old = self.program
             for _ in range(2):
-                new, self.desk = self.beside()
+                new, self.operator_address = self.beside()
                 old.send_signal(signal.SIGTERM)
                 self.assertEqual(old.wait(10), 0)
                 old = new
@@ -249,7 +253,7 @@
     def test_what_was_said_before_during_and_after_holds_in_both_processes(self):
         self.open(ok, ok, ok)
         self.assertEqual(self.call("DISABLE s0"), "OK")
-        first = self.desk
+        first = self.operator_address
         new, second = self.beside()
         self.assertEqual(self.call("DISABLE s1", first), "OK")
         self.assertTrue(eventually(lambda: len(self.logged("operator.record")) >= 4, 2), self.log())
@@ -262,12 +266,12 @@
         self.assertEqual(self.health(), 503)
         self.assertEqual(self.call("UNDRAIN", second), "OK")
         self.assertFalse(self.served_by(20)[1])
-        third, desk = self.beside()
+        third, operator_address = self.beside()
         new.kill()  # no end in good order: what was said holds all the same
         new.wait()
         self.assertTrue(eventually(lambda: self.health() == 200))
         self.assertFalse(self.served_by(20)[1])
-        self.assertEqual(self.call("ENABLE s1", desk), "OK")
+        self.assertEqual(self.call("ENABLE s1", operator_address), "OK")
         self.assertTrue(eventually(lambda: self.served_by(20)[1]))
 
     def test_a_new_process_that_fails_leaves_the_old_one_in_service(self):
@@ -289,10 +293,10 @@
             (self.shared / f"{NAME}.1").write_bytes(whole[:9])  # one that died between writing and renaming
             (self.shared / "new").write_bytes(damaged)
             os.rename(self.shared / "new", self.shared / NAME)
-            _, desk = self.beside()
+            _, operator_address = self.beside()
             self.assertTrue(eventually(lambda: self.healed()), self.log())
             self.assertEqual(self.served_by(12), [False, True], damaged)
-            self.assertEqual(self.call("READY", desk), "OK")
+            self.assertEqual(self.call("READY", operator_address), "OK")
         self.assertTrue(self.logged("operator.record_damaged"))
 
     def healed(self):
