Long answers held leave half of the room; tests for what survived being taken out

A reading of the change, with its parts taken out one at a time, found eight that no test missed: the fresh call a large fleet leaves out, its backoff, its size told at the start and at SIGHUP, the clock of news at a place that is not up, both bounds of answers held, and that `follows=` ends. Each has a test now that fails without it.

Two of them were faults. And a place that was left and not up set back the clock of the one moved to.

`FEW` is SMALL_FLEET, `push` of discovery is `use`.

--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -23,6 +23,7 @@
 from loftweir.net.stream import (
     READ_SIZE,
     Body,
+    NoRoom,
     NotUp,
     Room,
     TookTooLong,
@@ -361,9 +362,11 @@
         return self._outcome(head.status_code, head.reason, pairs, fields, body, reusable)
 
     def _part(self, wire: Strict, body: Body, known: int | None, begun_at: int, until: int) -> Coroutine[bytes | None]:
-        """The next part of an answer; None: a long one of unknown length has been held for long enough."""
+        """The next part of an answer; None: a long one of unknown length is not to be held any more."""
         hold_until = until
         if known is None and body.size > self.pool.options.limits.held:
+            if not self._may_hold(body):
+                return None
             hold_until = min(until, begun_at + HELD_FOR)
         try:
             return (yield from wire.part(hold_until))
@@ -372,15 +375,24 @@
                 raise
             return None
 
+    def _may_hold(self, body: Body) -> bool:
+        """Whether a long answer can be held further: the next part has its room by then, and half of all is left to
+        other answers."""
+        if self.room.left < self.room.size // 2:
+            return False
+        try:
+            body.reserve(body.size + READ_SIZE)
+        except NoRoom:
+            return False
+        return True
+
     def _is_passed_on(self, body: Body, known: int | None, begun_at: int) -> bool:
         """Whether an answer is passed on as it comes, and no longer held until it is whole. One of unknown length may
         be reset at any time: it is held for a while, so that its request is not owed the rest of it."""
         held = self.pool.options.limits.held
         if known is not None:
             return known > held
-        if self.loop.time - begun_at > HELD_FOR or body.size > HELD_UNKNOWN * held:
-            return True
-        return body.size > held and not self.room.has(READ_SIZE, body.size)
+        return self.loop.time - begun_at > HELD_FOR or body.size > HELD_UNKNOWN * held
 
     def _passed_on(
         self,
--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -95,7 +95,7 @@
         # fetched over and over, and every sidecar's calls queued behind these.
         self.version: int | None = None
         self.owed_since = loop.now()
-        self.callers = 1
+        self.callers = 1  # sidecars that ask, this one included
         self.late = 0  # calls given up whose answers are still heard
         self.watching: Task | None = None
         self.before: Task | None = None  # the watch at the place left, until the one that follows it stands
@@ -103,8 +103,8 @@
         # whatever the balancer says, and a watch that fails is set up again at once.
         self.pushed = False
 
-    def push(self, pushed: bool, callers: int = 1) -> None:
-        """Whether an agent pushes lists, and how many sidecars ask for them else."""
+    def use(self, pushed: bool, callers: int) -> None:
+        """From the settings: whether an agent pushes lists, and how many sidecars ask for them else."""
         self.pushed, self.callers = pushed, callers
         if pushed:
             self.watch(True)
@@ -258,7 +258,7 @@
             elif left > 1 and not end.answered:
                 left -= 1
                 yield Wait(None, 0, until)
-            elif end.silent and (end.answered or (not left and self.callers <= listclock.FEW)):
+            elif end.silent and (end.answered or (not left and self.callers <= listclock.SMALL_FLEET)):
                 left = listclock.ANEW
             else:
                 self._fail()
@@ -331,7 +331,8 @@
         try:
             return (yield from connect(self.loop, address, self._clock().connect, until))
         except NotUp:
-            self.owed_since = self.loop.now()  # it could not be reached until now
+            if address == self.address:
+                self.owed_since = self.loop.now()  # it could not be reached until now
             raise CallFailed("not up") from None
 
     def _call(self, sock: socket, target: str, until: int) -> Coroutine[Answer]:
--- a/loftweir/listclock.py
+++ b/loftweir/listclock.py
@@ -23,10 +23,10 @@
 on top of the backoff. Connecting counts as a part of the call that it is for. Where an agent pushes lists, a failed
 call is made anew after `apart`, and there is no backoff.
 
-More than `FEW` sidecars crowd discovery by such calls alone, when a change answers all their watches at once or all
-have just started: then nobody is answered in time. So they spread the first calls out over `FIRST_OF_MANY`, come again
-after a first failure no sooner than after others, and make a first call that fell silent anew after the backoff only:
-2 does not hold for them. Its answer is still heard if it comes.
+More than `SMALL_FLEET` sidecars crowd discovery by such calls alone, when a change answers all their watches at once or
+all have just started: then nobody is answered in time. So they spread the first calls out over `FIRST_IN_LARGE_FLEET`,
+come again after a first failure no sooner than after others, and make a first call that fell silent anew after the
+backoff only: 2 to 4 need not hold for them. Its answer is still heard if it comes.
 """
 
 from __future__ import annotations
@@ -44,7 +44,8 @@
 AGAIN = 2 * SECOND  # the longest backoff, from a failed call to the next one, whatever the settings allow; the first of
 # a row of failures is half as long at the most
 FIRST = 3 * SECOND  # the longest from a process's start to its first call
-FEW, FIRST_OF_MANY = 16, 5 * SECOND  # sidecars; the longest from the start to the first call where more of them call
+SMALL_FLEET = 16  # sidecars that call one discovery, at the most
+FIRST_IN_LARGE_FLEET = 5 * SECOND  # in place of `FIRST`, where more of them do
 SPREAD = 0.25  # of a wait, that it is shortened by at the most
 LATE = 4 * SECOND  # that the answer to a call that was given up is still heard, beside the next ones
 LATE_CALLS = 4  # of these at a time
@@ -73,7 +74,7 @@
 
 def first_within(callers: int) -> int:
     """The longest from the start of a process to its first call, of so many sidecars that call discovery."""
-    return FIRST if callers <= FEW else FIRST_OF_MANY
+    return FIRST if callers <= SMALL_FLEET else FIRST_IN_LARGE_FLEET
 
 
 def held(wait: int, chance: float) -> int:
@@ -104,5 +105,5 @@
     not where there is time for more, or many call: who was answered a moment ago leaves a busy discovery to the others.
     """
     longest = min(ask_within, AGAIN)
-    soon = callers <= FEW and failures == 1 and (age is None or age > WITHIN - 2 * AGAIN)
+    soon = callers <= SMALL_FLEET and failures == 1 and (age is None or age > WITHIN - 2 * AGAIN)
     return (longest // 2, 0) if soon else (longest, longest // 2)
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -170,7 +170,7 @@
         if self.catalog is not None:
             self.catalog.use(services if same_site and same_catalog else None)
         self.discovery.move(discovery)
-        self.discovery.push(settings.discovery_pushes, settings.balancers)
+        self.discovery.use(settings.discovery_pushes, settings.balancers)
 
     # ---- life -----------------------------------------------------------------------------------
 
@@ -213,7 +213,7 @@
         if self.commands.follows:
             # News bind soon after this process says that it is ready, and there is one of it: no crowd to spread.
             self.discovery.watch(True)
-        self.discovery.push(platform.settings.discovery_pushes, platform.settings.balancers)
+        self.discovery.use(platform.settings.discovery_pushes, platform.settings.balancers)
         if self.partners is not None:
             self.partners.start()
         if self.fleet is not None:
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -415,6 +415,11 @@
                 self.assertEqual((status, body, outcome), (502, b"failed\n", "reset"))
                 self.assertLess(took, 1)
 
+    def test_one_of_no_known_length_is_begun_before_that_once_it_is_far_over_what_is_held(self):
+        longer = os.urandom(400_000)
+        status, body, _, outcome = self.one(NO_LENGTH + longer, reset, after=0.1)
+        self.assertEqual((status, body, outcome), (200, None, "ok"))
+
     def test_a_length_beside_chunks_does_not_frame_what_is_passed_on(self):
         """RFC 9112, 6.3: Transfer-Encoding goes before it. By the length, the rest would be the next answer."""
         long = os.urandom(100_000)
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -250,6 +250,22 @@
     return balancer, now
 
 
+def test_one_server_overrun_long_before_its_aim_gets_little_and_nothing_is_turned_away():
+    balancer, now = learnt()
+    sent, out = [], []
+    for n in range(400):
+        now += 25 * MS
+        for end, began, attempt in sorted(out, key=lambda call: call[0]):
+            if end <= now:
+                balancer.handle(now, [ended(attempt, Outcome.OK, elapsed=end - began)])
+        out = [call for call in out if call[0] > now]
+        for attempt in attempts(balancer.handle(now, [request(f"r{n}", patience=3 * AIM)])):
+            sent.append(attempt.server)
+            out.append((now + (8 * USUAL if attempt.server == "a0" else USUAL), now, attempt))
+    assert sent.count("a0") < 20, "an even share were 67"
+    assert len(sent) == 400
+
+
 def test_where_all_are_slow_long_before_their_aim_some_are_turned_away():
     balancer, now = learnt()
     refused, out = 0, []
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -227,6 +227,9 @@
             self.wait(lambda at=at: follower.stands().get("follows", "-") not in ("-", at))
             self.link["f0", at].heal()
         self.assertLess(len(set(followed)), len(followed))
+        for voter in self.voters:
+            self.link["f0", voter].refuse()
+        self.wait(lambda: follower.stands().get("follows") == "-")
 
 
 class DiskTest(Faults):
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -10,15 +10,16 @@
 from functools import partial
 
 import pytest
-from scene import SETTINGS, Scene, as_list, eventually, reply
+from scene import SETTINGS, Party, Scene, as_list, eventually, reply
 from support import MS, SECOND, make, of, settings
 
 from loftweir import listclock
 from loftweir.config.model import MINUTE, Options, contradictions
 from loftweir.config.model import Discovery as Figures
 from loftweir.http1.discovery import Answer, CallFailed, Discovery, Silent
-from loftweir.interface import MembershipUpdate, Timer, TimerFired, UpdateKind, Watch
+from loftweir.interface import MembershipUpdate, Outcome, Timer, TimerFired, UpdateKind, Watch
 from loftweir.net.loop import Wait
+from loftweir.net.stream import NotUp
 
 GRACE = 750 * MS
 
@@ -75,7 +76,7 @@
         safety = replace(settings().safety, ask_within=ask_within)
         self.balancer = make(seed, discovery_pushes=False, safety=safety, balancers=callers)
         super().__init__(self.loop, "here", options, self._told)
-        self.push(False, callers)
+        self.use(False, callers)
         self.version = 1
 
     def _told(self, update, _):
@@ -170,7 +171,7 @@
         ask_within = rng.choice([2, 10, 60]) * SECOND
         self.calls = Calls(options, self, 1 << 62 if self.just_after else self.changes, ask_within, rng.random())
         if pushed:
-            self.calls.push(True)
+            self.calls.use(True, 1)
         else:
             self.calls.watch(True)
 
@@ -387,6 +388,61 @@
     assert late_readings(6, 400 * MS, 6 * SECOND) <= 25
 
 
+@pytest.mark.parametrize("callers", [1, listclock.SMALL_FLEET, listclock.SMALL_FLEET + 1, 200])
+def test_in_a_large_fleet_only_a_watch_that_stood_is_made_anew_at_once(callers):
+    options, small = Options(), callers <= listclock.SMALL_FLEET
+    silent = Calls(options, lambda now, until, held: ("silent", 0), callers=callers)
+    silent.watch(True)
+    silent.loop.run(10 * SECOND)
+    apart = silent.asked_at[1] - silent.asked_at[0]
+    least, most = (0, 0) if small else (listclock.AGAIN // 2, listclock.AGAIN)
+    assert least <= apart - options.discovery.answer_within <= most
+
+    stands = Calls(options, lambda now, until, held: ("silent" if held else "good", MS), callers=callers)
+    stands.watch(True)
+    stands.loop.run(10 * SECOND)
+    figures = options.discovery
+    answered_at, anew_at = stands.asked_at[0] + MS, stands.asked_at[2]
+    assert anew_at - answered_at <= figures.calls_apart + figures.wait + figures.silent_after
+
+
+def test_a_first_failure_is_made_good_soon_only_in_a_small_fleet_whose_list_is_old():
+    soon, later = (listclock.AGAIN // 2, 0), (listclock.AGAIN, listclock.AGAIN // 2)
+    old, large = listclock.WITHIN - listclock.AGAIN, listclock.SMALL_FLEET + 1
+    for failures, age, callers, expected in (
+        (1, None, 1, soon),
+        (1, old, 1, soon),
+        (1, old, listclock.SMALL_FLEET, soon),
+        (1, old, large, later),
+        (1, None, large, later),
+        (1, SECOND, 1, later),
+        (2, old, 1, later),
+        (2, None, 1, later),
+    ):
+        assert listclock.backoff(MINUTE, failures, age, callers) == expected, (failures, age, callers)
+
+
+def test_news_are_owed_from_when_discovery_can_be_reached(monkeypatch):
+    """What it had before counts as told so long after; that the place left is not up says nothing of this one."""
+
+    def connect(loop, address, within, until):
+        yield Wait(None, 0, loop.now() + 300 * MS)
+        raise NotUp(Outcome.CONNECT_FAILED)
+
+    monkeypatch.setattr("loftweir.http1.discovery.connect", connect)
+    clock, told = Clock(), []
+    caller = Discovery(clock, "here", Options(), lambda update, _: told.append((clock.now(), update.age)))
+    for start in (10 * SECOND, 20 * SECOND):
+        clock.time = start
+        caller.watch(True)
+        clock.run(start + SECOND)
+    assert told == [(10 * SECOND + 300 * MS, 0), (20 * SECOND + 300 * MS, 0)]
+    clock.time = 30 * SECOND
+    with pytest.raises(CallFailed):
+        list(caller._connect("left", 31 * SECOND))
+    assert clock.now() - caller.owed_since > 9 * SECOND
+
+
 def test_many_sidecars_do_not_crowd_discovery_by_asking_anew_at_once():
     """32 that start together before some eleven answers a second, and a change every 3 s: with what few sidecars do,
     3,988 of 4,000 readings of changes were late."""
@@ -436,6 +492,32 @@
         self.assertTrue(eventually(lambda: calls, 5))
         self.is_read_in_time(calls[0])
 
+    def first_call_and_next(self, balancers, reloaded):
+        """How far the next call comes after a first one that falls silent, at the start or at a place moved to."""
+        settings = SETTINGS | {"balancers": balancers}
+        gate, calls = threading.Event(), []
+        self.addCleanup(gate.set)
+        silent = Party(lambda head, _: calls.append(time.monotonic()) or gate.wait(30) and b"")
+        self.addCleanup(silent.close)
+        self.start(lambda head, body: reply(200, b"0"))
+        self.config |= {"discovery": silent.address, "settings": settings}
+        if reloaded:
+            self.reload(json.dumps(self.config))
+        else:
+            self.program.kill()
+            self.program.wait(10)
+            self.path.write_text(json.dumps(self.config), encoding="utf-8")
+            self.environment |= {"RELAY_DISCOVERY": silent.address}
+            self.program = self.launch()
+        self.assertTrue(eventually(lambda: len(calls) > 1, 15), self.log())
+        return calls[1] - calls[0]
+
+    def test_the_size_of_the_fleet_is_told_at_the_start_and_by_new_settings(self):
+        for reloaded in (False, True):
+            with self.subTest(reloaded=reloaded):
+                self.assertLess(self.first_call_and_next(2, reloaded), 1.4 + 0.6)
+                self.assertGreater(self.first_call_and_next(listclock.SMALL_FLEET + 1, reloaded), 1.4 + 0.9)
+
     def test_a_silent_watch(self):
         self.falls_silent(lambda gate: gate.wait(30) and b"")
 
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -8,7 +8,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-from scene import KEYED, ONCE, SECOND, SETTINGS, Scene, address_of, entry, eventually, held, listener, ok, reply
+from scene import KEYED, ONCE, READ, SECOND, SETTINGS, Scene, address_of, entry, eventually, held, listener, ok, reply
 
 MIB = 1024 * 1024
 HEAD = b"POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: %s\r\nReq-Kind: apply-submit\r\n"
@@ -245,3 +245,23 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class LittleRoomTest(Scene):
+    """Room for 1.4 MB of long answers at a time."""
+
+    operator = '[limits]\nanswers_of_memory = "1%"\n'
+
+    def test_long_ones_of_no_known_length_are_passed_on_at_once_where_room_is_short(self):
+        long, together = os.urandom(250_000), 12
+
+        def answer(head, body):
+            yield b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(long), long)
+            time.sleep(0.1)  # the end comes before any has been held for its time
+            yield b"0\r\n\r\n"
+
+        self.start(answer)
+        with ThreadPoolExecutor(together) as pool:
+            answers = list(pool.map(lambda _: self.invoke(READ)[:2], range(together)))
+        self.assertEqual([status for status, _ in answers], [200] * together)
+        self.assertTrue(all(body == long for _, body in answers))
