Tests: an address left to a program is outside the ports of connections

Cause: `scene.listener` took any port from the system and closed it; until the program listened there, a connection or another listener of a test beside it could be given the same port.

--- a/tests/pages.py
+++ b/tests/pages.py
@@ -11,7 +11,6 @@
 import select
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tomllib
@@ -19,7 +18,7 @@
 from contextlib import chdir, suppress
 from doctest import ELLIPSIS, OutputChecker
 
-from scene import ROOT
+from scene import ROOT, listener
 from sybil import Document, Example, Region
 from sybil.evaluators.doctest import DocTestEvaluator
 from sybil.evaluators.python import PythonEvaluator
@@ -328,5 +327,5 @@
 
 
 def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as free:
+    with listener() as free:
         return str(free.getsockname()[1])
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -16,6 +17,9 @@
 
 ROOT = Path(__file__).parent.parent
 MS, SECOND = 1_000_000, 1_000_000_000
+LEAST_PORT, PORT_TRIES = 10_000, 1_000
+FIRST_EPHEMERAL_PORT = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+CHOICE = random.SystemRandom()  # tests seed the common one
 READ, ONCE, KEYED = "status-read", "apply-submit", "place-confirm"
 
 
@@ -58,7 +62,12 @@
 
 
 def listener():
-    return socket.create_server(("127.0.0.1", 0))
+    """A listening socket. Many are closed at once, and their address is left to a program that starts a moment later:
+    so it has none of the ports that the system gives to connections, or to whoever asks for any port."""
+    for _ in range(PORT_TRIES):
+        with suppress(OSError):
+            return socket.create_server(("127.0.0.1", CHOICE.randrange(LEAST_PORT, FIRST_EPHEMERAL_PORT)))
+    raise OSError("no free port was found")
 
 
 def address_of(sock):
