Discovery: a watch goes on from an answer that comes late; many take turns at first calls

Evidence: `discovery.call` (debug, new) tells what each call met. One sidecar was refused seven times, then three times over given up after 1.4 s and answered after 3.0 s, and never came to a watch in 16 s. Answers to new watches come 0.25 s apart however many wait, also with calls of standing watches answered between them.

Cause: the answer to a call that had been given up was told, and its connection closed. The sidecar made another new watch, 0.25 s of discovery's time, as late as the one before: 32 never had enough of it.

Ruled out: that discovery answers too few calls (all 32 watching, each change reaches all within 0.5 s); the time of refused calls (answers stay 0.25 s apart while ten a second are refused); the length of waits.

Change: `Discovery._outlast` goes on with the watch from a late answer where none stands. While one may still come, the next call waits for the longest backoff. More than 16 sidecars take turns at the first calls by `me`, over 5.9 s in place of random moments of 5 s. It holds since a late answer costs discovery nothing more, and the watch's next calls next to nothing.

--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -38,7 +38,7 @@
     UpdateKind,
     Watch,
 )
-from loftweir.listclock import backoff, first_within
+from loftweir.listclock import backoff, first_ask
 
 BLAMED = (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED)
 LATE_BLAME = 0.6  # of an attempt that hears nothing, when it is late and again when it times out: together enough
@@ -240,11 +240,11 @@
         ask = self.settings.safety.ask_within
         if update.kind is UpdateKind.FAILED:
             self.asking, self.failures_to_ask = False, self.failures_to_ask + 1
-            self._ask_in(*backoff(ask, self.failures_to_ask, update.age, self.settings.balancers))
+            self._ask_in(*backoff(ask, self.failures_to_ask, update.age, self.settings.balancers, update.heard))
             return
         if update.kind is UpdateKind.REMEMBERED:
             # Many balancers start together and discovery answers in turn: spread the first asks.
-            self._ask_in(ask // 2)
+            self._ask_in(*first_ask(ask, self.settings.balancers, self.settings.me))
         else:
             self.failures_to_ask = 0
         if update.kind is not UpdateKind.CHANGES:
@@ -260,11 +260,10 @@
         for call in list(self.held.values()):
             self._serve(call)
 
-    def _ask_in(self, most: int, least: int = 0) -> None:
+    def _ask_in(self, most: int, least: int) -> None:
         """Ask for a watch at a random moment, so that balancers do not ask in step, and in time (`listclock`)."""
         if not self.settings.discovery_pushes and not self.asking:
             self.asking = True
-            most = min(most, first_within(self.settings.balancers))
             self.actions.append(Timer(self.random.randint(least, most), DISCOVERY_TAG))
 
     # ---- health -----------------------------------------------------------------------------------
--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from random import Random
 from socket import socket
@@ -19,7 +20,7 @@
 from loftweir.interface import MembershipUpdate, UpdateKind
 from loftweir.net.loop import MS, Coroutine, Loop, Task, Wait
 from loftweir.net.stream import NotUp, TookTooLong, TooLarge, connect, send
-from loftweir.telemetry.catalogue import DISCOVERY_LIST, DISCOVERY_WATCH
+from loftweir.telemetry.catalogue import DISCOVERY_CALL, DISCOVERY_LIST, DISCOVERY_WATCH
 from loftweir.telemetry.log import say
 
 PATH = "/catalog/members"
@@ -56,6 +57,27 @@
     place: int  # where
     news: int  # how many lists had been told
     version: int | None  # past which changes were asked for; None: the whole list
+    at: int  # when, before its connecting
+
+
+@dataclass(slots=True)
+class LateCall:
+    """A call that was given up, and whose answer is still heard."""
+
+    sock: socket
+    place: int
+    address: str
+    asked: Asked
+    rest: Callable[[int], Coroutine[Answer]]  # waits on for the answer, until then
+    task: Task | None = None  # that does so
+
+
+class LateAnswer(NamedTuple):
+    """The answer to a call that was given up: a watch goes on from it, over its connection."""
+
+    sock: socket
+    asked: Asked
+    answer: Answer
 
 
 class End(NamedTuple):
@@ -97,6 +119,7 @@
         self.owed_since = loop.now()
         self.callers = 1  # sidecars that ask, this one included
         self.late = 0  # calls given up whose answers are still heard
+        self.standing: int | None = None  # the place at which a watch stands: some call of it was answered
         self.watching: Task | None = None
         self.before: Task | None = None  # the watch at the place left, until the one that follows it stands
         # Where an agent pushes lists, what it has counts as told whether asked or not: it is watched always,
@@ -150,7 +173,8 @@
         self._fail()
 
     def _fail(self) -> None:
-        self.told(MembershipUpdate(UpdateKind.FAILED, age=self.loop.now() - self.owed_since), {})
+        age = self.loop.now() - self.owed_since
+        self.told(MembershipUpdate(UpdateKind.FAILED, age=age, heard=self.late > 0), {})
 
     def _clock(self) -> listclock.Clock:
         options = self.options.discovery
@@ -215,7 +239,8 @@
     def _fetch(self) -> Coroutine[None]:
         clock = self._clock()
         for left in range(listclock.ANEW, -1, -1):
-            asked, address = Asked(self.place, self.news, None), self.address
+            asked = self._asked(self.place, None)._replace(version=None)
+            address = self.address
             until = self.loop.now() + (clock.first if left == listclock.ANEW else clock.fresh)
             try:
                 sock = yield from self._connect(address, until)
@@ -223,22 +248,24 @@
                 try:
                     answer = yield from self._call(sock, PATH, until)
                 except Silent as error:
-                    kept = self._hear_late(sock, asked, error)
+                    kept = self._hear_late(sock, self.place, address, asked, error)
                     raise
                 finally:
                     if not kept:
                         self.loop.close(sock)
             except CallFailed as error:
+                self._say_call(asked, 0, str(error))
                 say(DISCOVERY_LIST, why=error, address=address)
                 if not left or (left == listclock.ANEW and not isinstance(error, Silent)):
                     self._fail()
                     return
                 yield Wait(None, 0, until)
             else:
+                self._say_call(asked, 0, "answered")
                 self._hear(asked, answer, True)
                 return
 
-    def _follow(self, place: int, address: str, version: int | None) -> Coroutine[None]:
+    def _follow(self, place: int, address: str, version: int | None, late: LateAnswer | None = None) -> Coroutine[None]:
         """Watches until a call fails. One that fell silent is asked anew at once, over another connection, and once
         more if that fails: what it missed counts as told soon, and the balancer's own asking is spread in time. Of many
         sidecars that is so only of a watch that stood (`listclock`). Where lists are pushed, it watches anew after each
@@ -247,8 +274,8 @@
         while place == self.place:
             clock = self._clock()
             until = self.loop.now() + (clock.fresh if left or self.pushed else clock.first)
-            end = yield from self._watch(place, address, version, quiet, until)
-            version = self.version
+            end = yield from self._watch(place, address, version, quiet, until, late)
+            version, late = self.version, None
             if place != self.place:
                 return  # left while it watched, and another goes on
             if self.pushed:
@@ -266,47 +293,65 @@
 
     def _asked(self, place: int, version: int | None) -> Asked:
         """Of a call now; `version` is where the watch of a place left has got to."""
-        return Asked(place, self.news, self.version if place == self.place else version)
+        return Asked(place, self.news, self.version if place == self.place else version, self.loop.now())
+
+    def _say_call(self, asked: Asked, wait: int, ended: str) -> None:
+        after = -1 if asked.version is None else asked.version
+        say(DISCOVERY_CALL, after=after, wait_ms=wait // MS, ended=ended, ms=(self.loop.now() - asked.at) // MS)
 
-    def _watch(self, place: int, address: str, version: int | None, quiet: bool, until: int) -> Coroutine[End]:
+    def _watch(
+        self, place: int, address: str, version: int | None, quiet: bool, until: int, late: LateAnswer | None
+    ) -> Coroutine[End]:
         """One call after another over one connection: the next starts at once, so that the watch goes on. It ends as
-        a call fails. The first does not wait, so that it is soon known whether this one is silent, and has `until`."""
-        answered, due, wait = False, until, 0
+        a call fails. The first does not wait, so that it is soon known whether this one is silent, and has `until`; or
+        it was made before, and `late` is its answer."""
+        answered, due, wait, answer = False, until, 0, None
         asked = self._asked(place, version)
         try:
-            sock, kept = (yield from self._connect(address, until)), False
+            if late is None:
+                sock = yield from self._connect(address, until)
+            else:
+                sock, asked, answer = late
+            kept = False
             try:
                 while True:
-                    asked_at = self.loop.now()
-                    target = PATH if asked.version is None else f"{PATH}?after={asked.version}&wait_ms={wait // MS}"
-                    answer = yield from self._call(sock, target, until)
+                    if answer is None:
+                        target = PATH if asked.version is None else f"{PATH}?after={asked.version}&wait_ms={wait // MS}"
+                        answer = yield from self._call(sock, target, until)
+                        self._say_call(asked, wait, "answered")
                     # The first answer of a watch is told with or without news: the watch stands.
                     heard = self._hear(asked, answer, not answered)
                     answered = answered or heard
+                    if answered:
+                        self.standing = place
                     # One that answers at once with no news would be called in a tight loop.
-                    yield Wait(None, 0, asked_at + self.options.discovery.calls_apart)
+                    yield Wait(None, 0, asked.at + self.options.discovery.calls_apart)
                     # From the last answer on, not from the asking: what was new since then is what would be missed.
                     asked, clock = self._asked(place, answer.update.version if heard else None), self._clock()
                     until = answer.heard_at + (clock.silent if answered and asked.version is not None else clock.first)
                     if not answer.reusable:
                         self.loop.close(sock)
                         sock = yield from self._connect(address, until)
-                    late = self.loop.now() - answer.heard_at - self.options.discovery.calls_apart
-                    wait = max(0, self._held(clock) - max(0, late)) if answered else 0
+                    delay = self.loop.now() - answer.heard_at - self.options.discovery.calls_apart
+                    wait = max(0, self._held(clock) - max(0, delay)) if answered else 0
                     due = self.loop.now() + wait if wait else until
+                    answer = None
             except Silent as error:
-                kept = self._hear_late(sock, asked, error)
+                kept = self._hear_late(sock, place, address, asked, error)
                 raise
             finally:
+                if answered and self.standing == place:
+                    self.standing = None
                 if not kept:
                     self.loop.close(sock)
         except CallFailed as error:
+            self._say_call(asked, wait, str(error))
             if place == self.place and not quiet:
                 say(DISCOVERY_WATCH, why=error, address=address)
             # One that breaks past its wait had fallen silent before.
             return End(answered, isinstance(error, Silent) or self.loop.now() >= due)
 
-    def _hear_late(self, sock: socket, asked: Asked, silent: Silent) -> bool:
+    def _hear_late(self, sock: socket, place: int, address: str, asked: Asked, silent: Silent) -> bool:
         """Goes on hearing a call that is given up, beside the next one; whether it does, and closes the socket then.
 
         Where discovery is busy it waits its turn, and the next one stands behind it. Given up for good, each would be
@@ -314,18 +359,46 @@
         if silent.rest is None or self.late >= listclock.LATE_CALLS:
             return False
         self.late += 1
-        self.loop.spawn(self._outlast(sock, asked, silent.rest), urgent=True)
+        call = LateCall(sock, place, address, asked, silent.rest)
+        call.task = self.loop.spawn(self._outlast(call), self._crashed, urgent=True)
         return True
 
-    def _outlast(self, sock: socket, asked: Asked, rest: Callable[[int], Coroutine[Answer]]) -> Coroutine[None]:
+    def _outlast(self, call: LateCall) -> Coroutine[None]:
+        """Hears the answer to a call that was given up. Where no watch stands by then, this is the one from now on.
+
+        A new watch costs discovery far more than the next call of one that stands. Left for the next new one, a late
+        answer told its list and no more, and a fleet that started together took all of discovery's time for first
+        calls, each answered late again."""
+        kept = False
         try:
-            answer = yield from rest(self.loop.now() + listclock.LATE)
-        except CallFailed:
-            return  # said when it was given up
+            try:
+                answer = yield from call.rest(self.loop.now() + listclock.LATE)
+            except CallFailed:
+                return  # said when it was given up
+            finally:
+                self.late -= 1
+            self._say_call(call.asked, 0, "answered late")
+            if self._is_missing(call):
+                self._replace_watch(call.task)
+                kept = True  # by the watch, which closes it
+                late = LateAnswer(call.sock, call.asked, answer)
+                yield from self._follow(call.place, call.address, call.asked.version, late)
+            else:
+                self._hear(call.asked, answer, False)
         finally:
-            self.late -= 1
-            self.loop.close(sock)
-        self._hear(asked, answer, False)
+            if not kept:
+                self.loop.close(call.sock)
+
+    def _is_missing(self, call: LateCall) -> bool:
+        """Whether no watch stands at the place of a call, and one is wanted there."""
+        wanted = self.watching is not None and not self.pushed
+        return wanted and call.place == self.place and self.standing != call.place
+
+    def _replace_watch(self, task: Task | None) -> None:
+        """Another task is the watch; the one that asks anew, if any, is given up."""
+        if self.watching is not None:
+            self.watching.cancel()
+        self.watching = task
 
     def _connect(self, address: str, until: int) -> Coroutine[socket]:
         try:
--- a/loftweir/interface.py
+++ b/loftweir/interface.py
@@ -84,6 +84,7 @@
     endpoints: tuple[Endpoint, ...] = ()
     version: int = 0
     age: int | None = None  # FAILED: how long news may have been owed by now; None: not known
+    heard: bool = False  # FAILED: a call that was given up may still be answered
 
 
 @dataclass(slots=True)
--- a/loftweir/listclock.py
+++ b/loftweir/listclock.py
@@ -23,10 +23,14 @@
 on top of the backoff. Connecting counts as a part of the call that it is for. Where an agent pushes lists, a failed
 call is made anew after `apart`, and there is no backoff.
 
-More than `SMALL_FLEET` sidecars crowd discovery by such calls alone, when a change answers all their watches at once or
-all have just started: then nobody is answered in time. So they spread the first calls out over `FIRST_IN_LARGE_FLEET`,
-come again after a first failure no sooner than after others, and make a first call that fell silent anew after the
-backoff only: 2 to 4 need not hold for them. Its answer is still heard if it comes.
+A call that is given up is still heard (`LATE`). Where its answer comes while no watch stands, the watch goes on from
+it: a new watch costs discovery many times what the next call of one that stands does, and a fleet that left its late
+answers for new watches kept discovery busy with these for good. So while one may still come, the next call waits for
+the whole backoff.
+
+More than `SMALL_FLEET` sidecars crowd discovery by fresh calls alone, when all have just started: so they take turns at
+the first calls over `FIRST_IN_LARGE_FLEET`, come again after a first failure no sooner than after others, and make a
+first call that fell silent anew after the backoff only: 2 to 4 need not hold for them.
 """
 
 from __future__ import annotations
@@ -45,7 +49,8 @@
 # a row of failures is half as long at the most
 FIRST = 3 * SECOND  # the longest from a process's start to its first call
 SMALL_FLEET = 16  # sidecars that call one discovery, at the most
-FIRST_IN_LARGE_FLEET = 5 * SECOND  # in place of `FIRST`, where more of them do
+FIRST_IN_LARGE_FLEET = WITHIN  # in place of `FIRST`, where more of them do
+FIRST_PART = 0.6  # of the time within which the settings have it ask, until the first call at the most
 SPREAD = 0.25  # of a wait, that it is shortened by at the most
 LATE = 4 * SECOND  # that the answer to a call that was given up is still heard, beside the next ones
 LATE_CALLS = 4  # of these at a time
@@ -72,9 +77,14 @@
     return Clock(wait, silent, answer_within, fresh, min(connect_within, answer_within))
 
 
-def first_within(callers: int) -> int:
-    """The longest from the start of a process to its first call, of so many sidecars that call discovery."""
-    return FIRST if callers <= SMALL_FLEET else FIRST_IN_LARGE_FLEET
+def first_ask(ask_within: int, callers: int, me: int) -> tuple[int, int]:
+    """From the start of a process to its first call, at the most and at the least, for `me` of so many sidecars that
+    call discovery. Many take turns: they start together, and drawn at random some moments would have several calls and
+    others none, which leaves discovery idle early and full late."""
+    if callers <= SMALL_FLEET:
+        return min(ask_within // 2, FIRST), 0
+    turn = min(int(ask_within * FIRST_PART), FIRST_IN_LARGE_FLEET) // callers
+    return (me + 1) * turn, me * turn
 
 
 def held(wait: int, chance: float) -> int:
@@ -97,13 +107,20 @@
         yield "answer_within", LONGEST_ANSWER
 
 
-def backoff(ask_within: int, failures: int, age: int | None = None, callers: int = 1) -> tuple[int, int]:
+def backoff(
+    ask_within: int, failures: int, age: int | None = None, callers: int = 1, heard: bool = False
+) -> tuple[int, int]:
     """After so many failed calls in a row, within what time to ask again at the most, and at the least. The moment
     between is left to chance: who are refused together must not come back in step.
 
     `age`: for how long news may have been owed; None: not known. The first of a row of failures is made good soon, but
     not where there is time for more, or many call: who was answered a moment ago leaves a busy discovery to the others.
+
+    `heard`: a call that was given up may still be answered. Where discovery is busy that answer is the sooner one, and
+    a new call in the meantime takes up to as long again of discovery's time for nothing.
     """
     longest = min(ask_within, AGAIN)
+    if heard:
+        return longest, longest
     soon = callers <= SMALL_FLEET and failures == 1 and (age is None or age > WITHIN - 2 * AGAIN)
     return (longest // 2, 0) if soon else (longest, longest // 2)
--- a/loftweir/telemetry/catalogue.py
+++ b/loftweir/telemetry/catalogue.py
@@ -367,6 +367,15 @@
     "used: look at this site's own providers",
     ("service", "state"),
 )
+DISCOVERY_CALL = Event(
+    "discovery.call",
+    DEBUG,
+    ("after", "wait_ms", "ended", "ms"),
+    "a call to discovery and what it met: `after` is the version past which it asked (-1: the whole list), `wait_ms`"
+    " how long it let itself be held, `ended` with `answered`, `answered late` (after it was given up, beside the next"
+    " ones) or why it failed, `ms` after it was begun, with its connecting",
+    told_apart_by=None,
+)
 DISCOVERY_LIST_IS = Event(
     "discovery.list",
     DEBUG,
