--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -21,6 +21,7 @@
 from loftweir.operations.calls import No, parse
 from loftweir.settings import WireError
 from loftweir.state.sealed import Damaged, opened
+from loftweir.telemetry.catalogue import DISCOVERY_LIST
 
 errors.everything()
 FAMILY = list(errors.types())
@@ -31,7 +32,12 @@
     """What the log is given where discovery's address leads nowhere."""
     loop, said = Loop(), []
     loop.after(10 * SECOND, setattr, loop, "stopped", True)
-    with mock.patch("loftweir.http1.discovery.say", lambda event, why, **_: said.append(why)):
+
+    def say(event, **fields):
+        if event is DISCOVERY_LIST:
+            said.append(fields["why"])
+
+    with mock.patch("loftweir.http1.discovery.say", say):
         Discovery(loop, "nowhere", Options(), lambda *_: setattr(loop, "stopped", True)).fetch()
         loop.run()
     raise said[0]
