Discovery: a watch outlives one refused call; first calls of many take turns over 4.5 s

Callers saw requests go to servers announced as leaving, two ways.

Traced by `discovery.call`: 139 sidecars are killed just after a change; the last first calls, 5.9 s after the start, were answered 6.7 s after it. Now 4.5 s; ruled out: late answers and backoffs (the sidecars traced made no call before).

Larger fleets, in virtual time alone: a call that discovery refuses ended a watch, also one that had been answered a moment before, and set up anew it is one more of the new watches that keep discovery full: 13 of 40 sidecars watched at 4 s, none from 11 s on. Such a call is made again within 180 ms of the last answer, over its connection, where it is the same watch still (`Discovery._watch`, `Refused`).

Test: a refused next call on the real program (a new watch 1.9 s later before).

--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -51,6 +51,16 @@
         self.rest = rest  # waits on for the answer, until then, where nothing of it has come
 
 
+class Refused(CallFailed):
+    """Discovery answered at once that it takes no call now, as it has too many; a sidecar asks again soon."""
+
+    remedy = "If it goes on, discovery has more callers than it can answer: see to its size."
+
+    def __init__(self, why: str, reusable: bool = False) -> None:
+        super().__init__(why)
+        self.reusable = reusable  # whether the call's connection can be used again
+
+
 class Asked(NamedTuple):
     """Of a call, when it was asked: what decides whether its list is newer than the one held (`Discovery._hear`)."""
 
@@ -305,7 +315,7 @@
         """One call after another over one connection: the next starts at once, so that the watch goes on. It ends as
         a call fails. The first does not wait, so that it is soon known whether this one is silent, and has `until`; or
         it was made before, and `late` is its answer."""
-        answered, due, wait, answer = False, until, 0, None
+        answered, due, wait, heard_at, answer = False, until, 0, 0, None
         asked = self._asked(place, version)
         try:
             if late is None:
@@ -317,8 +327,18 @@
                 while True:
                     if answer is None:
                         target = PATH if asked.version is None else f"{PATH}?after={asked.version}&wait_ms={wait // MS}"
-                        answer = yield from self._call(sock, target, until)
+                        try:
+                            answer = yield from self._call(sock, target, until)
+                        except Refused as error:
+                            # A watch that is lost so is dear to set up anew, just where discovery is full.
+                            again_at = self.loop.now() + self.options.discovery.calls_apart
+                            if not error.reusable or again_at > heard_at + listclock.GOES_ON:
+                                raise
+                            self._say_call(asked, wait, str(error))
+                            yield Wait(None, 0, again_at)
+                            continue
                         self._say_call(asked, wait, "answered")
+                    heard_at = answer.heard_at
                     # The first answer of a watch is told with or without news: the watch stands.
                     heard = self._hear(asked, answer, not answered)
                     answered = answered or heard
@@ -437,6 +457,9 @@
             raise Silent("silent") from None
         except (OSError, h11.RemoteProtocolError, TooLarge) as error:
             raise CallFailed(f"broken: {error}") from None
+        reusable = wire.whole() and not wire.rest()
+        if head.status_code == 503:
+            raise Refused("answered 503", reusable)
         if head.status_code != 200:
             raise CallFailed(f"answered {head.status_code}")
         try:
@@ -445,4 +468,4 @@
             raise CallFailed(f"not a list: {error}") from None
         except ValueError as error:
             raise CallFailed(f"not a list: not JSON: {error}") from None
-        return Answer(update, addresses, wire.whole() and not wire.rest(), heard_at)
+        return Answer(update, addresses, reusable, heard_at)
--- a/loftweir/listclock.py
+++ b/loftweir/listclock.py
@@ -49,9 +49,9 @@
 # a row of failures is half as long at the most
 FIRST = 3 * SECOND  # the longest from a process's start to its first call
 SMALL_FLEET = 16  # sidecars that call one discovery, at the most
-FIRST_IN_LARGE_FLEET = WITHIN  # in place of `FIRST`, where more of them do
-FIRST_PART = 0.6  # of the time within which the settings have it ask, until the first call at the most
+FIRST_IN_LARGE_FLEET = 4500 * MS  # in place of `FIRST`, where more of them do
 SPREAD = 0.25  # of a wait, that it is shortened by at the most
+GOES_ON = 180 * MS  # from an answer to the next call of the same watch; discovery allows 200 ms
 LATE = 4 * SECOND  # that the answer to a call that was given up is still heard, beside the next ones
 LATE_CALLS = 4  # of these at a time
 LONGEST_ANSWER = min(WITHIN - 2 * AGAIN - LEAST, WITHIN - FIRST - AGAIN // 2 - LEAST)  # 3
@@ -83,7 +83,7 @@
     others none, which leaves discovery idle early and full late."""
     if callers <= SMALL_FLEET:
         return min(ask_within // 2, FIRST), 0
-    turn = min(int(ask_within * FIRST_PART), FIRST_IN_LARGE_FLEET) // callers
+    turn = min(ask_within // 2, FIRST_IN_LARGE_FLEET) // callers
     return (me + 1) * turn, me * turn
 
 
--- a/tests/discovery_scene.py
+++ b/tests/discovery_scene.py
@@ -8,7 +8,7 @@
 from support import MS, SECOND, make, of, settings
 
 from loftweir.config.model import Options
-from loftweir.http1.discovery import Answer, CallFailed, Discovery, Silent
+from loftweir.http1.discovery import Answer, CallFailed, Discovery, Refused, Silent
 from loftweir.interface import MembershipUpdate, Timer, TimerFired, UpdateKind, Watch
 from loftweir.net.loop import Wait
 
@@ -233,7 +233,7 @@
                 raise Silent("silent", partial(self._wait_for, sock, turn))
             if not turn.good:
                 self.failed_at.append(self.loop.now())
-                raise CallFailed("answered 503")
+                raise Refused("answered 503", reusable=True)
             self._go_on(turn)
         sock.answered_at = self.loop.now()
         kind = UpdateKind.FULL if turn.after < 0 else UpdateKind.CHANGES
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -354,6 +354,27 @@
         self.assertNotIn("wait_ms=0", went_on, "the next call of a watch that stands is held")
         self.is_read_in_time(time.monotonic() - listclock.TOLD / SECOND + 0.5)
 
+    def test_a_watch_whose_next_call_is_refused_goes_on(self):
+        """Discovery had too many calls for a moment. A watch that was lost by that was set up anew after a second or
+        two, as one more of the new watches that kept discovery full."""
+        calls, answered_at = [], []
+        self.begins()
+
+        def catalog(head, _):
+            calls.append((time.monotonic(), head.split()[1]))
+            if len(calls) == 1:
+                time.sleep(0.3)  # held for longer than calls are apart
+                answered_at.append(time.monotonic())
+            return reply(503) if len(calls) == 2 else reply(200, as_list(9 + len(calls), [], False))
+
+        self.catalog.answer = catalog
+        self.catalog.change()
+        self.assertTrue(eventually(lambda: len(calls) > 2, 5), calls)
+        again_at, target = calls[2]
+        self.assertLess(again_at - answered_at[0], 0.2, "a later call is a new watch")
+        self.assertEqual(target.partition("&")[0], calls[1][1].partition("&")[0])
+        self.assertNotIn("wait_ms=0", target)
+
     def test_an_answer_that_trickles(self):
         def trickle(gate):
             body = as_list(1, self.entries, True)
