Log: each new watch and each failed call of discovery, with reason, age and pending answers

Now every new watch (cause, age of the list, calls still heard), every watch that stands and every failed call (time, reason; late ones too) is a line at info; a run of failures of a pushed list stays one.

--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -20,7 +20,14 @@
 from loftweir.interface import MembershipUpdate, UpdateKind
 from loftweir.net.loop import MS, Coroutine, Loop, Task, Wait
 from loftweir.net.stream import NotUp, TookTooLong, TooLarge, connect, send
-from loftweir.telemetry.catalogue import DISCOVERY_CALL, DISCOVERY_LIST, DISCOVERY_WATCH
+from loftweir.telemetry.catalogue import (
+    DISCOVERY_CALL,
+    DISCOVERY_CALL_FAILED,
+    DISCOVERY_LIST,
+    DISCOVERY_NEW_WATCH,
+    DISCOVERY_STANDS,
+    DISCOVERY_WATCH,
+)
 from loftweir.telemetry.log import say
 
 PATH = "/catalog/members"
@@ -150,9 +157,10 @@
             self._drop_before()
             if self.watching is not None:
                 self.watching.cancel()
-        self.watching = self._spawn_watch() if on else None
+        self.watching = self._spawn_watch("asked") if on else None
 
-    def _spawn_watch(self) -> Task:
+    def _spawn_watch(self, cause: str) -> Task:
+        self._say_new_watch(cause)
         # Its place is that of now: a move may come before its first turn.
         return self.loop.spawn(self._follow(self.place, self.address, self.version), self._crashed, urgent=True)
 
@@ -169,7 +177,7 @@
             self.before = self.watching
         elif self.watching is not None:
             self.watching.cancel()  # it has told nothing yet
-        self.watching = self._spawn_watch()
+        self.watching = self._spawn_watch("moved")
 
     def _drop_before(self) -> None:
         if self.before is not None:
@@ -183,8 +191,7 @@
         self._fail()
 
     def _fail(self) -> None:
-        age = self.loop.now() - self.owed_since
-        self.told(MembershipUpdate(UpdateKind.FAILED, age=age, heard=self.late > 0), {})
+        self.told(MembershipUpdate(UpdateKind.FAILED, age=self._age(), heard=self.late > 0), {})
 
     def _clock(self) -> listclock.Clock:
         options = self.options.discovery
@@ -264,14 +271,14 @@
                     if not kept:
                         self.loop.close(sock)
             except CallFailed as error:
-                self._say_call(asked, 0, str(error))
+                self._say_failed(asked, 0, str(error))
                 say(DISCOVERY_LIST, why=error, address=address)
                 if not left or (left == listclock.ANEW and not isinstance(error, Silent)):
                     self._fail()
                     return
                 yield Wait(None, 0, until)
             else:
-                self._say_call(asked, 0, "answered")
+                self._say_answered(asked, 0, "answered")
                 self._hear(asked, answer, True)
                 return
 
@@ -295,8 +302,10 @@
             elif left > 1 and not end.answered:
                 left -= 1
                 yield Wait(None, 0, until)
+                self._say_new_watch("anew")
             elif end.silent and (end.answered or (not left and self.callers <= listclock.SMALL_FLEET)):
                 left = listclock.ANEW
+                self._say_new_watch("anew")
             else:
                 self._fail()
                 return
@@ -305,10 +314,21 @@
         """Of a call now; `version` is where the watch of a place left has got to."""
         return Asked(place, self.news, self.version if place == self.place else version, self.loop.now())
 
-    def _say_call(self, asked: Asked, wait: int, ended: str) -> None:
+    def _age(self) -> int:
+        """For how long news may have been owed."""
+        return self.loop.now() - self.owed_since
+
+    def _say_answered(self, asked: Asked, wait: int, ended: str) -> None:
         after = -1 if asked.version is None else asked.version
         say(DISCOVERY_CALL, after=after, wait_ms=wait // MS, ended=ended, ms=(self.loop.now() - asked.at) // MS)
 
+    def _say_failed(self, asked: Asked, wait: int, ended: str) -> None:
+        after = -1 if asked.version is None else asked.version
+        say(DISCOVERY_CALL_FAILED, after=after, wait_ms=wait // MS, ended=ended, ms=(self.loop.now() - asked.at) // MS)
+
+    def _say_new_watch(self, cause: str) -> None:
+        say(DISCOVERY_NEW_WATCH, cause=cause, age_ms=self._age() // MS, late_calls=self.late)
+
     def _watch(
         self, place: int, address: str, version: int | None, quiet: bool, until: int, late: LateAnswer | None
     ) -> Coroutine[End]:
@@ -334,13 +354,15 @@
                             again_at = self.loop.now() + self.options.discovery.calls_apart
                             if not error.reusable or again_at > heard_at + listclock.GOES_ON:
                                 raise
-                            self._say_call(asked, wait, str(error))
+                            self._say_failed(asked, wait, str(error))
                             yield Wait(None, 0, again_at)
                             continue
-                        self._say_call(asked, wait, "answered")
-                    heard_at = answer.heard_at
+                        self._say_answered(asked, wait, "answered")
+                    heard_at, age = answer.heard_at, self._age()
                     # The first answer of a watch is told with or without news: the watch stands.
                     heard = self._hear(asked, answer, not answered)
+                    if heard and not answered:
+                        say(DISCOVERY_STANDS, version=answer.update.version, age_ms=age // MS)
                     answered = answered or heard
                     if answered:
                         self.standing = place
@@ -365,7 +387,8 @@
                 if not kept:
                     self.loop.close(sock)
         except CallFailed as error:
-            self._say_call(asked, wait, str(error))
+            if not quiet:
+                self._say_failed(asked, wait, str(error))
             if place == self.place and not quiet:
                 say(DISCOVERY_WATCH, why=error, address=address)
             # One that breaks past its wait had fallen silent before.
@@ -393,11 +416,12 @@
         try:
             try:
                 answer = yield from call.rest(self.loop.now() + listclock.LATE)
-            except CallFailed:
-                return  # said when it was given up
+            except CallFailed as error:
+                self._say_failed(call.asked, 0, f"late: {error}")
+                return
             finally:
                 self.late -= 1
-            self._say_call(call.asked, 0, "answered late")
+            self._say_answered(call.asked, 0, "answered late")
             if self._is_missing(call):
                 self._replace_watch(call.task)
                 kept = True  # by the watch, which closes it
--- a/loftweir/telemetry/catalogue.py
+++ b/loftweir/telemetry/catalogue.py
@@ -367,13 +367,36 @@
     "used: look at this site's own providers",
     ("service", "state"),
 )
+DISCOVERY_NEW_WATCH = Event(
+    "discovery.new_watch",
+    INFO,
+    ("cause", "age_ms", "late_calls"),
+    "a new watch is asked for: `asked` by the balancer, `moved` to another address, `anew` at once after a failed call;"
+    " news may have been owed for `age_ms`, and `late_calls` calls that were given up are still heard",
+    told_apart_by=None,
+)
+DISCOVERY_STANDS = Event(
+    "discovery.watch_stands",
+    INFO,
+    ("version", "age_ms"),
+    "the first answer of a watch came, with this version; the last answer before it, of any call, was `age_ms` ago",
+    told_apart_by=None,
+)
+DISCOVERY_CALL_FAILED = Event(
+    "discovery.call_failed",
+    INFO,
+    ("after", "wait_ms", "ended", "ms"),
+    "a call to discovery brought no list: `after` is the version past which it asked (-1: the whole list), `wait_ms`"
+    " how long it let itself be held, `ended` why it failed (`late: ...`: after it was given up), `ms` after it was"
+    " begun, with its connecting",
+    told_apart_by=None,
+)
 DISCOVERY_CALL = Event(
     "discovery.call",
     DEBUG,
     ("after", "wait_ms", "ended", "ms"),
-    "a call to discovery and what it met: `after` is the version past which it asked (-1: the whole list), `wait_ms`"
-    " how long it let itself be held, `ended` with `answered`, `answered late` (after it was given up, beside the next"
-    " ones) or why it failed, `ms` after it was begun, with its connecting",
+    "a call to discovery that was answered: `ended` is `answered`, or `answered late` (after it was given up, beside"
+    " the next ones); the rest as above",
     told_apart_by=None,
 )
 DISCOVERY_LIST_IS = Event(
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -232,8 +232,13 @@
         self.start(ok)
         os.close(self.stderr)
         self.stderr = None
+        self.assertTrue(eventually(self.watch_stands))
         return reads
 
+    def watch_stands(self):
+        """The program has said so: from here on it logs nothing but what a test causes."""
+        return any("wait_ms=" in head and "wait_ms=0" not in head for head, *_ in self.catalog.seen)
+
     def load(self, requests):
         """Requests over one connection: how long the slowest took, and that all were served."""
         client, slowest = self.client(), 0.0
