--- a/tests/discovery_scene.py
+++ b/tests/discovery_scene.py
@@ -249,3 +249,16 @@
         turn.due = min(news, turn.held_until)
         if news < turn.held_until:
             turn.due = max(turn.due, busy.free_at)
+
+
+class Unheard(Watching):
+    """One whose watches, where they are asked in a span of time, are never answered."""
+
+    silent_from = silent_to = 0
+
+    def _call(self, sock, target, until):
+        silent = "wait_ms=" in target and "wait_ms=0" not in target
+        if silent and self.silent_from <= self.loop.now() < self.silent_to:
+            yield Wait(None, 0, until)
+            raise Silent("silent")
+        return (yield from super()._call(sock, target, until))
--- /dev/null
+++ b/tests/test_watch_recovery.py
@@ -0,0 +1,134 @@
+"""The watches of a whole fleet fall silent at one moment: what they miss is read before it counts as told."""
+
+import json
+import os
+import random
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+import pytest
+from discovery_scene import Clock, Counted, Unheard
+from scene import SETTINGS, Catalog, Party, Scene, address_of, as_list, entry, eventually, listener, ok, reply
+from support import MS, SECOND
+
+from loftweir import listclock
+
+PLAYS = 25
+ANSWERED_AT = 12 * SECOND  # a change that answers all watches; the next call of each is silent
+PATIENCES = [500 * MS, SECOND, 3 * SECOND]  # for which discovery lets a call wait its turn
+
+
+def lags_of_missed_change(sidecars, new_watch, patience):
+    """Of a change made while all watches are silent, how late each sidecar of each play reads it."""
+    lags = []
+    for play in range(PLAYS):
+        missed_at = ANSWERED_AT + random.Random(play).randrange(50, 1500) * MS
+        clock = Clock()
+        busy = Counted(new_watch, 12 * MS, patience, [ANSWERED_AT, missed_at])
+        fleet = [Unheard(clock, busy, 1000 * play + me, sidecars) for me in range(sidecars)]
+        for sidecar in fleet:
+            sidecar.silent_from, sidecar.silent_to = ANSWERED_AT, ANSWERED_AT + SECOND
+        clock.run(30 * SECOND)
+        lags += [sidecar.read.get(3, 1 << 62) - missed_at for sidecar in fleet]
+    return lags
+
+
+@pytest.mark.parametrize("sidecars, new_watch_ms", [(1, 600), (2, 600), (4, 600), (6, 400), (10, 250), (16, 100)])
+def test_watches_that_fall_silent_together_are_set_up_anew_before_the_missed_drain_counts(sidecars, new_watch_ms):
+    for patience in PATIENCES:
+        lags = lags_of_missed_change(sidecars, new_watch_ms * MS, patience)
+        late = [lag // MS for lag in lags if lag > listclock.TOLD]
+        assert not late, (patience // MS, len(late), len(lags), late)
+
+
+class CrowdedCatalog(Catalog):
+    """Discovery that sets up one watch after another, refuses a call that would wait too long, and answers no call that
+    waits while it is `silent`."""
+
+    def __init__(self, new_watch, patience):
+        self.new_watch, self.patience = new_watch, patience  # seconds
+        self.free_at, self.turns, self.silent = 0.0, threading.Lock(), False
+        self.watches = threading.local()  # of the connection that this thread serves
+        self.never = threading.Event()
+        super().__init__()
+
+    def _catalog(self, head, body):
+        if self.silent and "wait_ms=" in head and "wait_ms=0" not in head:
+            self.never.wait(60)
+            return None
+        now = time.monotonic()
+        if now - getattr(self.watches, "answered_at", 0.0) > 0.2:
+            with self.turns:
+                if self.free_at > now + self.patience:
+                    return reply(503)
+                self.free_at = max(now, self.free_at) + self.new_watch
+                due = self.free_at
+            time.sleep(due - now)
+        answer = super()._catalog(head, body)
+        self.watches.answered_at = time.monotonic()
+        return answer
+
+
+class SilentWatchesTest(Scene):
+    """Four processes of the program before one crowded discovery."""
+
+    SIDECARS = 4
+
+    def begin(self):
+        self.catalog = CrowdedCatalog(new_watch=0.6, patience=0.5)
+        self.addCleanup(self.catalog.never.set)
+        self.start_parties()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.errors = Path(folder.name, "log")
+        self.listens = [self.start_sidecar(Path(folder.name, f"n{me}.json"), me) for me in range(self.SIDECARS)]
+        self.assertTrue(eventually(self.all_watch, 20), self.log())
+
+    def start_parties(self):
+        self.providers = [Party(ok), Party(ok)]
+        self.entries = [entry(f"s{n}", party.address) for n, party in enumerate(self.providers)]
+        self.catalog.entries = self.entries
+        for party in (self.catalog, *self.providers):
+            self.addCleanup(party.close)
+
+    def start_sidecar(self, path, me):
+        """One process; the address at which it takes requests."""
+        with listener() as free:
+            listen = address_of(free)
+        config = {
+            "name": f"n{me}",
+            "listen": listen,
+            "discovery": self.catalog.address,
+            "seed": os.urandom(8).hex(),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "known": json.loads(as_list(0, self.entries, True)),
+            "settings": SETTINGS | {"balancers": self.SIDECARS, "me": me},
+        }
+        path.write_text(json.dumps(config), encoding="utf-8")
+        self.path = path
+        self.launch(RELAY_DISCOVERY=self.catalog.address)
+        return listen
+
+    def all_watch(self):
+        held = {number for head, _, number in self.catalog.seen if "wait_ms=" in head and "wait_ms=0" not in head}
+        return len(held) == self.SIDECARS
+
+    def test_no_request_goes_to_a_draining_server_after_all_watches_fell_silent(self):
+        self.begin()
+        self.catalog.silent = True
+        self.catalog.change()
+        time.sleep(0.9)
+        with self.catalog.news:
+            drained = self.entries[0] | {"status": "leaving"}
+            self.catalog.entries = [drained, self.entries[1]]
+        self.catalog.change(drained)
+        changed_at = time.monotonic()
+        self.catalog.silent = False
+        time.sleep(changed_at + listclock.TOLD / SECOND - time.monotonic())
+        before = len(self.providers[0].seen)
+        for listen in self.listens:
+            self.listen = listen
+            self.assertEqual({self.invoke()[0] for _ in range(6)}, {200})
+        self.assertEqual(len(self.providers[0].seen), before, self.log())
