--- a/tests/test_watch_recovery.py
+++ b/tests/test_watch_recovery.py
@@ -6,17 +6,24 @@
 import tempfile
 import threading
 import time
+from functools import partial
 from pathlib import Path
 
 import pytest
-from discovery_scene import Clock, Counted, Unheard
+from discovery_scene import Calls, Clock, Counted, Unheard
 from scene import SETTINGS, Catalog, Party, Scene, address_of, as_list, entry, eventually, listener, ok, reply
 from support import MS, SECOND
 
 from loftweir import listclock
+from loftweir.config.model import Options
+from loftweir.http1.discovery import Answer, Refused, Silent
+from loftweir.interface import MembershipUpdate, UpdateKind
+from loftweir.net.loop import Wait
 
 PLAYS = 25
 ANSWERED_AT = 12 * SECOND  # a change that answers all watches; the next call of each is silent
+REFUSED_LATE_AFTER = 300 * MS  # a call is given up
+SILENT, REFUSED = "silent", "refused"
 PATIENCES = [500 * MS, SECOND, 3 * SECOND]  # for which discovery lets a call wait its turn
 
 
@@ -43,6 +50,78 @@
         assert not late, (patience // MS, len(late), len(lags), late)
 
 
+class Ends(Calls):
+    """A sidecar whose watch stands at 10 s and falls silent as its next call begins. Of the calls after that, one after
+    another ends as `ends` says: silent, refused at once, or answered; `failures` has what the balancer is told."""
+
+    def __init__(self, *ends, callers=4):
+        super().__init__(Options(), None, ask_within=10 * SECOND, callers=callers)
+        self.rows, self.failures, self.made_at = list(ends), [], []
+        self.watch(True)
+        self.loop.run(40 * SECOND)
+
+    def _told(self, update, addresses):
+        if update.kind is UpdateKind.FAILED:
+            self.failures.append(update)
+        super()._told(update, addresses)
+
+    def _call(self, sock, target, until):
+        now, held = self.loop.now(), int(target.partition("wait_ms=")[2] or 0) * MS
+        self.asked_at.append(now)
+        answer = Answer(MembershipUpdate(UpdateKind.CHANGES, (), 1), {}, True, now)
+        if now < 10 * SECOND or not self.rows:
+            yield Wait(None, 0, now + held)
+            return answer._replace(heard_at=self.loop.now())
+        self.made_at.append(now)
+        way = self.rows.pop(0)
+        if way == SILENT:
+            yield Wait(None, 0, until)
+            raise Silent("silent", self._never if held else partial(self._refused_late, until + REFUSED_LATE_AFTER))
+        yield Wait(None, 0, now + MS)
+        raise Refused("answered 503", reusable=True)
+
+    def _never(self, until):
+        yield Wait(None, 0, until)
+        raise Silent("silent")
+
+    def _refused_late(self, at, until):
+        yield Wait(None, 0, min(at, until))
+        raise Refused("answered 503", reusable=True)
+
+
+def test_a_watch_that_fell_silent_does_not_keep_the_next_call_back():
+    sidecar = Ends(SILENT, *[REFUSED] * 30)
+    assert sidecar.failures and not any(update.heard for update in sidecar.failures)
+
+
+def test_watches_answered_in_one_moment_are_not_given_up_in_one_moment():
+    clock, busy = Clock(), Counted(100 * MS, 12 * MS, SECOND, [ANSWERED_AT])
+    fleet = [Unheard(clock, busy, me, 16) for me in range(16)]
+    for sidecar in fleet:
+        sidecar.silent_from, sidecar.silent_to = ANSWERED_AT, ANSWERED_AT + SECOND
+    clock.run(ANSWERED_AT + 2 * SECOND)
+    calls = {sidecar: len(sidecar.asked_at) for sidecar in fleet}
+    clock.run(ANSWERED_AT + 6 * SECOND)
+    anew_at = sorted(sidecar.asked_at[calls[sidecar]] for sidecar in fleet)
+    assert anew_at[-1] - anew_at[0] > SECOND
+
+
+def test_a_refused_call_is_made_again_until_what_was_missed_counts():
+    sidecar = Ends(SILENT, *[REFUSED] * 40)
+    watched_at, *refused_at = sidecar.made_at
+    due = watched_at - sidecar.options.discovery.calls_apart + listclock.WITHIN
+    within = [at for at in refused_at if at <= due]
+    assert len(within) >= 4 and due - within[-1] <= 500 * MS, (watched_at, refused_at)
+
+
+def test_a_late_refusal_ends_the_wait_for_a_late_answer():
+    sidecar = Ends(SILENT, SILENT, SILENT)
+    (failure,) = sidecar.failures
+    assert failure.heard
+    next_call_at = next(at for at in sidecar.asked_at if at > sidecar.made_at[-1])
+    assert next_call_at - sidecar.made_at[-1] <= listclock.LONGEST + REFUSED_LATE_AFTER + MS
+
+
 class CrowdedCatalog(Catalog):
     """Discovery that sets up one watch after another, refuses a call that would wait too long, and answers no call that
     waits while it is `silent`."""
