Discovery: a watch that fell silent keeps the next call back no more

Cause: since late answers are heard, a failed call is told with whether an earlier one may still be answered, and the next call then waits the whole backoff, 2 s. The silent watch itself counted as such a call for 4 s, so that each refusal after it cost 2 s, with 0.6 s left. Discovery has got to a watch: only a call that does not wait can stand in its queue.

Fix: a call carries its wait, and only those given up that let themselves not be held count as pending. Its test failed before; test_list_clock, test_list_crowd, test_discovery, test_log: as they were.

--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -75,6 +75,7 @@
     news: int  # how many lists had been told
     version: int | None  # past which changes were asked for; None: the whole list
     at: int  # when, before its connecting
+    wait: int = 0  # that discovery may hold it with no news
 
 
 @dataclass(slots=True)
@@ -135,7 +136,7 @@
         self.version: int | None = None
         self.owed_since = loop.now()
         self.callers = 1  # sidecars that ask, this one included
-        self.late = 0  # calls given up whose answers are still heard
+        self.late: list[LateCall] = []  # calls given up whose answers are still heard
         self.standing: int | None = None  # the place at which a watch stands: some call of it was answered
         self.watching: Task | None = None
         self.before: Task | None = None  # the watch at the place left, until the one that follows it stands
@@ -191,7 +192,11 @@
         self._fail()
 
     def _fail(self) -> None:
-        self.told(MembershipUpdate(UpdateKind.FAILED, age=self._age(), heard=self.late > 0), {})
+        self.told(MembershipUpdate(UpdateKind.FAILED, age=self._age(), heard=self._may_be_answered()), {})
+
+    def _may_be_answered(self) -> bool:
+        """Whether discovery may not have got yet to a call that was given up. To a watch that fell silent it has."""
+        return any(not call.asked.wait for call in self.late)
 
     def _clock(self) -> listclock.Clock:
         options = self.options.discovery
@@ -271,14 +276,14 @@
                     if not kept:
                         self.loop.close(sock)
             except CallFailed as error:
-                self._say_failed(asked, 0, str(error))
+                self._say_failed(asked, str(error))
                 say(DISCOVERY_LIST, why=error, address=address)
                 if not left or (left == listclock.ANEW and not isinstance(error, Silent)):
                     self._fail()
                     return
                 yield Wait(None, 0, until)
             else:
-                self._say_answered(asked, 0, "answered")
+                self._say_answered(asked, "answered")
                 self._hear(asked, answer, True)
                 return
 
@@ -318,16 +323,16 @@
         """For how long news may have been owed."""
         return self.loop.now() - self.owed_since
 
-    def _say_answered(self, asked: Asked, wait: int, ended: str) -> None:
-        after = -1 if asked.version is None else asked.version
-        say(DISCOVERY_CALL, after=after, wait_ms=wait // MS, ended=ended, ms=(self.loop.now() - asked.at) // MS)
+    def _say_answered(self, asked: Asked, ended: str) -> None:
+        after, took = -1 if asked.version is None else asked.version, self.loop.now() - asked.at
+        say(DISCOVERY_CALL, after=after, wait_ms=asked.wait // MS, ended=ended, ms=took // MS)
 
-    def _say_failed(self, asked: Asked, wait: int, ended: str) -> None:
-        after = -1 if asked.version is None else asked.version
-        say(DISCOVERY_CALL_FAILED, after=after, wait_ms=wait // MS, ended=ended, ms=(self.loop.now() - asked.at) // MS)
+    def _say_failed(self, asked: Asked, ended: str) -> None:
+        after, took = -1 if asked.version is None else asked.version, self.loop.now() - asked.at
+        say(DISCOVERY_CALL_FAILED, after=after, wait_ms=asked.wait // MS, ended=ended, ms=took // MS)
 
     def _say_new_watch(self, cause: str) -> None:
-        say(DISCOVERY_NEW_WATCH, cause=cause, age_ms=self._age() // MS, late_calls=self.late)
+        say(DISCOVERY_NEW_WATCH, cause=cause, age_ms=self._age() // MS, late_calls=len(self.late))
 
     def _watch(
         self, place: int, address: str, version: int | None, quiet: bool, until: int, late: LateAnswer | None
@@ -335,7 +340,7 @@
         """One call after another over one connection: the next starts at once, so that the watch goes on. It ends as
         a call fails. The first does not wait, so that it is soon known whether this one is silent, and has `until`; or
         it was made before, and `late` is its answer."""
-        answered, due, wait, heard_at, answer = False, until, 0, 0, None
+        answered, due, heard_at, answer = False, until, 0, None
         asked = self._asked(place, version)
         try:
             if late is None:
@@ -346,7 +351,9 @@
             try:
                 while True:
                     if answer is None:
-                        target = PATH if asked.version is None else f"{PATH}?after={asked.version}&wait_ms={wait // MS}"
+                        target = PATH
+                        if asked.version is not None:
+                            target += f"?after={asked.version}&wait_ms={asked.wait // MS}"
                         try:
                             answer = yield from self._call(sock, target, until)
                         except Refused as error:
@@ -354,10 +361,10 @@
                             again_at = self.loop.now() + self.options.discovery.calls_apart
                             if not error.reusable or again_at > heard_at + listclock.GOES_ON:
                                 raise
-                            self._say_failed(asked, wait, str(error))
+                            self._say_failed(asked, str(error))
                             yield Wait(None, 0, again_at)
                             continue
-                        self._say_answered(asked, wait, "answered")
+                        self._say_answered(asked, "answered")
                     heard_at, age = answer.heard_at, self._age()
                     # The first answer of a watch is told with or without news: the watch stands.
                     heard = self._hear(asked, answer, not answered)
@@ -375,8 +382,8 @@
                         self.loop.close(sock)
                         sock = yield from self._connect(address, until)
                     delay = self.loop.now() - answer.heard_at - self.options.discovery.calls_apart
-                    wait = max(0, self._held(clock) - max(0, delay)) if answered else 0
-                    due = self.loop.now() + wait if wait else until
+                    asked = asked._replace(wait=max(0, self._held(clock) - max(0, delay)) if answered else 0)
+                    due = self.loop.now() + asked.wait if asked.wait else until
                     answer = None
             except Silent as error:
                 kept = self._hear_late(sock, place, address, asked, error)
@@ -388,7 +395,7 @@
                     self.loop.close(sock)
         except CallFailed as error:
             if not quiet:
-                self._say_failed(asked, wait, str(error))
+                self._say_failed(asked, str(error))
             if place == self.place and not quiet:
                 say(DISCOVERY_WATCH, why=error, address=address)
             # One that breaks past its wait had fallen silent before.
@@ -399,10 +406,10 @@
 
         Where discovery is busy it waits its turn, and the next one stands behind it. Given up for good, each would be
         worked off for nobody: a fleet with more calls than discovery can answer in time would hear of nothing."""
-        if silent.rest is None or self.late >= listclock.LATE_CALLS:
+        if silent.rest is None or len(self.late) >= listclock.LATE_CALLS:
             return False
-        self.late += 1
         call = LateCall(sock, place, address, asked, silent.rest)
+        self.late.append(call)
         call.task = self.loop.spawn(self._outlast(call), self._crashed, urgent=True)
         return True
 
@@ -417,11 +424,11 @@
             try:
                 answer = yield from call.rest(self.loop.now() + listclock.LATE)
             except CallFailed as error:
-                self._say_failed(call.asked, 0, f"late: {error}")
+                self._say_failed(call.asked, f"late: {error}")
                 return
             finally:
-                self.late -= 1
-            self._say_answered(call.asked, 0, "answered late")
+                self.late.remove(call)
+            self._say_answered(call.asked, "answered late")
             if self._is_missing(call):
                 self._replace_watch(call.task)
                 kept = True  # by the watch, which closes it
--- a/tests/discovery_scene.py
+++ b/tests/discovery_scene.py
@@ -259,6 +259,9 @@
     def _call(self, sock, target, until):
         silent = "wait_ms=" in target and "wait_ms=0" not in target
         if silent and self.silent_from <= self.loop.now() < self.silent_to:
-            yield Wait(None, 0, until)
-            raise Silent("silent")
+            yield from self._never(until)
         return (yield from super()._call(sock, target, until))
+
+    def _never(self, until):
+        yield Wait(None, 0, until)
+        raise Silent("silent", self._never)
