Discovery: refused calls are made again by the time that is left, not by their number

Cause: after a silent watch there were two fresh calls, one for each 0.6 s, however soon discovery refused them; a refused first call was left to the balancer, 1 to 2 s later. So of 1.2 s left a sidecar used two moments, and if both met a full queue, nothing more came before the missed change counted. A refusal as late as the end of the time for an answer was taken for silence besides.

Fix: listclock.Recovery. A refused call is made again after a pause, at most a third of the time left and at least this sidecar's part of 20 calls a second of the whole fleet, until 2 s past the time; a silent one as before. It works since a refusal takes discovery 1 to 2 ms, and a place in its queue comes free every fraction of a second. Many sidecars whose first call is refused and then silent wait for the late answer, as before.

--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -103,6 +103,7 @@
 
     answered: bool  # some call of it, before
     silent: bool  # its last call
+    refused: bool  # its last call
 
 
 class Discovery:
@@ -288,14 +289,17 @@
                 return
 
     def _follow(self, place: int, address: str, version: int | None, late: LateAnswer | None = None) -> Coroutine[None]:
-        """Watches until a call fails. One that fell silent is asked anew at once, over another connection, and once
-        more if that fails: what it missed counts as told soon, and the balancer's own asking is spread in time. Of many
-        sidecars that is so only of a watch that stood (`listclock`). Where lists are pushed, it watches anew after each
-        failure, and a run of them is logged once."""
-        quiet, left = False, 0
+        """Watches until a call fails. One that fell silent or was refused is set up anew while what it missed does not
+        count as told yet (`listclock.Recovery`); the balancer's own asking comes after that. Of many sidecars that is
+        so only of a watch that stood. Where lists are pushed, it watches anew after each failure, and a run of them is
+        logged once."""
+        quiet = False
+        recovery: listclock.Recovery | None = None
         while place == self.place:
-            clock = self._clock()
-            until = self.loop.now() + (clock.fresh if left or self.pushed else clock.first)
+            now, clock = self.loop.now(), self._clock()
+            until = now + (clock.fresh if self.pushed else clock.first)
+            if recovery is not None:
+                until = recovery.answered_by(now)
             end = yield from self._watch(place, address, version, quiet, until, late)
             version, late = self.version, None
             if place != self.place:
@@ -304,16 +308,29 @@
                 quiet = not end.answered
                 self._fail()
                 yield Wait(None, 0, self.loop.now() + self.options.discovery.calls_apart)
-            elif left > 1 and not end.answered:
-                left -= 1
-                yield Wait(None, 0, until)
-                self._say_new_watch("anew")
-            elif end.silent and (end.answered or (not left and self.callers <= listclock.SMALL_FLEET)):
-                left = listclock.ANEW
-                self._say_new_watch("anew")
-            else:
+                continue
+            if recovery is None or end.answered:
+                recovery = self._recovery(end, clock)
+            again_at = (
+                None if recovery is None else recovery.next_call(self.loop.now(), end.silent, self._may_be_answered())
+            )
+            if again_at is None:
                 self._fail()
                 return
+            yield Wait(None, 0, again_at)
+            self._say_new_watch("anew")
+
+    def _recovery(self, end: End, clock: listclock.Clock) -> listclock.Recovery | None:
+        """Of a watch that ended so; None: it is left to the balancer to ask again."""
+        if not (end.silent or end.refused):
+            return None
+        at_once = end.answered or self.callers <= listclock.SMALL_FLEET
+        if end.silent and not at_once:
+            return None
+        counts_at, anew = self.owed_since + listclock.WITHIN, listclock.ANEW if at_once else 0
+        if end.silent:
+            counts_at = max(counts_at, self.loop.now() + anew * clock.fresh)
+        return listclock.Recovery(counts_at, self.callers, anew, self.random)
 
     def _asked(self, place: int, version: int | None) -> Asked:
         """Of a call now; `version` is where the watch of a place left has got to."""
@@ -398,8 +415,10 @@
                 self._say_failed(asked, str(error))
             if place == self.place and not quiet:
                 say(DISCOVERY_WATCH, why=error, address=address)
+            refused = isinstance(error, Refused)
             # One that breaks past its wait had fallen silent before.
-            return End(answered, isinstance(error, Silent) or self.loop.now() >= due)
+            silent = isinstance(error, Silent) or (self.loop.now() >= due and not refused)
+            return End(answered, silent, refused)
 
     def _hear_late(self, sock: socket, place: int, address: str, asked: Asked, silent: Silent) -> bool:
         """Goes on hearing a call that is given up, beside the next one; whether it does, and closes the socket then.
--- a/loftweir/listclock.py
+++ b/loftweir/listclock.py
@@ -23,6 +23,9 @@
 on top of the backoff. Connecting counts as a part of the call that it is for. Where an agent pushes lists, a failed
 call is made anew after `apart`, and there is no backoff.
 
+Past that a watch that failed is set up anew by the time that is left, not by a number of calls (`Recovery`): a busy
+discovery refuses at once, and what has been refused costs it next to nothing.
+
 A call that is given up is still heard (`LATE`). Where its answer comes while no watch stands, the watch goes on from
 it: a new watch costs discovery many times what the next call of one that stands does, and a fleet that left its late
 answers for new watches kept discovery busy with these for good. So while one may still come, the next call waits for
@@ -36,6 +39,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from random import Random
 from typing import NamedTuple
 
 MS, SECOND = 1_000_000, 1_000_000_000
@@ -52,6 +56,10 @@
 FIRST_IN_LARGE_FLEET = 4500 * MS  # in place of `FIRST`, where more of them do
 SPREAD = 0.25  # of a wait, that it is shortened by at the most
 GOES_ON = 180 * MS  # from an answer to the next call of the same watch; discovery allows 200 ms
+TRIES = 3  # part of the time left that a pause between refused calls takes at the most
+RETRIES_A_SECOND = 20  # of a whole fleet, as its first calls of new watches are refused
+LEAST_PAUSE = 200 * MS  # between two of them
+OVERDUE = 2 * SECOND  # past when news count as told, that calls which are refused go on being made so soon
 LATE = 4 * SECOND  # that the answer to a call that was given up is still heard, beside the next ones
 LATE_CALLS = 4  # of these at a time
 LONGEST_ANSWER = min(WITHIN - 2 * AGAIN - LEAST, WITHIN - FIRST - AGAIN // 2 - LEAST)  # 3
@@ -107,6 +115,41 @@
         yield "answer_within", LONGEST_ANSWER
 
 
+class Recovery:
+    """A watch that failed, and is set up anew before `by`, when what it misses counts as told.
+
+    A call that falls silent is followed by the next one at once, `anew` times. One that is refused is followed after a
+    pause: the less time is left the shorter, down to this sidecar's part of `RETRIES_A_SECOND`. So it is for `OVERDUE`
+    past `by`, too: each moment more is one in which callers may see what was missed.
+    """
+
+    def __init__(self, by: int, callers: int, anew: int, random: Random) -> None:
+        self.by, self.callers, self.random = by, callers, random
+        self.silent_left = anew + 1  # the watch itself, too, may have fallen silent
+
+    def answered_by(self, now: int) -> int:
+        """For a call that is made now: it is given up then."""
+        return now + max(LEAST, min(LONGEST, (self.by - now) // max(1, self.silent_left)))
+
+    def next_call(self, now: int, silent: bool, heard: bool) -> int | None:
+        """After a call that failed, when to make the next one; None: it would come too late. `heard`: an earlier one
+        may still be answered."""
+        left = self.by - LEAST - now
+        if silent:
+            self.silent_left -= 1
+            return now if self.silent_left and left >= 0 else None
+        if left < -OVERDUE:
+            return None
+        longest = min(AGAIN, max(LEAST_PAUSE, left // TRIES, self.callers * SECOND // RETRIES_A_SECOND))
+        if heard:
+            longest = max(longest, LONGEST)
+        if 0 <= left < LEAST_PAUSE:
+            return now + left
+        if left >= 0:
+            longest = min(longest, left)
+        return now + int(longest * self.random.uniform(0.5, 1))
+
+
 def backoff(
     ask_within: int, failures: int, age: int | None = None, callers: int = 1, heard: bool = False
 ) -> tuple[int, int]:
