Discovery: watches that one change answered are not given up in one moment

Cause: how long discovery may hold a call is drawn for each sidecar, but when a silent one is given up was counted from the last answer with the longest wait, the same for all. A change answers all watches in one moment, so all were given up, 4.7 s later, within some milliseconds, and their new watches met a discovery that sets up one after another. With the 1.2 s left, discovery could set up two at 0.6 s each.

Fix: a silent call is given up 600 ms past its own wait, and waits are drawn from 2 to 4 s (3 to 4 s before): 16 silent watches are given up over more than 1 s, and 1 s sooner in the mean. A discovery that answers each call late would lose watches by that (32 sidecars, 90 ms for each call: 3,960 of 4,000 readings late), so the time grows by four times what answers of late came past their wait, up to the old bound.

A sidecar makes some 14 % more calls of a watch that stands.

--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -138,6 +138,7 @@
         self.owed_since = loop.now()
         self.callers = 1  # sidecars that ask, this one included
         self.late: list[LateCall] = []  # calls given up whose answers are still heard
+        self.lateness = 0  # of answers to watches with no news, past the end of their wait, of late
         self.standing: int | None = None  # the place at which a watch stands: some call of it was answered
         self.watching: Task | None = None
         self.before: Task | None = None  # the watch at the place left, until the one that follows it stands
@@ -249,6 +250,8 @@
                 self.version = None
             return False
         self.owed_since = max(self.owed_since, answer.heard_at)
+        if asked.wait:
+            self.lateness = listclock.lateness(self.lateness, answer.heard_at - asked.at - asked.wait)
         news = bool(update.endpoints) or update.version != asked.version
         if asked.place == self.place:
             self.held, self.version = asked.place, update.version
@@ -394,12 +397,13 @@
                     yield Wait(None, 0, asked.at + self.options.discovery.calls_apart)
                     # From the last answer on, not from the asking: what was new since then is what would be missed.
                     asked, clock = self._asked(place, answer.update.version if heard else None), self._clock()
-                    until = answer.heard_at + (clock.silent if answered and asked.version is not None else clock.first)
+                    held, stands = self._held(clock), answered and asked.version is not None
+                    until = answer.heard_at + (clock.silent_for(held, self.lateness) if stands else clock.first)
                     if not answer.reusable:
                         self.loop.close(sock)
                         sock = yield from self._connect(address, until)
                     delay = self.loop.now() - answer.heard_at - self.options.discovery.calls_apart
-                    asked = asked._replace(wait=max(0, self._held(clock) - max(0, delay)) if answered else 0)
+                    asked = asked._replace(wait=max(0, held - max(0, delay)) if answered else 0)
                     due = self.loop.now() + asked.wait if asked.wait else until
                     answer = None
             except Silent as error:
--- a/loftweir/listclock.py
+++ b/loftweir/listclock.py
@@ -54,7 +54,9 @@
 FIRST = 3 * SECOND  # the longest from a process's start to its first call
 SMALL_FLEET = 16  # sidecars that call one discovery, at the most
 FIRST_IN_LARGE_FLEET = 4500 * MS  # in place of `FIRST`, where more of them do
-SPREAD = 0.25  # of a wait, that it is shortened by at the most
+SPREAD = 0.5  # of a wait, that it is shortened by at the most
+LATENESS_COUNTED = 4  # times that answers of late came past their wait, that a call may beside `silent_after`
+LATENESS_KEPT = 0.75  # of it, from one answer to the next
 GOES_ON = 180 * MS  # from an answer to the next call of the same watch; discovery allows 200 ms
 TRIES = 3  # part of the time left that a pause between refused calls takes at the most
 RETRIES_A_SECOND = 20  # of a whole fleet, as its first calls of new watches are refused
@@ -69,11 +71,15 @@
     """The lengths that one watch goes by."""
 
     wait: int  # that a call may be held with no news
-    silent: int  # from the last answer on, until the next call, which waits, is given up
+    silent: int  # from the last answer on, until the next call, which waits, is given up at the latest
     first: int  # for a call that does not wait, to be up and answered
     fresh: int  # the same, for each of `ANEW` after a silent one
     connect: int  # for a connection, as a part of these
 
+    def silent_for(self, held: int, lateness: int) -> int:
+        """From the last answer on, until the next call, which lets itself be held for so long, is given up."""
+        return self.silent - max(0, self.wait - held - LATENESS_COUNTED * lateness)
+
 
 def clock(
     wait: int, silent_after: int, answer_within: int, connect_within: int, apart: int, pushed: bool = False
@@ -95,9 +101,15 @@
     return (me + 1) * turn, me * turn
 
 
+def lateness(before: int, last: int) -> int:
+    """How far past their wait the answers to watches come of late, after one that came so late."""
+    return max(last, int(before * LATENESS_KEPT))
+
+
 def held(wait: int, chance: float) -> int:
     """How long to let discovery hold the next call; `chance` from 0 to 1. A change answers the watches of a whole fleet
-    in one moment: with one wait for all, their next calls would end, and come again, in one moment too."""
+    in one moment: with one wait for all, their next calls would end, and come again, in one moment too; and where none
+    of these is answered, all would be given up, and made anew, in one moment."""
     return int(wait * (1 - SPREAD * chance))
 
 
