Discovery: a late refusal ends the wait for a late answer

Cause: while a call that was given up may still be answered, the next one waits the whole backoff, 2 s. Where what came late was a refusal, the sidecar went on waiting for an answer that had come.

Fix: as the last such call fails, with no watch standing or being set up, the next call is made at once.

--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -446,9 +446,6 @@
         try:
             try:
                 answer = yield from call.rest(self.loop.now() + listclock.LATE)
-            except CallFailed as error:
-                self._say_failed(call.asked, f"late: {error}")
-                return
             finally:
                 self.late.remove(call)
             self._say_answered(call.asked, "answered late")
@@ -459,10 +456,19 @@
                 yield from self._follow(call.place, call.address, call.asked.version, late)
             else:
                 self._hear(call.asked, answer, False)
+        except CallFailed as error:
+            self._say_failed(call.asked, f"late: {error}")
+            self._stop_waiting_for_answer(call)
         finally:
             if not kept:
                 self.loop.close(call.sock)
 
+    def _stop_waiting_for_answer(self, call: LateCall) -> None:
+        """Calls discovery again, where the balancer keeps the next call back for answers of which none comes now."""
+        kept_back = not call.asked.wait and not self._may_be_answered()
+        if kept_back and self._is_missing(call) and self.watching is not None and self.watching.over:
+            self.watch(True)
+
     def _is_missing(self, call: LateCall) -> bool:
         """Whether no watch stands at the place of a call, and one is wanted there."""
         wanted = self.watching is not None and not self.pushed
