Failing tests: system calls that fail for a moment, judged by what callers get

Sixteen clients, half of their calls not to be run twice, four upstreams that close a connection after 20 answers, and a shim in the real program that makes one kind of call fail, all for 0.2 s or one in five for 1 s. The shim wraps Python's socket and epoll objects, through which the program makes every call, so that no compiler is needed.

--- /dev/null
+++ b/tests/fault_shim.py
@@ -0,0 +1,132 @@
+"""System calls of the real program that fail on purpose, while a test says so.
+
+Loaded into the program's process before it starts. The program makes every call through Python's socket and epoll
+objects, so these are wrapped, and no compiler is needed; interrupted waits are left out, since Python itself goes on
+with them. A `Row` is written to the process's control file; it holds from then on, for its time.
+"""
+
+import errno
+import json
+import os
+import random
+import select
+import socket
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+CONTROL, COUNT = "syscall-faults.json", "syscall-faults.count"
+LOOK_EVERY = 0.02  # seconds
+CALLS = ("accept", "socket", "connect", "read", "write", "epoll_add", "setsockopt")
+
+
+class Row(NamedTuple):
+    """One case: `rate` of these calls fail with `error`, for so many seconds."""
+
+    call: str
+    error: str
+    rate: float
+    seconds: float
+
+
+def checked(rows):
+    """The rows of a table. Raises ValueError, which names the first that can't be played."""
+    for number, row in enumerate(rows, 1):
+        faults = {
+            f"no such call, but one of {', '.join(CALLS)}": row.call not in CALLS,
+            "no such error": not hasattr(errno, row.error),
+            "a rate is above 0 and at most 1": not 0 < row.rate <= 1,
+            "a fault lasts for more than 0 s": row.seconds <= 0,
+        }
+        for fault, there in faults.items():
+            if there:
+                raise ValueError(f"row {number}, {tuple(row)}: {fault}")
+    return rows
+
+
+class Injector:
+    """Which calls fail now."""
+
+    def __init__(self, folder):
+        self.control, self.counted = Path(folder, CONTROL), Path(folder, COUNT)
+        self.row, self.until, self.look_at = None, 0.0, 0.0
+        self.injected = 0
+        self.random = random.Random(7)
+
+    def fault(self, call):
+        """The number of the error with which this call is to fail; 0: it does not."""
+        now = time.monotonic()
+        if now >= self.look_at:
+            self.look_at = now + LOOK_EVERY
+            self._look(now)
+        row = self.row
+        if row is None or row.call != call or now >= self.until or self.random.random() >= row.rate:
+            return 0
+        self.injected += 1
+        return getattr(errno, row.error)
+
+    def _look(self, now):
+        if self.row is None and self.control.exists():
+            self.row = Row(**json.loads(self.control.read_text()))
+            self.control.unlink()
+            self.until = now + self.row.seconds
+        elif self.row is not None and now >= self.until:
+            self.counted.write_text(str(self.injected))
+            self.row = None
+
+
+def install(folder):
+    """Wraps the calls of this process."""
+    injector, real, outgoing = Injector(folder), socket.socket, set()
+    calls = {
+        name: getattr(real, name) for name in ("__init__", "_accept", "connect_ex", "recv", "sendmsg", "setsockopt")
+    }
+
+    def check(call):
+        fault = injector.fault(call)
+        if fault:
+            raise OSError(fault, os.strerror(fault))
+
+    def create(self, family=-1, type=-1, proto=-1, fileno=None):
+        if fileno is None:
+            check("socket")
+        calls["__init__"](self, family, type, proto, fileno)
+        outgoing.discard(self.fileno())
+
+    def accept(self):
+        check("accept")
+        return calls["_accept"](self)
+
+    def connect(self, address):
+        outgoing.add(self.fileno())
+        return injector.fault("connect") or calls["connect_ex"](self, address)
+
+    def read(self, *arguments):
+        if self.fileno() in outgoing:
+            check("read")
+        return calls["recv"](self, *arguments)
+
+    def write(self, *arguments):
+        check("write")
+        return calls["sendmsg"](self, *arguments)
+
+    def set_option(self, *arguments):
+        check("setsockopt")
+        return calls["setsockopt"](self, *arguments)
+
+    wrapped = (create, accept, connect, read, write, set_option)
+    for name, wrapper in zip(calls, wrapped, strict=True):
+        setattr(real, name, wrapper)
+
+    class Epoll:
+        def __init__(self):
+            self.epoll = kernel_epoll()
+
+        def register(self, *arguments):
+            check("epoll_add")
+            self.epoll.register(*arguments)
+
+        def __getattr__(self, name):
+            return getattr(self.epoll, name)
+
+    kernel_epoll, select.epoll = select.epoll, Epoll
--- /dev/null
+++ b/tests/test_syscall_faults.py
@@ -0,0 +1,223 @@
+"""System calls fail for a moment, or one in five of them: callers have what they are owed, and are served again."""
+
+import json
+import os
+import socket
+import threading
+import time
+from collections import Counter
+from pathlib import Path
+from typing import NamedTuple
+
+import pytest
+from fault_shim import CONTROL, COUNT, Row, checked
+from scene import MS, ONCE, READ, SETTINGS, Scene, eventually, reply
+
+CLIENTS = 16
+DEADLINE_MS = 800
+ANSWERED_WITHIN = 1.3  # seconds: the deadline, and the half second in which an answer only earns nothing
+PACE = 0.02  # seconds from an answer to the same client's next call
+CALLS_A_CONNECTION = 10  # after so many a client opens a new one
+ANSWERS_A_CONNECTION = 20  # after so many an upstream closes it, so that new ones are made all the time
+BEFORE = 1.0  # seconds of calls before the fault
+SERVED_AGAIN_WITHIN = 1.0  # seconds after the fault
+AFTER = 1.0  # seconds of calls from then on
+PART, ALL = 0.2, 1.0
+BRIEF, LONG = 0.2, 1.0  # seconds
+
+
+class Answered(NamedTuple):
+    """How a call ended: `status` 0 is a connection that was closed with no answer."""
+
+    began: float
+    took: float
+    status: int
+    request: str
+    kind: str
+
+
+class Client(threading.Thread):
+    """Makes one call after another over a connection that it keeps for as long as it can."""
+
+    def __init__(self, address, kind, ends_at):
+        super().__init__(daemon=True)
+        self.address, self.kind, self.ends_at = address, kind, ends_at
+        self.sock, self.left, self.answers = None, 0, []
+        self.shut = 0  # kept connections that were closed under it
+
+    def run(self):
+        while time.monotonic() < self.ends_at:
+            self.answers.append(self.call())
+            time.sleep(PACE)
+        if self.sock is not None:
+            self.sock.close()
+
+    def call(self):
+        request, began, status = os.urandom(8).hex(), time.monotonic(), 0
+        new = self.sock is None
+        for _ in range(1 if new else 2):  # one that crosses the close of a kept connection is sent once more
+            try:
+                if self.sock is None:
+                    self.sock = self.connect()
+                status = self.exchange(request)
+                self.left -= 1
+            except OSError:
+                status = 0
+            if status and self.left:
+                break
+            if self.sock is not None:
+                self.sock.close()
+            self.sock = None
+            if status:
+                break
+            self.shut += not new
+        return Answered(began, time.monotonic() - began, status, request, self.kind)
+
+    def connect(self):
+        host, port = self.address.split(":")
+        self.left = CALLS_A_CONNECTION
+        return socket.create_connection((host, int(port)), timeout=5)
+
+    def exchange(self, request):
+        method, body = ("GET", b"") if self.kind == READ else ("POST", b"{}")
+        lines = [f"{method} /api HTTP/1.1", "Host: x", f"Req-Id: {request}", f"Req-Kind: {self.kind}"]
+        lines += [f"Req-Deadline-Ms: {DEADLINE_MS}", f"Content-Length: {len(body)}", "", ""]
+        self.sock.sendall("\r\n".join(lines).encode() + body)
+        data = b""
+        while b"\r\n\r\n" not in data:
+            more = self.sock.recv(65536)
+            if not more:
+                return 0
+            data += more
+        head, _, rest = data.partition(b"\r\n\r\n")
+        fields = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:])
+        left = int(fields[b"content-length"]) - len(rest)
+        while left > 0:
+            more = self.sock.recv(left)
+            if not more:
+                return 0
+            left -= len(more)
+        if fields.get(b"connection") == b"close":
+            self.sock = None
+        return int(head.split(b" ", 2)[1])
+
+
+def upstream():
+    """An upstream that closes a connection after some answers; `ran` has the ids of the requests it has run."""
+    ran, answers = [], threading.local()
+
+    def answer(head, body):
+        ran.append(head.partition("Req-Id: ")[2].split()[0])
+        answers.number = getattr(answers, "number", 0) + 1
+        if answers.number == ANSWERS_A_CONNECTION:
+            return reply(200, b"x", "Connection: close")
+        return reply(200, b"x")
+
+    answer.ran = ran
+    return answer
+
+
+class Play:
+    """What the clients of one case saw, from its fault's beginning and end on."""
+
+    def __init__(self, clients, ran, fault_at, fault_over_at, injected, log):
+        self.answers = answers = [answer for client in clients for answer in client.answers]
+        self.shut = sum(client.shut for client in clients)
+        self.ran, self.injected, self.log = Counter(ran), injected, log
+        self.during = [a for a in answers if fault_at <= a.began < fault_over_at]
+        self.after = [a for a in answers if a.began >= fault_over_at + SERVED_AGAIN_WITHIN]
+
+    def judge(self):
+        assert self.injected, "no call failed"
+        assert len(self.after) > 50, "too few calls after the fault"
+        closed = [a for a in self.answers if not a.status]
+        assert not closed, f"{len(closed)} calls with no answer, {self}"
+        assert not self.shut, f"{self.shut} kept connections shut, {self}"
+        late = [a for a in self.answers if a.took > ANSWERED_WITHIN]
+        assert not late, f"{len(late)} calls answered late, {self}"
+        once = [a for a in self.answers if a.kind == ONCE]
+        assert all(self.ran[a.request] <= 1 for a in once), f"a call that must not run twice ran twice, {self}"
+        ran = [a for a in once if a.status in (429, 503) and self.ran[a.request]]
+        assert not ran, f"{len(ran)} calls refused that ran, {self}"
+        unserved = [a for a in self.during if a.status != 200]
+        assert len(unserved) <= self.injected, f"{len(unserved)} calls not served, {self}"
+        lost = [a for a in self.after if a.status != 200]
+        assert not lost, f"{len(lost)} of {len(self.after)} calls not served after the fault, {self}"
+
+    def __str__(self):
+        during = Counter(a.status for a in self.during)
+        return f"{self.injected} faults, meanwhile {dict(during)}: {self.log}"
+
+
+class Faulty(Scene):
+    """The real program before four upstreams, with the shim in it."""
+
+    def play(self, row):
+        answers = [upstream() for _ in range(4)]
+        folder = Path(__file__).parent
+        shim = f"import sys\nsys.path.append({str(folder)!r})\nimport fault_shim\nfault_shim.install('.')\n"
+        profiles = [p | {"hardLimit": DEADLINE_MS * MS, "target": 300 * MS} for p in SETTINGS["profiles"]]
+        self.start(*answers, fault=shim, settings=SETTINGS | {"profiles": profiles})
+        self.assertTrue(eventually(lambda: self.health() == 200), self.log())
+        starts_at = time.monotonic()
+        ends_at = starts_at + BEFORE + row.seconds + SERVED_AGAIN_WITHIN + AFTER
+        clients = [Client(self.listen, ONCE if n % 2 else READ, ends_at) for n in range(CLIENTS)]
+        for client in clients:
+            client.start()
+        time.sleep(BEFORE)
+        fault_at = time.monotonic()
+        Path(self.path.parent, "next").write_text(json.dumps(row._asdict()))
+        Path(self.path.parent, "next").rename(Path(self.path.parent, CONTROL))
+        for client in clients:
+            client.join(20)
+        count = Path(self.path.parent, COUNT)
+        self.assertTrue(eventually(count.exists, 5))
+        ran = [request for answer in answers for request in answer.ran]
+        log = "\n".join(self.log().splitlines()[:6])
+        return Play(clients, ran, fault_at, fault_at + row.seconds, int(count.read_text()), log)
+
+
+TABLE = checked(
+    [
+        Row("epoll_add", "ENOMEM", PART, LONG),
+        Row("epoll_add", "ENOSPC", ALL, BRIEF),
+        Row("connect", "EADDRNOTAVAIL", ALL, BRIEF),
+        Row("connect", "EADDRNOTAVAIL", PART, LONG),
+        Row("connect", "ENETUNREACH", ALL, BRIEF),
+        Row("connect", "ENETUNREACH", PART, LONG),
+        Row("connect", "ENOBUFS", ALL, BRIEF),
+        Row("connect", "EAGAIN", PART, LONG),
+        Row("socket", "ENFILE", ALL, BRIEF),
+        Row("socket", "ENOBUFS", PART, LONG),
+        Row("accept", "ENFILE", PART, LONG),
+        Row("accept", "ENOBUFS", ALL, BRIEF),
+        Row("accept", "EPROTO", PART, LONG),
+        Row("accept", "ECONNABORTED", PART, LONG),
+        Row("write", "ENOBUFS", PART, LONG),
+        Row("write", "ENOMEM", ALL, BRIEF),
+        Row("setsockopt", "ENOBUFS", PART, LONG),
+    ]
+)
+
+
+@pytest.mark.parametrize("row", TABLE, ids=lambda row: f"{row.call} {row.error} {row.rate:g} for {row.seconds:g} s")
+def test_callers_are_served_again_after_system_calls_failed(row):
+    scene = Faulty()
+    try:
+        scene.play(row).judge()
+    finally:
+        scene.doCleanups()
+
+
+@pytest.mark.parametrize(
+    "row, message",
+    [
+        (Row("conect", "ENFILE", 1, 1), r"row 2, .*: no such call"),
+        (Row("accept", "ENFULL", 1, 1), r"row 2, .*: no such error"),
+        (Row("accept", "ENFILE", 0, 1), r"row 2, .*: a rate is above 0"),
+        (Row("accept", "ENFILE", 1, 0), r"row 2, .*: a fault lasts"),
+    ],
+)
+def test_a_row_that_cannot_be_played_is_named(row, message):
+    with pytest.raises(ValueError, match=message):
+        checked([TABLE[0], row])
