Loop: a descriptor that epoll can't take for the moment is watched later, not given up

What callers saw: with epoll_ctl(ADD) failing with ENOMEM, one in five, the sidecar stopped taking connections for good and said nothing to its clients; others lost answers that were under way.

Cause: a failed registration was raised into the coroutine that wanted to wait, and ended it; the one that accepts has no one to begin it again.

Fix: where the kernel lacks memory or watches, the watcher stands all the same and its registration is tried every 5 ms; a wait with a time still ends by it. Masks that can't be narrowed are treated alike, and a descriptor that can't be watched at all wakes its owner. No caller of the loop has to know.

--- a/loftweir/net/loop.py
+++ b/loftweir/net/loop.py
@@ -10,11 +10,13 @@
 - A wait that ends early leaves its timer in the heap. The next wait of the same task takes it over where it is due no
   later: when it comes up it looks at what is due now, and goes back into the heap. A connection so makes one entry in
   some seconds, however many requests go over it.
+- A descriptor that epoll can't take now, for want of memory, is tried again until it does: its watcher waits on.
 - Who is silent has no coroutine and no timer at all: a `Watcher` is an object that epoll's event is handed to.
 """
 
 from __future__ import annotations
 
+import errno
 import heapq
 import select
 import time
@@ -24,7 +26,7 @@
 from socket import socket
 from typing import Any, NamedTuple, Protocol, TypeVar
 
-from loftweir.telemetry.catalogue import COROUTINE_BROKEN
+from loftweir.telemetry.catalogue import COROUTINE_BROKEN, WATCH_FAILED
 from loftweir.telemetry.log import say, where
 
 T = TypeVar("T")
@@ -42,6 +44,7 @@
 # A turn ends after the step in which this has passed, and the round goes on in the next one: epoll is asked again, and
 # what is urgent goes first. In a process with a small share of a core a whole round can outlast the drain grace.
 TURN_LASTS = 10 * MS
+RETRY_WATCH = 5 * MS  # until epoll is asked again for a descriptor that it could not take
 
 
 class Pollable(Protocol):
@@ -188,6 +191,7 @@
         self.dead_timers = 0
         self.registered: dict[int, int] = {}  # what epoll reports of each descriptor
         self.watchers: dict[int, Watcher] = {}
+        self.unheard: set[int] = set()  # those watched whose registration failed, and is tried again
         self.due: deque[Callable[[], None]] = deque()
         self.fresh: deque[Callable[[], None]] = deque()
         self.urgent: deque[Callable[[], None]] = deque()
@@ -225,17 +229,52 @@
 
     def watch(self, fd: int, watcher: Watcher) -> int:
         """Hands the next event of `watcher.mask` on a descriptor to its watcher, and takes it off then."""
-        wanted = watcher.mask
-        have = self.registered.get(fd)
-        if have is None:
-            self.epoll.register(fd, wanted)
-            self.registered[fd] = wanted
-        elif have & wanted != wanted:
-            self.epoll.modify(fd, have | wanted)
-            self.registered[fd] = have | wanted
         self.watchers[fd] = watcher
+        self._register(fd, watcher.mask)
         return fd
 
+    def _register(self, fd: int, wanted: int) -> None:
+        have = self.registered.get(fd)
+        try:
+            if have is None:
+                self.epoll.register(fd, wanted)
+                self.registered[fd] = wanted
+            elif have & wanted != wanted:
+                self.epoll.modify(fd, have | wanted)
+                self.registered[fd] = have | wanted
+        except OSError as error:
+            if error.errno not in (errno.ENOMEM, errno.ENOSPC):
+                self.watchers.pop(fd, None)
+                raise
+            self._try_again(fd, error)
+
+    def _try_again(self, fd: int, error: OSError) -> None:
+        say(WATCH_FAILED, why=error.strerror)
+        if not self.unheard:
+            self.after(RETRY_WATCH, self._register_again)
+        self.unheard.add(fd)
+
+    def _register_again(self) -> None:
+        unheard, self.unheard = self.unheard, set()
+        for fd in unheard:
+            watcher = self.watchers.get(fd)
+            if watcher is None:
+                continue
+            try:
+                self._register(fd, watcher.mask)
+            except OSError:  # it can't be watched: whoever waits finds out what is wrong with it
+                watcher.ready(ENDED)
+
+    def _narrow(self, fd: int, wanted: int) -> None:
+        """Epoll reports no more of a descriptor than what is waited for."""
+        try:
+            self.epoll.modify(fd, wanted)
+            self.registered[fd] = wanted
+        except OSError as error:
+            self.epoll.unregister(fd)
+            del self.registered[fd]
+            self._try_again(fd, error)
+
     def unwatch(self, fd: int) -> None:
         self.watchers.pop(fd, None)
 
@@ -250,6 +289,7 @@
     def forget(self, fd: int) -> None:
         """Nothing more is heard of a descriptor."""
         self.watchers.pop(fd, None)
+        self.unheard.discard(fd)
         if self.registered.pop(fd, None) is not None:
             self.epoll.unregister(fd)
 
@@ -331,5 +371,4 @@
                     del watchers[fd]
                     watcher.ready(events)
                 else:
-                    self.registered[fd] = watcher.mask
-                    self.epoll.modify(fd, watcher.mask)
+                    self._narrow(fd, watcher.mask)
--- a/loftweir/telemetry/catalogue.py
+++ b/loftweir/telemetry/catalogue.py
@@ -421,6 +421,14 @@
     "more copies, or higher limits",
     ("why",),
 )
+WATCH_FAILED = Event(
+    "loop.watch_failed",
+    WARNING,
+    ("why",),
+    "the kernel could not watch a descriptor for want of memory; it is asked again every 5 ms",
+    "the machine is short of memory, or of `fs.epoll.max_user_watches`",
+    ("why",),
+)
 OVERDUE = Event(
     "invocation.overdue",
     ERROR,
