Connecting: a fault of this machine is tried again and no server is blamed for it

Cause: every connection that could not be begun was the server's failure but for a lack of descriptors of socket(): servers were passed over for an aim and set aside, until none was left to send to.

Nothing was written, so nothing can run twice. What a server's machine or the network answers later (SO_ERROR) is still its failure.

--- a/loftweir/net/stream.py
+++ b/loftweir/net/stream.py
@@ -4,6 +4,7 @@
 
 import errno
 import fcntl
+import os
 import select
 import socket
 import struct
@@ -13,6 +14,8 @@
 from loftweir.config.units import host_and_port
 from loftweir.interface import Outcome
 from loftweir.net.loop import MS, WRITABLE, Coroutine, Loop, Wait
+from loftweir.telemetry.catalogue import CONNECT_NOT_BEGUN
+from loftweir.telemetry.log import say
 
 READ_SIZE = 64 * 1024
 SMALL = 64 * 1024  # bytes of a body up to which it is held whole, and may take all the room there is
@@ -21,7 +24,19 @@
 MERGED = 4 * 1024  # parts that come in tiny pieces are kept together up to this
 LOOK_FOR_ROOM = 10 * MS
 GATHER_LIMIT = 512  # parts in one write; the kernel takes 1,024
-OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+# Of connect(), before anything was sent: this machine has no port, route, memory or right for it.
+NOT_BEGUN = (
+    errno.EADDRNOTAVAIL,
+    errno.EADDRINUSE,
+    errno.EAGAIN,
+    errno.ENETUNREACH,
+    errno.ENETDOWN,
+    errno.ENOBUFS,
+    errno.ENOMEM,
+    errno.EPERM,
+    errno.EACCES,
+)
+RETRY_CONNECT = 10 * MS  # until a connection that was not begun is tried again
 # Of Linux's struct tcp_info (linux/tcp.h): ms since the last bytes came, behind 8 bytes and eleven words.
 TCP_INFO_SIZE, LAST_DATA_RECEIVED = 56, 52
 
@@ -115,6 +130,10 @@
         yield Wait(None, 0, loop.time + LOOK_FOR_ROOM)
 
 
+class LocalFault(OSError):
+    """A connection was not begun, through a fault of this machine."""
+
+
 def prepare(sock: socket.socket) -> None:
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -146,26 +165,46 @@
 
 
 def connect(loop: Loop, address: str, connect_timeout: int, until: int) -> Coroutine[socket.socket]:
-    """A new connection, up within `connect_timeout`; else a `NotUp`."""
+    """A new connection, up within `connect_timeout`; else a `NotUp`.
+
+    A fault of this machine says nothing of the other one, which must not be blamed for it: the connection is begun
+    again for as long, and `NOT_SENT` is its outcome where that never works.
+    """
     try:
         host, port = host_and_port(address)
-        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
     except ValueError:
         raise NotUp(Outcome.CONNECT_FAILED) from None  # the list gave no address that can be called
+    up_by = loop.now() + connect_timeout
+    while True:
+        try:
+            return (yield from _connect(loop, host, port, up_by, until))
+        except LocalFault as fault:
+            say(CONNECT_NOT_BEGUN, why=fault.strerror)
+            if loop.now() + RETRY_CONNECT >= min(up_by, until):
+                raise NotUp(Outcome.NOT_SENT) from None
+        yield Wait(None, 0, loop.now() + RETRY_CONNECT)
+
+
+def _connect(loop: Loop, host: str, port: int, up_by: int, until: int) -> Coroutine[socket.socket]:
+    """One try of `connect`. Raises `NotUp`, or `LocalFault` where it was not begun."""
+    try:
+        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
     except OSError as error:
-        # Our own shortage says nothing of the provider: it must not be blamed for it.
-        lacking = error.errno in OUT_OF_DESCRIPTORS
-        raise NotUp(Outcome.NOT_SENT if lacking else Outcome.CONNECT_FAILED) from None
+        raise LocalFault(error.errno, error.strerror) from None
     try:
         prepare(sock)
         fault = sock.connect_ex((host, port))
+        if fault in NOT_BEGUN:
+            raise LocalFault(fault, os.strerror(fault))
         if fault == errno.EINPROGRESS:
-            up_by = loop.now() + connect_timeout
             if not (yield Wait(sock, WRITABLE, min(up_by, until))):
                 raise NotUp(Outcome.CONNECT_FAILED if up_by <= until else Outcome.NOT_SENT)
             fault = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if fault:
             raise NotUp(Outcome.CONNECT_FAILED)
+    except LocalFault:
+        loop.close(sock)
+        raise
     except OSError:
         loop.close(sock)
         raise NotUp(Outcome.CONNECT_FAILED) from None
--- a/loftweir/telemetry/catalogue.py
+++ b/loftweir/telemetry/catalogue.py
@@ -421,6 +421,14 @@
     "more copies, or higher limits",
     ("why",),
 )
+CONNECT_NOT_BEGUN = Event(
+    "connect.not_begun",
+    WARNING,
+    ("why",),
+    "a connection could not be begun through a fault of this machine; it is tried again, and no provider is blamed",
+    "the machine lacks ports, a route, memory or descriptors, by `why`",
+    ("why",),
+)
 WATCH_FAILED = Event(
     "loop.watch_failed",
     WARNING,
