Accepting: a failed accept of a moment shuts nobody's connection

Cause: every failure but ECONNABORTED was taken for a lack of descriptors that had to be made good at once, by closing connections that hold no request: of an upstream and of a client.

Evidence: three rows of test_syscall_faults that failed before: 47 connections shut in 49 failures (ENFILE), 5 in 11 (ENOBUFS), 40 in 45 (EPROTO).

Fix: errors of the connection that was next (accept(2) names them) are passed over, with a turn for all else after 16; any other failure is tried again after limits.retry_accept; and room is made only where EMFILE or ENFILE has lasted for 100 ms, which a momentary failure does not and a real lack does. The emptying of the queue at SIGTERM goes by the same. All three rows pass; test_life, test_ends, test_client, test_usable, test_upgrade, test_operations: 93 passed with them.

--- a/loftweir/http1/front.py
+++ b/loftweir/http1/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -12,12 +13,27 @@
 from loftweir.core.life import Life
 from loftweir.http1.client import Client
 from loftweir.http1.connections import Connections
-from loftweir.net.loop import EXCLUSIVE, READABLE, Coroutine, Loop, Task, Wait
+from loftweir.net.loop import EXCLUSIVE, MS, READABLE, Coroutine, Loop, Task, Wait
 from loftweir.net.stream import Room, prepare
 from loftweir.telemetry.catalogue import ACCEPT_FAILED, ROOM_NONE
 from loftweir.telemetry.log import say
 
 ACCEPTS_A_TURN = 16  # a wave of new connections waits for the answers that are ready
+# Of accept(): the connection that was next is broken, and the one after it may be sound.
+BROKEN_CONNECTION = (
+    errno.ECONNABORTED,
+    errno.EPROTO,
+    errno.ENETDOWN,
+    errno.ENOPROTOOPT,
+    errno.EHOSTDOWN,
+    errno.ENONET,
+    errno.EHOSTUNREACH,
+    errno.EOPNOTSUPP,
+    errno.ENETUNREACH,
+    errno.EPERM,
+)
+NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
+LACK_LASTS = 100 * MS  # of descriptors, from which on connections that hold no request are closed for new ones
 
 
 class Front(Connections):
@@ -34,6 +50,7 @@
         self.accepting: Task | None = None
         self.opens_at = 0  # clients wait in the listener's queue until then, or `open`
         self.shared = False  # the listener: other processes take from it too
+        self.lacks_since: int | None = None  # that no descriptor is free for a new connection
         self.ends_at = 0  # when this process is over, whatever it still owes; 0: not known
         self.spare_descriptor: Any = lambda: False  # the back's way to make room, where there is one
 
@@ -108,10 +125,10 @@
                 sock, _ = listener.accept()
             except BlockingIOError:
                 return True
-            except ConnectionAbortedError:
-                continue
-            except OSError:  # no descriptor
-                if self.spare_descriptor() or self.spare():
+            except OSError as error:
+                if error.errno in BROKEN_CONNECTION:
+                    continue
+                if self._lack_lasts(error) and (self.spare_descriptor() or self.spare()):
                     continue
                 return self.shared
             self._welcome(sock)
@@ -142,23 +159,36 @@
             try:
                 sock, _ = listener.accept()
             except BlockingIOError:
-                turn = 0
+                turn, self.lacks_since = 0, None
                 yield Wait(listener, ready, None)
                 continue
-            except ConnectionAbortedError:
-                continue
             except OSError as error:
-                fault = str(error)
-                self.spare_descriptor()
+                say(ACCEPT_FAILED, why=error.strerror)
+                if error.errno not in BROKEN_CONNECTION:
+                    yield from self._wait_for_descriptor(error)
+                    continue
             else:
+                self.lacks_since = None
                 self._welcome(sock)
-                turn += 1
-                if turn % ACCEPTS_A_TURN == 0:
-                    yield Wait(listener, ready, None)
-                continue
-            yield Wait(listener, ready, None)
-            say(ACCEPT_FAILED, why=fault)
+            turn += 1
+            if turn % ACCEPTS_A_TURN == 0:
+                yield Wait(listener, ready, None)
+
+    def _wait_for_descriptor(self, error: OSError) -> Coroutine[None]:
+        """After a connection that could not be taken: a moment, and room for it where there was none for long."""
+        if self._lack_lasts(error):
+            self.spare_descriptor()
             yield from self._make_room()
+        else:
+            yield Wait(None, 0, self.loop.time + self.options.limits.retry_accept)
+
+    def _lack_lasts(self, error: OSError) -> bool:
+        """Whether accept() fails for want of descriptors, and has done so for long."""
+        if error.errno not in NO_DESCRIPTOR:
+            return False
+        if self.lacks_since is None:
+            self.lacks_since = self.loop.time
+        return self.loop.time - self.lacks_since >= LACK_LASTS
 
     def _make_room(self) -> Coroutine[None]:
         if not self.spare():
