Writing: a message that the kernel has no memory for is written later, not dropped

Answers that were ready were never sent.

Cause: an error of sendmsg() was taken for a broken connection, on both sides.

Fix: ENOBUFS and ENOMEM are this machine's. A message is tried again every 5 ms within its time. A request of which nothing is out is looked at again before each try: its client may have gone, its server may drain, its time may be over. Only these two errors are meant: the kernel has taken nothing then, so nothing is written twice.

--- a/benchmarks/scale/discovery.py
+++ b/benchmarks/scale/discovery.py
@@ -108,7 +108,7 @@
                     del self.waiting[own[0]]
                     if ended not in (0, WOKEN):
                         return
-                yield from send(sock, [self._answer(after)], self.loop.now() + ANSWERED_WITHIN)
+                yield from send(self.loop, sock, [self._answer(after)], self.loop.now() + ANSWERED_WITHIN)
         except OSError:
             return
         finally:
--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -22,7 +22,9 @@
 from loftweir.net.loop import MS, READABLE, Coroutine, Loop, Wait
 from loftweir.net.stream import (
     READ_SIZE,
+    RETRY_WRITE,
     Body,
+    LocalFault,
     NoRoom,
     NotUp,
     Room,
@@ -243,17 +245,10 @@
         except NotUp as error:
             self.ended(call, error.outcome, None)
             return
-        if connection.address != pool.addresses.get(call.provider):
-            # Gone, draining or moved while the connection came up: nothing new goes there.
-            pool.close(connection)
-            self.ended(call, Outcome.NOT_SENT, None)
-            return
         call.up_at = self.loop.time
         reusable: bool | None = False
         try:
-            if not call.invocation.wanted() or getattr(body, "begun", False) or self.loop.now() >= call.send_by:
-                # The client went while the connection came up, or that came up too late, or another attempt has begun
-                # its body meanwhile: the provider is spared.
+            if not self._may_send(call, connection):
                 reusable = True
                 outcome, answer = Outcome.NOT_SENT, None
             else:
@@ -271,13 +266,33 @@
             if final is None or final.payload is not answer:
                 answer.body.close()  # it came too late for anyone
 
+    def _may_send(self, call: Call, connection: Connection) -> bool:
+        """Whether the request can still go out: not to a provider that has gone, drains or moved meanwhile, nor for a
+        client that has gone, nor too late, nor where another attempt has begun its body."""
+        if connection.address != self.pool.addresses.get(call.provider):
+            return False
+        begun = getattr(call.invocation.payload.body, "begun", False)
+        return call.invocation.wanted() and not begun and self.loop.now() < call.send_by
+
+    def _send(self, call: Call, connection: Connection) -> Coroutine[bool]:
+        """Writes the request, its body but for one that is sent on; False: it must not go out any more."""
+        while True:
+            try:
+                yield from send(self.loop, connection.sock, self.message(call), call.send_by, READABLE, begins=True)
+                return True
+            except LocalFault:
+                yield Wait(None, 0, self.loop.now() + RETRY_WRITE)
+            if not self._may_send(call, connection):
+                return False
+
     def _exchange(self, call: Call, connection: Connection) -> Coroutine[Exchanged]:
         """The outcome, the answer with OK, and whether the connection can be used again; None: it went with the
         answer."""
         sock, give_up_at = connection.sock, call.give_up_at
         body = call.invocation.payload.body
         try:
-            yield from send(sock, self.message(call), call.send_by, READABLE)
+            if not (yield from self._send(call, connection)):
+                return Outcome.NOT_SENT, None, True
             if not isinstance(body, list):
                 give_up_at = yield from self._send_on(call, connection, body)
         except (TookTooLong, Unsent):
@@ -452,7 +467,7 @@
                 if not connection.sound():
                     raise ConnectionResetError("spoken on before the request was whole")
                 until = self.loop.time + self.pool.options.limits.silent_for
-                yield from send(connection.sock, [piece], until, READABLE)
+                yield from send(self.loop, connection.sock, [piece], until, READABLE)
         finally:
             body.close()
         invocation = call.invocation
--- a/loftweir/http1/client.py
+++ b/loftweir/http1/client.py
@@ -262,7 +262,8 @@
         if not isinstance(body, list):
             return self._pass_on(head, body)
         parts = whole_message(head, body, with_body=self.method != b"HEAD")
-        return send(self.sock, parts, self.front.loop.time + self.front.options.limits.write_within)
+        within = self.front.options.limits.write_within
+        return send(self.front.loop, self.sock, parts, self.front.loop.time + within)
 
     def _pass_on(self, head: bytes, flow: Flow) -> Coroutine[None]:
         within = self.front.options.limits.write_within
--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -492,7 +492,7 @@
         wire = Strict(sock, h11.CLIENT)
         head = f"GET {target} HTTP/1.1\r\nHost: {self.address}\r\n\r\n"
         try:
-            yield from send(sock, [head.encode()], until)
+            yield from send(self.loop, sock, [head.encode()], until)
         except TookTooLong:
             raise Silent("silent") from None
         except OSError as error:
--- a/loftweir/http1/response.py
+++ b/loftweir/http1/response.py
@@ -79,7 +79,7 @@
                 parts += [b"%x\r\n" % len(piece), piece, b"\r\n"]
             elif piece:
                 parts.append(piece)
-            yield from send(sock, parts, loop.time + write_within)
+            yield from send(loop, sock, parts, loop.time + write_within)
     except TooLarge:
         raise ConnectionAbortedError("the answer is over limits.answer") from None
     finally:
--- a/loftweir/net/stream.py
+++ b/loftweir/net/stream.py
@@ -38,6 +38,8 @@
     errno.EACCES,
 )
 RETRY_CONNECT = 10 * MS  # until a connection that was not begun is tried again
+NO_BUFFER = (errno.ENOBUFS, errno.ENOMEM)  # of a write: the kernel has no memory for it now
+RETRY_WRITE = 5 * MS
 # Of Linux's struct tcp_info (linux/tcp.h): ms since the last bytes came, behind 8 bytes and eleven words.
 TCP_INFO_SIZE, LAST_DATA_RECEIVED = 56, 52
 
@@ -132,7 +134,7 @@
 
 
 class LocalFault(OSError):
-    """A connection was not begun, through a fault of this machine."""
+    """Something was not begun, through a fault of this machine: nothing was sent."""
 
 
 def prepare(sock: socket.socket) -> None:
@@ -226,9 +228,12 @@
     return int(left)
 
 
-def send(sock: socket.socket, parts: list[Any], until: int | None, breaks: int = 0) -> Coroutine[None]:
+def send(
+    loop: Loop, sock: socket.socket, parts: list[Any], until: int | None, breaks: int = 0, begins: bool = False
+) -> Coroutine[None]:
     """Writes a whole message, gathered; takes the parts off the list as they go out. `breaks`: events that end it, as
-    a reset does, while it waits to write on."""
+    a reset does, while it waits to write on. Where the kernel has no memory for it, it is tried again; with `begins`
+    that is a `LocalFault` as long as nothing of it is out."""
     while parts:
         try:
             written = sock.sendmsg(parts[:GATHER_LIMIT])
@@ -239,6 +244,14 @@
             if event & breaks:
                 raise ConnectionResetError("spoken on before the message was whole") from None
             continue
+        except OSError as error:
+            if error.errno not in NO_BUFFER:
+                raise
+            if begins:
+                raise LocalFault(error.errno, error.strerror) from None
+            yield from _wait_for_buffer(loop, until)
+            continue
+        begins = False
         # A short write leaves whole parts and perhaps the rest of one.
         whole = 0
         while whole < len(parts) and written >= len(parts[whole]):
@@ -247,3 +260,10 @@
         del parts[:whole]
         if written:
             parts[0] = memoryview(parts[0])[written:]
+
+
+def _wait_for_buffer(loop: Loop, until: int | None) -> Coroutine[None]:
+    again_at = loop.now() + RETRY_WRITE
+    if until is not None and again_at >= until:
+        raise TookTooLong
+    yield Wait(None, 0, again_at)
--- a/loftweir/operations/address.py
+++ b/loftweir/operations/address.py
@@ -66,7 +66,7 @@
         try:
             answer = yield from self._answer(sock)
             if answer:
-                yield from send(sock, [answer], self.loop.now() + ANSWER_WITHIN)
+                yield from send(self.loop, sock, [answer], self.loop.now() + ANSWER_WITHIN)
                 sock.shutdown(socket.SHUT_WR)
                 # Closing with something unread would reset the connection, and the answer with it.
                 until = self.loop.now() + 100 * MS
--- a/loftweir/partners/link.py
+++ b/loftweir/partners/link.py
@@ -236,7 +236,7 @@
         try:
             if sock is None:
                 sock = yield from connect(self.loop, address, CONNECT_WITHIN, until)
-            yield from send(sock, [head.encode()], until)
+            yield from send(self.loop, sock, [head.encode()], until)
             wire = Strict(sock, h11.CLIENT)
             answer = yield from wire.next_event(until)
             if not isinstance(answer, h11.Response):
--- a/loftweir/partners/offer.py
+++ b/loftweir/partners/offer.py
@@ -151,7 +151,7 @@
                 last = not whole or not wire.whole() or status in (400, 404)
                 head = f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: {kind}\r\nContent-Length: {len(body)}\r\n"
                 close = "Connection: close\r\n" if last else ""
-                yield from send(sock, [f"{head}{close}\r\n".encode(), body], self.loop.now() + WRITE_WITHIN)
+                yield from send(self.loop, sock, [f"{head}{close}\r\n".encode(), body], self.loop.now() + WRITE_WITHIN)
                 if last:
                     sock.shutdown(socket.SHUT_WR)
                     until = self.loop.now() + 100 * MS
