Deadline told: counted from the client's first byte, however slowly its request came

What callers saw: upstreams were told up to 510 ms more than the client had left, where the body came 0.5 s after the head or the head in pieces: work was done for clients that had gone.

Cause: an attempt's time runs from the request's last byte, and what is told was counted from there too. The protocol counts the client's time from its sending of the request.

Fix: an invocation knows how long its bytes took to come, and that is taken off what is told, alone: its own attempts have the time that they had, as requests are timed from their last byte. Bodies over the whole room for bodies, which are sent on while they come, are told as before.

--- a/loftweir/core/invocation.py
+++ b/loftweir/core/invocation.py
@@ -61,6 +61,7 @@
         "patience",
         "deadline",
         "after_body",
+        "sending",
         "payload",
         "write",
         "client_retry",
@@ -90,6 +91,7 @@
         self.patience = patience  # ns that the client still waits, from when it is taken
         self.deadline = 0  # patience from the moment it was taken
         self.after_body = 0  # patience from its last byte on, where that is sent on while it comes
+        self.sending = 0  # ns from its first byte to its last one
         self.payload = payload  # the front's and the back's; nobody between looks into it
         self.write = write
         self.client_retry = client_retry
--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -485,6 +485,7 @@
             head += b"Content-Length: %d\r\n" % (body.length or 0)
         elif body or method != b"GET":
             head += b"Content-Length: %d\r\n" % sum(map(len, body))
-        left = max(1, (call.give_up_at - self.loop.time) // MS)
+        # The client's time may run from its first byte on, the attempt's runs from the last one.
+        left = max(1, (call.give_up_at - self.loop.time - call.invocation.sending) // MS)
         head += b"Req-Deadline-Ms: %d\r\n\r\n" % left
         return [head, *body] if isinstance(body, list) else [head]
--- a/loftweir/http1/client.py
+++ b/loftweir/http1/client.py
@@ -300,7 +300,7 @@
         self.stage = Stage.BUSY
         final: Final | None = None
         try:
-            self._submit(invocation, upload)
+            self._submit(invocation, began, upload)
             if invocation.open:
                 final = yield from self._wait_for_final(invocation, upload)
             final = invocation.final or final
@@ -313,13 +313,14 @@
             raise ConnectionResetError("the client has gone")
         return answered(final)
 
-    def _submit(self, invocation: Invocation, upload: Upload | None) -> None:
+    def _submit(self, invocation: Invocation, began: int, upload: Upload | None) -> None:
         """Hands the invocation to the host, with the time that its request has been in the kernel unread."""
         front = self.front
         if front.ends_at:
             invocation.patience = min(invocation.patience, front.ends_at - front.loop.time)
         invocation.left = self.left
         age = waited(self.sock) if upload is None else 0
+        invocation.sending = max(0, front.loop.time - age - began)
         self.host.take(invocation, age, min(age, front.loop.time - self.free_at))
 
     def _wait_for_final(self, invocation: Invocation, upload: Upload | None) -> Coroutine[Final | None]:
