Slow start: a start that can't be, by what this process has seen, is taken for one of now

With it an hour ahead, all calls went at once to servers that had just been started: slow start was not kept.

Cause: a server's age was this process's clock less a start that the list tells on another one, whatever came out: less than nothing, or an hour for a process that had been listed a moment before.

Fix: no process was started after it was listed, nor over 30 s before the list that still had the one before it was heard. A start outside of that is taken for one of now, server by server: nothing is concluded for other servers, so one machine's wrong clock makes none of them warm. Behind, a fleet is cold for warm_within (24 s there) and not for the hour.

A step of less than 30 s ahead shows nowhere.

--- a/loftweir/balance.py
+++ b/loftweir/balance.py
@@ -39,6 +39,7 @@
     Watch,
 )
 from loftweir.listclock import backoff, first_ask
+from loftweir.start_times import start
 
 BLAMED = (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED)
 LATE_BLAME = 0.6  # of an attempt that hears nothing, when it is late and again when it times out: together enough
@@ -69,9 +70,10 @@
 
     address: str
     zone: str
-    started_at: int
+    listed_start: int  # on the list's clock
     told_at: int  # when this balancer was told of this process
     phase: float  # the part of the distance, from then, after which the first call goes to one that is cold
+    started_at: int = 0  # on this process's clock
     cell: int = 0
     weight: float = 1.0
     ready: bool = False
@@ -92,15 +94,17 @@
     full_until: int = 0  # it turned a call away, or took no connection: passed over until then
     called_back: bool = False  # its operators say that it may serve again
 
-    def update(self, endpoint: Endpoint, now: int) -> None:
-        if endpoint.started_at != self.started_at:
+    def update(self, endpoint: Endpoint, now: int, heard_at: int | None) -> None:
+        """`heard_at`: when the list before this one was heard."""
+        if endpoint.started_at != self.listed_start:
+            self.started_at = start(endpoint.started_at, now, heard_at)
             self.suspicion, self.out_until, self.strikes = 0.0, 0, 0  # a new process: its past is not its own
             self.trust, self.wait, self.pace, self.full_until, self.doubt = 0.0, 0.0, 0.0, 0, 0.0
             self.records, self.told_at = {}, now
         self.cell = endpoint.cell
         self.weight = endpoint.weight
         self.called_back = endpoint.called_back
-        self.started_at = endpoint.started_at
+        self.listed_start = endpoint.started_at
         self.ready = endpoint.lifecycle is Lifecycle.READY
 
     def group(self, scope: Scope) -> object:
@@ -188,6 +192,7 @@
         self.calls: dict[str, Call] = {}
         self.tries: dict[tuple[str, int], Try] = {}  # all that are out, also of requests that are over
         self.held: dict[str, Call] = {}  # calls with no attempt out, waiting for a server
+        self.heard_at: int | None = None  # the latest list of discovery
         self.near, self.far = Pool(), Pool()  # the ready servers of the own zone, and of the others
         self.retry_budget = RETRY_BURST
         self.mix: dict[str, float] = {}  # the part of each class of late
@@ -256,7 +261,10 @@
                 self.servers.pop(endpoint.address, None)
                 continue
             server = Server(endpoint.address, endpoint.zone, endpoint.started_at, self.now, self.phases.random())
-            self.servers.setdefault(endpoint.address, server).update(endpoint, self.now)
+            server.started_at = start(endpoint.started_at, self.now, None)
+            self.servers.setdefault(endpoint.address, server).update(endpoint, self.now, self.heard_at)
+        if update.kind is not UpdateKind.REMEMBERED:
+            self.heard_at = self.now
         self._rebuild()
         for call in list(self.held.values()):
             self._serve(call)
