--- a/loftweir/state/snapshot.py
+++ b/loftweir/state/snapshot.py
@@ -66,7 +66,7 @@
     GIVEN = "given"  # no snapshot, or the given list is as new
     SNAPSHOT = "snapshot"
     STALE = "stale"  # older than the list that was given
-    OLD = "old"  # older than it may be trusted
+    OLD = "old"  # older than it may be trusted, or of a clock that was put back since
 
 
 def choose(given: MembershipUpdate, snapshot: Snapshot | None, now: int, trust_for: int) -> Choice:
@@ -75,7 +75,7 @@
         return Choice.GIVEN
     if given.endpoints and snapshot.index < given.version:
         return Choice.STALE
-    if now - snapshot.taken_at > trust_for:
+    if not 0 <= now - snapshot.taken_at <= trust_for:
         return Choice.OLD
     if given.endpoints and snapshot.index == given.version:
         return Choice.GIVEN
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -74,6 +74,7 @@
         (given(3, "s0"), 110 * SECOND, Choice.GIVEN),  # as new
         (given(4, "s0"), 110 * SECOND, Choice.STALE),  # newer than the snapshot
         (given(0), 161 * SECOND, Choice.OLD),  # past trust_for
+        (given(0), 99 * SECOND, Choice.OLD),  # written before the clock was put back
     ],
 )
 def test_a_start_takes_the_snapshot_only_where_it_is_newer_and_young_enough(platform, now, chosen):
