--- a/tests/test_syscall_faults.py
+++ b/tests/test_syscall_faults.py
@@ -37,7 +37,9 @@
 
 
 class Client(threading.Thread):
-    """Makes one call after another over a connection that it keeps for as long as it can."""
+    """Makes one call after another, each connection for some of them."""
+
+    deadline_ms = DEADLINE_MS
 
     def __init__(self, address, kind, ends_at):
         super().__init__(daemon=True)
@@ -81,7 +83,7 @@
     def exchange(self, request):
         method, body = ("GET", b"") if self.kind == READ else ("POST", b"{}")
         lines = [f"{method} /api HTTP/1.1", "Host: x", f"Req-Id: {request}", f"Req-Kind: {self.kind}"]
-        lines += [f"Req-Deadline-Ms: {DEADLINE_MS}", f"Content-Length: {len(body)}", "", ""]
+        lines += [f"Req-Deadline-Ms: {self.deadline_ms}", f"Content-Length: {len(body)}", "", ""]
         self.sock.sendall("\r\n".join(lines).encode() + body)
         data = b""
         while b"\r\n\r\n" not in data:
