Discovery: many sidecars spread silent watches less, and leave a refused watch to the backoff

Fix: the spread of waits falls from a half to a fifth as more than 16 call, what a silent watch is given up sooner by falls with the third power of their number, a watch that stood and was refused is the balancer's again, and a refused first call has the time of a first call. No size is split from another: at 16 nothing changes.

--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -217,7 +217,7 @@
 
     def _held(self, clock: listclock.Clock) -> int:
         """An agent is this sidecar's alone: its calls need no spread."""
-        return clock.wait if self.pushed else listclock.held(clock.wait, self.random.random())
+        return clock.wait if self.pushed else listclock.held(clock.wait, self.random.random(), self.callers)
 
     # ---- which list is newer --------------------------------------------------------------------
 
@@ -325,7 +325,7 @@
 
     def _recovery(self, end: End, clock: listclock.Clock) -> listclock.Recovery | None:
         """Of a watch that ended so; None: it is left to the balancer to ask again."""
-        if not (end.silent or end.refused):
+        if not end.silent and (end.answered or not end.refused):
             return None
         at_once = end.answered or self.callers <= listclock.SMALL_FLEET
         if end.silent and not at_once:
@@ -333,7 +333,7 @@
         counts_at, anew = self.owed_since + listclock.WITHIN, listclock.ANEW if at_once else 0
         if end.silent:
             counts_at = max(counts_at, self.loop.now() + anew * clock.fresh)
-        return listclock.Recovery(counts_at, self.callers, anew, self.random)
+        return listclock.Recovery(counts_at, self.callers, anew, clock.first, self.random)
 
     def _asked(self, place: int, version: int | None) -> Asked:
         """Of a call now; `version` is where the watch of a place left has got to."""
@@ -398,7 +398,9 @@
                     # From the last answer on, not from the asking: what was new since then is what would be missed.
                     asked, clock = self._asked(place, answer.update.version if heard else None), self._clock()
                     held, stands = self._held(clock), answered and asked.version is not None
-                    until = answer.heard_at + (clock.silent_for(held, self.lateness) if stands else clock.first)
+                    until = answer.heard_at + (
+                        clock.silent_for(held, self.lateness, self.callers) if stands else clock.first
+                    )
                     if not answer.reusable:
                         self.loop.close(sock)
                         sock = yield from self._connect(address, until)
--- a/loftweir/listclock.py
+++ b/loftweir/listclock.py
@@ -54,7 +54,10 @@
 FIRST = 3 * SECOND  # the longest from a process's start to its first call
 SMALL_FLEET = 16  # sidecars that call one discovery, at the most
 FIRST_IN_LARGE_FLEET = 4500 * MS  # in place of `FIRST`, where more of them do
-SPREAD = 0.5  # of a wait, that it is shortened by at the most
+# Of a wait, that it is shortened by at the most: by one sidecar, and by each of very many, whose calls add up.
+SPREAD, SPREAD_OF_MANY = 0.5, 0.2
+FEW = 16  # sidecars that go by the former, and give up a silent watch as soon as one would
+CROWDING = 3  # power of their number by which more than `FEW` sidecars give a silent watch up later
 LATENESS_COUNTED = 4  # times that answers of late came past their wait, that a call may beside `silent_after`
 LATENESS_KEPT = 0.75  # of it, from one answer to the next
 GOES_ON = 180 * MS  # from an answer to the next call of the same watch; discovery allows 200 ms
@@ -76,9 +79,11 @@
     fresh: int  # the same, for each of `ANEW` after a silent one
     connect: int  # for a connection, as a part of these
 
-    def silent_for(self, held: int, lateness: int) -> int:
-        """From the last answer on, until the next call, which lets itself be held for so long, is given up."""
-        return self.silent - max(0, self.wait - held - LATENESS_COUNTED * lateness)
+    def silent_for(self, held: int, lateness: int, callers: int) -> int:
+        """From the last answer on, until the next call, which lets itself be held for so long, is given up. Many
+        crowd discovery: a watch given up too soon is dearer to them."""
+        sooner = int((self.wait - held) * min(1, FEW / callers) ** CROWDING)
+        return self.silent - max(0, sooner - LATENESS_COUNTED * lateness)
 
 
 def clock(
@@ -106,11 +111,12 @@
     return max(last, int(before * LATENESS_KEPT))
 
 
-def held(wait: int, chance: float) -> int:
+def held(wait: int, chance: float, callers: int = 1) -> int:
     """How long to let discovery hold the next call; `chance` from 0 to 1. A change answers the watches of a whole fleet
     in one moment: with one wait for all, their next calls would end, and come again, in one moment too; and where none
     of these is answered, all would be given up, and made anew, in one moment."""
-    return int(wait * (1 - SPREAD * chance))
+    spread = SPREAD_OF_MANY + (SPREAD - SPREAD_OF_MANY) * min(1, FEW / callers)
+    return int(wait * (1 - spread * chance))
 
 
 def faults(
@@ -135,12 +141,14 @@
     past `by`, too: each moment more is one in which callers may see what was missed.
     """
 
-    def __init__(self, by: int, callers: int, anew: int, random: Random) -> None:
-        self.by, self.callers, self.random = by, callers, random
+    def __init__(self, by: int, callers: int, anew: int, first: int, random: Random) -> None:
+        self.by, self.callers, self.anew, self.first, self.random = by, callers, anew, first, random
         self.silent_left = anew + 1  # the watch itself, too, may have fallen silent
 
     def answered_by(self, now: int) -> int:
         """For a call that is made now: it is given up then."""
+        if not self.anew:
+            return now + self.first
         return now + max(LEAST, min(LONGEST, (self.by - now) // max(1, self.silent_left)))
 
     def next_call(self, now: int, silent: bool, heard: bool) -> int | None:
