--- a/tests/test_syscall_faults.py
+++ b/tests/test_syscall_faults.py
@@ -22,7 +22,7 @@
 BEFORE = 1.0  # seconds of calls before the fault
 SERVED_AGAIN_WITHIN = 1.0  # seconds after the fault
 AFTER = 1.0  # seconds of calls from then on
-PART, ALL = 0.2, 1.0
+FEW, PART, ALL = 0.05, 0.2, 1.0
 BRIEF, LONG = 0.2, 1.0  # seconds
 
 
@@ -198,6 +198,8 @@
         Row("write", "ENOBUFS", PART, LONG),
         Row("write", "ENOMEM", ALL, BRIEF),
         Row("setsockopt", "ENOBUFS", PART, LONG),
+        Row("read", "ETIMEDOUT", FEW, LONG),
+        Row("read", "EHOSTUNREACH", FEW, LONG),
     ]
 )
 
