--- a/tests/fault_shim.py
+++ b/tests/fault_shim.py
@@ -15,13 +15,13 @@
 from pathlib import Path
 from typing import NamedTuple
 
-CONTROL, COUNT = "syscall-faults.json", "syscall-faults.count"
+CONTROL, BEGAN, COUNT = "syscall-faults.json", "syscall-faults.began", "syscall-faults.count"
 LOOK_EVERY = 0.02  # seconds
 CALLS = ("accept", "socket", "connect", "read", "write", "epoll_add", "setsockopt")
 
 
 class Row(NamedTuple):
-    """One case: `rate` of these calls fail with `error`, for so many seconds."""
+    """One case: `rate` of these calls fail with `error`, for so many seconds from the first of them on."""
 
     call: str
     error: str
@@ -48,7 +48,7 @@
     """Which calls fail now."""
 
     def __init__(self, folder):
-        self.control, self.counted = Path(folder, CONTROL), Path(folder, COUNT)
+        self.control, self.began, self.counted = (Path(folder, name) for name in (CONTROL, BEGAN, COUNT))
         self.row, self.until, self.look_at = None, 0.0, 0.0
         self.injected = 0
         self.random = random.Random(7)
@@ -60,7 +60,12 @@
             self.look_at = now + LOOK_EVERY
             self._look(now)
         row = self.row
-        if row is None or row.call != call or now >= self.until or self.random.random() >= row.rate:
+        if row is None or row.call != call:
+            return 0
+        if not self.until:
+            self.until = now + row.seconds
+            self.began.write_text(str(now))
+        elif now >= self.until or self.random.random() >= row.rate:
             return 0
         self.injected += 1
         return getattr(errno, row.error)
@@ -69,8 +74,8 @@
         if self.row is None and self.control.exists():
             self.row = Row(**json.loads(self.control.read_text()))
             self.control.unlink()
-            self.until = now + self.row.seconds
-        elif self.row is not None and now >= self.until:
+            self.until = 0.0
+        elif self.row is not None and self.until and now >= self.until:
             self.counted.write_text(str(self.injected))
             self.row = None
 
--- a/tests/test_syscall_faults.py
+++ b/tests/test_syscall_faults.py
@@ -6,11 +6,12 @@
 import threading
 import time
 from collections import Counter
+from math import inf
 from pathlib import Path
 from typing import NamedTuple
 
 import pytest
-from fault_shim import CONTROL, COUNT, Row, checked
+from fault_shim import BEGAN, CONTROL, COUNT, Row, checked
 from scene import MS, ONCE, READ, SETTINGS, Scene, eventually, reply
 
 CLIENTS = 16
@@ -42,6 +43,7 @@
     deadline_ms = DEADLINE_MS
 
     def __init__(self, address, kind, ends_at):
+        """`ends_at` may be set later: `inf` until then."""
         super().__init__(daemon=True)
         self.address, self.kind, self.ends_at = address, kind, ends_at
         self.sock, self.left, self.answers = None, 0, []
@@ -161,15 +163,17 @@
         profiles = [p | {"hardLimit": DEADLINE_MS * MS, "target": 300 * MS} for p in SETTINGS["profiles"]]
         self.start(*answers, fault=shim, settings=SETTINGS | {"profiles": profiles})
         self.assertTrue(eventually(lambda: self.health() == 200), self.log())
-        starts_at = time.monotonic()
-        ends_at = starts_at + BEFORE + row.seconds + SERVED_AGAIN_WITHIN + AFTER
-        clients = [Client(self.listen, ONCE if n % 2 else READ, ends_at) for n in range(CLIENTS)]
+        clients = [Client(self.listen, ONCE if n % 2 else READ, inf) for n in range(CLIENTS)]
         for client in clients:
             client.start()
         time.sleep(BEFORE)
-        fault_at = time.monotonic()
         Path(self.path.parent, "next").write_text(json.dumps(row._asdict()))
         Path(self.path.parent, "next").rename(Path(self.path.parent, CONTROL))
+        began = Path(self.path.parent, BEGAN)
+        found = eventually(lambda: began.exists() and began.read_text(), 10)
+        fault_at = float(found or time.monotonic())
+        for client in clients:
+            client.ends_at = fault_at + row.seconds + SERVED_AGAIN_WITHIN + AFTER
         for client in clients:
             client.join(20)
         count = Path(self.path.parent, COUNT)
