--- a/review/scene.py
+++ b/review/scene.py
@@ -23,7 +23,9 @@
 SECOND = 1_000_000_000  # ns
 READ, ONCE, KEYED = "status-read", "apply-submit", "place-confirm"
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit codes of a case
+SEED = os.environ.get("SEED", "1")  # of what the sidecars and the servers draw; ports are drawn anew in each run
 LEAST_PORT, FIRST_EPHEMERAL = 10_000, 32_000
+PORTS = random.SystemRandom()
 USED_PORTS = set()
 
 SETTINGS = {
@@ -71,7 +73,7 @@
 def free_port():
     """A free port that the system gives to no outgoing connection."""
     while True:
-        port = random.randrange(LEAST_PORT, FIRST_EPHEMERAL)
+        port = PORTS.randrange(LEAST_PORT, FIRST_EPHEMERAL)
         if port not in USED_PORTS:
             with suppress(OSError), socket.create_server(("127.0.0.1", port)):
                 USED_PORTS.add(port)
@@ -117,7 +119,7 @@
         self.closers = []
         deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))
         self.command = deploy["run"]
-        self.note(begins=self.case.name, trouble=self.trouble)
+        self.note(begins=self.case.name, trouble=self.trouble, seed=SEED)
 
     def note(self, at=None, **fields):
         """Writes one line to the record; returns its time in seconds since the scene began."""
@@ -148,6 +150,7 @@
     def run(self, play):
         """Plays a case to its end, and exits with its code. `play` returns what broke the rule, empty if it held."""
         code, text = NOT_RUN, ""
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
         try:
             broken = play(self)
             code, text = (BROKEN if broken else HELD), broken or "the rule held"
@@ -181,7 +184,10 @@
     def start(self, *words):
         """Starts a process of it."""
         command = [sys.executable, str(ROOT / "review" / "server.py"), self.name, str(self.port), *words]
-        self.process = self.scene.start(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+        environment = os.environ | {"SEED": SEED}
+        self.process = self.scene.start(
+            command, env=environment, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+        )
         listens = threading.Event()
         threading.Thread(target=self._read, args=(self.process, listens), daemon=True).start()
         if not listens.wait(10):
@@ -284,7 +290,7 @@
             "listen": self.listen,
             "discovery": discovery.address,
             "operator": self.operator,
-            "seed": os.urandom(8).hex(),
+            "seed": random.Random(f"{SEED} {name}").randbytes(8).hex(),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
             "known": discovery.known(),
             "settings": SETTINGS,
--- a/review/server.py
+++ b/review/server.py
@@ -91,6 +91,7 @@
 def main():
     """Runs until it is killed."""
     name, port = sys.argv[1], int(sys.argv[2])
+    random.seed(f"{os.environ.get('SEED', '')} {name}")
     hear(" ".join(sys.argv[3:]))
     listener = socket.create_server(("127.0.0.1", port), backlog=128)
     threading.Thread(target=listen_to_words, daemon=True).start()
