--- a/review/scene.py
+++ b/review/scene.py
@@ -24,6 +24,8 @@
 READ, ONCE, KEYED = "status-read", "apply-submit", "place-confirm"
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit codes of a case
 SEED = os.environ.get("SEED", "1")  # of what the sidecars and the servers draw; ports are drawn anew in each run
+# A loopback address of this process's own, so that no other run of a case can take a port before it is listened on.
+HOST = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}.1"
 LEAST_PORT, FIRST_EPHEMERAL = 10_000, 32_000
 PORTS = random.SystemRandom()
 USED_PORTS = set()
@@ -75,14 +77,14 @@
     while True:
         port = PORTS.randrange(LEAST_PORT, FIRST_EPHEMERAL)
         if port not in USED_PORTS:
-            with suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            with suppress(OSError), socket.create_server((HOST, port)):
                 USED_PORTS.add(port)
                 return port
 
 
 def free_address():
     """A free address on loopback."""
-    return f"127.0.0.1:{free_port()}"
+    return f"{HOST}:{free_port()}"
 
 
 def connect(address, timeout):
@@ -175,7 +177,7 @@
     def __init__(self, scene, name, *words, zone="a"):
         self.scene, self.name, self.zone = scene, name, zone
         self.port = free_port()
-        self.address = f"127.0.0.1:{self.port}"
+        self.address = f"{HOST}:{self.port}"
         self.since_ms = 0
         self.notes = []  # all that it wrote, by all its processes
         self.process = None
@@ -183,7 +185,7 @@
 
     def start(self, *words):
         """Starts a process of it."""
-        command = [sys.executable, str(ROOT / "review" / "server.py"), self.name, str(self.port), *words]
+        command = [sys.executable, str(ROOT / "review" / "server.py"), self.name, HOST, str(self.port), *words]
         environment = os.environ | {"SEED": SEED}
         self.process = self.scene.start(
             command, env=environment, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
@@ -230,7 +232,7 @@
         self.index = 1
         self.entries = {entry["name"]: (entry, 1) for entry in entries}
         self.changed = threading.Condition()
-        self.listener = socket.create_server(("127.0.0.1", free_port()), backlog=128)
+        self.listener = socket.create_server((HOST, free_port()), backlog=128)
         self.address = "{}:{}".format(*self.listener.getsockname())
         scene.closers.append(self.listener.close)
         threading.Thread(target=self._accept, daemon=True).start()
@@ -375,6 +377,7 @@
         self.scene, self.name, self.sidecar, self.host, self.deadline_ms = scene, name, sidecar, host, deadline_ms
         self.sock = self.file = None
         self.answers = []
+        self.sent_again = set()  # ids that it sent a second time itself, as a close crossed them
 
     def request(self, kind, body=b"{}"):
         """Sends one request and returns its status and body."""
@@ -406,6 +409,7 @@
                 self.close()
             if status not in (0, "ended") or not kept:
                 break  # else a close crossed the request on a kept connection: it is sent once more, on a new one
+            self.sent_again.add(id)
         answered = time.time()
         self.answers.append((id, kind, sent, answered, status))
         fields = {"client": self.name, "id": id, "kind": kind, "status": status}
--- a/review/server.py
+++ b/review/server.py
@@ -1,4 +1,4 @@
-"""A stand-in for an upstream server, as a process of its own: `server.py NAME PORT [WORD]`.
+"""A stand-in for an upstream server, as a process of its own: `server.py NAME HOST PORT [WORD]`.
 
 It speaks the protocol of the users' pages: HTTP/1.1 with kept connections, and it begins a request with its last byte.
 It writes a line of JSON to standard output for each request that it runs and for each connection that it turns away,
@@ -90,10 +90,10 @@
 
 def main():
     """Runs until it is killed."""
-    name, port = sys.argv[1], int(sys.argv[2])
+    name, host, port = sys.argv[1], sys.argv[2], int(sys.argv[3])
     random.seed(f"{os.environ.get('SEED', '')} {name}")
-    hear(" ".join(sys.argv[3:]))
-    listener = socket.create_server(("127.0.0.1", port), backlog=128)
+    hear(" ".join(sys.argv[4:]))
+    listener = socket.create_server((host, port), backlog=128)
     threading.Thread(target=listen_to_words, daemon=True).start()
     note(server=name, listens=port)
     while True:
