--- a/review/scene_2.py
+++ b/review/scene_2.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -61,10 +62,18 @@
     }  # fmt: skip
 
 
+PORTS = random.SystemRandom()
+USED = set()  # ports that this case has been given
+
+
 def free_address():
-    """A loopback address that nothing listens at."""
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """A loopback address that nothing listens at, below the ports that outgoing connections take."""
+    while True:
+        port = PORTS.randrange(10_000, 32_000)
+        with suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            if port not in USED:
+                USED.add(port)
+                return f"127.0.0.1:{port}"
 
 
 def address_of(sock):
@@ -197,7 +206,7 @@
         env = {k: v for k, v in os.environ.items() if not k.startswith(("RELAY_", "LOFTWEIR_"))}
         env |= {
             "RELAY_NAME": self.name, "RELAY_CONFIG": str(path), "RELAY_LISTEN": self.listen, "TMPDIR": str(tmp),
-            "RELAY_DISCOVERY": self.scene.discovery.address, "RELAY_OPERATOR": self.operator,
+            "RELAY_DISCOVERY": self.config["discovery"], "RELAY_OPERATOR": self.operator,
         }  # fmt: skip
         if self.operator_file:
             (self.folder / "loftweir.toml").write_text(self.operator_file, encoding="utf-8")
