--- a/review/6/case_2.py
+++ b/review/6/case_2.py
@@ -8,11 +8,11 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from scene_2 import READ, TROUBLE, HttpServer, Sidecar, dial, main, request_bytes, response
+from scene_2 import READ, TROUBLE, CannotRun, HttpServer, Sidecar, dial, main, request_bytes, response
 
 SIZE = 4 << 20  # the pages allow up to 32 MB
 PIECE = 64 << 10  # the client reads so much ...
-PAUSE = 0.25  # ... every so many seconds: 256 KiB/s, the whole answer in 16 s
+PAUSE = 0.4  # ... every so many seconds: 160 KiB/s, the whole answer in 26 s
 CLIENTS = 3
 LONGEST = 90  # s
 
@@ -33,7 +33,7 @@
     scene.discovery.change(scene.entry("s1", HttpServer(answer)))
     sidecar = Sidecar(scene, "n0").start()
     sidecar.wait_ready()
-    breaks = []
+    breaks, begun = [], []
 
     def client(request_id):
         with dial(sidecar.listen, LONGEST) as sock:
@@ -52,16 +52,24 @@
                 if len(data) >= noted:
                     scene.record("client has read", id=request_id, bytes=len(data))
                     noted += 1 << 20
-                head, sign, rest = bytes(data[:4096]).partition(b"\r\n\r\n")
+                head, sign, _ = bytes(data[:4096]).partition(b"\r\n\r\n")
+                if sign and not head.startswith(b"HTTP/1.1 200 "):  # refused or failed, which the rule allows
+                    scene.record("client got no answer of the upstream's", id=request_id, head=head.decode())
+                    return
                 if sign and len(data) - len(head) - 4 >= SIZE:
                     whole = bytes(data[len(head) + 4 :]) == body
                     scene.record("client has the whole answer", id=request_id, right=whole, head=head.decode())
+                    begun.append(request_id)
                     if not whole:
                         breaks.append(f"{request_id}: another body than the upstream's")
                     return
                 if TROUBLE:
                     time.sleep(PAUSE)
             took = round(time.monotonic() - began, 1)
+            if not data:
+                scene.record("client got nothing", id=request_id, why=why)
+                return
+            begun.append(request_id)
             scene.record("client's answer was cut off", id=request_id, bytes=len(data), after=took, why=why)
             breaks.append(f"{request_id}: cut off after {took} s with {len(data)} of {SIZE} bytes: {why}")
 
@@ -70,6 +78,8 @@
         thread.start()
     for thread in threads:
         thread.join()
+    if not begun:
+        raise CannotRun("no answer was begun")
     return breaks
 
 
--- a/review/scene_2.py
+++ b/review/scene_2.py
@@ -1,7 +1,8 @@
 """What the second review's cases share: the real program as processes, and small stand-ins round it, all on loopback.
 
 A case writes what was sent, answered and run to `record.txt` in its folder, one JSON object a line with the seconds
-since its start. It ends with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+since its start. It ends with BROKEN if the rule was broken, HELD if it held, NOT_RUN if it could not run; `run.sh`
+makes 1, 0 and 2 of these, and 2 of anything else, such as an error of the test itself.
 """
 
 import json
@@ -27,6 +28,10 @@
 SEED = int(os.environ.get("SEED", "1"))  # decides what the sidecars draw; times and ports differ from run to run
 
 
+BROKEN, HELD, NOT_RUN = 10, 0, 2  # exit codes
+LONGEST = 112  # s; a case that has not ended by then could not run
+
+
 class CannotRun(Exception):
     """The case can't be judged."""
 
@@ -141,6 +146,13 @@
                     fields[name.strip().lower()] = value.strip()
                 fields[""] = line.decode().strip()
                 body = file.read(int(fields.get("content-length", 0)))
+                path = fields[""].split()[1].partition("?")[0]
+                if path in ("/ping", "/_load"):  # a probe
+                    sock.sendall(response(b"0.1,0,0"))
+                    continue
+                if path == "/api" and "req-id" not in fields:
+                    sock.sendall(response(status=404))
+                    continue
                 if self.answer(sock, fields, body) is False:
                     break
         with suppress(OSError):
@@ -312,21 +324,29 @@
 
 def main(file, case):
     """Runs a case: `case(scene)` returns the breaks of the rule that it saw."""
-    folder = Path(file).resolve().parent
-    scene = Scene(folder)
-    code = 2
-    threading.Timer(
-        115, lambda: (scene.record("verdict", result="no end in 115 s"), scene.close(), os._exit(2))
-    ).start()
+    scene = Scene(Path(file).resolve().parent)
+
+    def stop(why):
+        scene.record("verdict", result="could not run", why=why)
+        scene.close()
+        os._exit(NOT_RUN)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda number, _: stop(f"ended by signal {number}"))
+    timer = threading.Timer(LONGEST, stop, (f"no end in {LONGEST} s",))
+    timer.daemon = True
+    timer.start()
+    code = NOT_RUN
     try:
         breaks = case(scene)
-        code = 1 if breaks else 0
+        code = BROKEN if breaks else HELD
         scene.record("verdict", result="broken" if breaks else "held", breaks=breaks)
         print("broken" if breaks else "held", *breaks[:5], sep="\n  ")
     except Exception:
         scene.record("verdict", result="could not run", why=traceback.format_exc())
         traceback.print_exc()
     finally:
+        timer.cancel()
         scene.close()
         sys.stdout.flush()
         os._exit(code)
