Slow readers are given up by what their machine acknowledges, not by a time per piece

Cause: net.stream.send had limits.write_within, 5 s, for each piece as a whole and waited for epoll to report the socket writable, which the kernel does only once a third of the send buffer is free: 1.3 MB of 4 MB, 8 s at that rate.

Measured on loopback: a reader's machine acknowledges nothing for 1.2 s at 160 KiB/s, 3 s at 64 kB/s, 8.2 s at 16 kB/s, and 10 to 12 s at 64 kB/s with a large receive buffer, as windows open in steps.

Change: net/progress.py. A peer is given up once its machine has acknowledged nothing for the silent time and what it did acknowledge would have been read at 16 KiB/s, at most 20 s more. It holds for long and whole answers, for the last answer of a connection after its half-close, and for bodies that are forwarded to a provider. A reader that stops is still reset, its provider's connection and its memory are freed (25 s at the most).

--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -20,6 +20,7 @@
 from loftweir.http1.strict import H11Reader
 from loftweir.interface import Lifecycle, MembershipUpdate, Outcome, Settings, UpdateKind
 from loftweir.net.loop import MS, READABLE, Coroutine, Loop, Wait
+from loftweir.net.progress import ReadProgress, send_as_read
 from loftweir.net.stream import (
     READ_SIZE,
     RETRY_WRITE,
@@ -511,12 +512,12 @@
         self, attempt: ProviderAttempt, connection: ProviderConnection, body: BodyStream
     ) -> Coroutine[int]:
         """Forward a body as it arrives; return the attempt's new timeout, which runs from the body's last byte."""
+        progress = ReadProgress(self.loop, connection.sock, self.pool.options.limits.silent_for)
         try:
             while piece := (yield from body.pull()):
                 if not connection.is_usable():
                     raise ConnectionResetError("the provider sent data before it had the whole request")
-                until = self.loop.time + self.pool.options.limits.silent_for
-                yield from send(self.loop, connection.sock, [piece], until, READABLE)
+                yield from send_as_read(connection.sock, [piece], progress, READABLE)
         finally:
             body.close()
         invocation = attempt.invocation
--- a/loftweir/http1/client.py
+++ b/loftweir/http1/client.py
@@ -27,7 +27,8 @@
 )
 from loftweir.http1.stage import Stage
 from loftweir.net.loop import HUNG_UP, MS, READABLE, WOKEN, Coroutine, Task, Wait
-from loftweir.net.stream import READ_SIZE, OutOfBudget, TimedOut, has_unacknowledged, hung_up, send, unread_for
+from loftweir.net.progress import ReadProgress, send_as_read
+from loftweir.net.stream import READ_SIZE, OutOfBudget, TimedOut, has_unacknowledged, hung_up, unread_for
 from loftweir.telemetry.catalogue import INVOCATION_BROKEN, INVOCATION_OVERDUE
 from loftweir.telemetry.log import emit, traceback_location
 
@@ -139,18 +140,20 @@
         """Shut the connection down and discard up to `left` bytes of input, until the client closes it or time is up.
 
         Closing a connection with unread input resets it, and the response would be lost with it. As long as the client
-        has not acknowledged all of its response, the connection stays open for as long as a write may take.
+        has not acknowledged all of its response, the connection stays open like one that is written to.
         """
         sock, limits, loop = self.sock, self.front.options.limits, self.front.loop
         self.stage, self.since = Stage.ENDING, loop.time
         self.front.ending[self] = None
         sock.shutdown(socket.SHUT_WR)
-        until, latest = loop.time + limits.linger_for, loop.time + limits.write_within
+        until = loop.time + limits.linger_for
+        progress = self._read_progress()
+        progress.begin([])
         while True:
             if loop.time >= until or left <= 0:
-                if loop.time >= latest or not has_unacknowledged(sock):
+                if progress.is_over([]) or not has_unacknowledged(sock):
                     return
-                until = min(latest, loop.time + ACK_CHECK)
+                until = loop.time + ACK_CHECK
             if (yield Wait(sock if left > 0 else None, READABLE, until)) and left > 0:
                 try:
                     read = len(sock.recv(READ_SIZE))
@@ -282,13 +285,16 @@
         if not isinstance(body, list):
             return self._forward(head, body)
         parts = whole_message(head, body, with_body=self.method != b"HEAD")
-        within = self.front.options.limits.write_within
-        return send(self.front.loop, self.sock, parts, self.front.loop.time + within)
+        return send_as_read(self.sock, parts, self._read_progress())
 
     def _forward(self, head: bytes, body: BodyStream) -> Coroutine[None]:
         """Write a response whose body is forwarded as it arrives."""
-        within = self.front.options.limits.write_within
-        return stream(self.front.loop, self.sock, head, body, not self.http_1_0, within)
+        silent_for = self.front.options.limits.write_within
+        return stream(self.front.loop, self.sock, head, body, not self.http_1_0, silent_for)
+
+    def _read_progress(self) -> ReadProgress:
+        """Return the progress of a client that is written to from now on."""
+        return ReadProgress(self.front.loop, self.sock, self.front.options.limits.write_within)
 
     def _log_access(self, status: int) -> None:
         """Log the access line of the request that has ended, if one is wanted."""
--- a/loftweir/http1/response.py
+++ b/loftweir/http1/response.py
@@ -12,7 +12,8 @@
 from loftweir.http1.message import BodyStream, HttpResponse, text_response
 from loftweir.http1.request import BadRequest
 from loftweir.net.loop import MS, Coroutine, Loop
-from loftweir.net.stream import TimedOut, TooLarge, send
+from loftweir.net.progress import ReadProgress, send_as_read
+from loftweir.net.stream import TimedOut, TooLarge
 
 BODY_RETRY_AFTER = 500 * MS  # when a client should retry a request for whose body there was no memory
 STATUSES = {AnswerKind.FAILED: 502, AnswerKind.LATE: 504, AnswerKind.BROKEN: 500}
@@ -64,13 +65,14 @@
 
 
 def stream(
-    loop: Loop, sock: socket.socket, head: bytes, body: BodyStream, can_chunk: bool, write_within: int
+    loop: Loop, sock: socket.socket, head: bytes, body: BodyStream, can_chunk: bool, silent_for: int
 ) -> Coroutine[None]:
-    """Write a long response, one piece at a time.
+    """Write a long response, one piece at a time; a client that takes nothing for `silent_for` ns is given up.
 
     If it fails, the connection is reset, so that the client can tell that the response is incomplete, whatever its
     framing.
     """
+    progress = ReadProgress(loop, sock, silent_for)
     chunked = body.length is None and can_chunk
     parts = [head + _framing(body.length, chunked)]
     whole = False
@@ -82,7 +84,7 @@
                 parts += [b"%x\r\n" % len(piece), piece, b"\r\n"]
             elif piece:
                 parts.append(piece)
-            yield from send(loop, sock, parts, loop.time + write_within)
+            yield from send_as_read(sock, parts, progress)
     except TooLarge:
         raise ConnectionAbortedError("the response is larger than limits.answer") from None
     finally:
