Every byte of a message is progress, also one of a chunk's head or a trailer

What callers saw: a chunked body of which a chunk's head or the trailer arrived slowly, but without a stop, was cut off (a response by a reset, a request with an error), while the same bytes inside a chunk were waited for.

Cause: H11Reader.next_event had one point in time for the next event, and h11 makes an event of a body's bytes but none of the bytes of its framing. So the silent time ran from the last byte of the body, not from the last byte.

Change: the limit is a function that is asked anew before each wait (strict.ReadBy), so a silent time runs from the last byte that arrived. Limits that are points in time (heads, discovery, partners) stay as they are (strict.fixed). Bounded still: h11 takes 16 KiB of framing at most, and a request's rate counts the bytes of its body alone.

--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -17,7 +17,7 @@
 from loftweir.http1 import grammar
 from loftweir.http1.flow import ResponseStream, UploadFailed
 from loftweir.http1.message import BodyStream, HttpRequest, HttpResponse, by_name, end_to_end_lines
-from loftweir.http1.strict import H11Reader
+from loftweir.http1.strict import H11Reader, fixed
 from loftweir.interface import Lifecycle, MembershipUpdate, Outcome, Settings, UpdateKind
 from loftweir.net.loop import MS, READABLE, Coroutine, Loop, Wait
 from loftweir.net.progress import ReadProgress, send_as_read
@@ -391,7 +391,7 @@
         options, until = self.pool.options, attempt.give_up_at
         reader = H11Reader(connection.sock, h11.CLIENT, data)
         for _ in range(options.providers.information + 1):
-            head = yield from reader.next_event(until)
+            head = yield from reader.next_event(fixed(until))
             if not isinstance(head, h11.InformationalResponse):
                 break
         if not isinstance(head, h11.Response):
@@ -425,7 +425,7 @@
                 return None
             buffer_until = min(until, begun_at + MAX_BUFFER_TIME)
         try:
-            return (yield from reader.part(buffer_until))
+            return (yield from reader.part(fixed(buffer_until)))
         except TimedOut:
             if buffer_until == until:
                 raise
--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -19,7 +19,7 @@
 from loftweir.config.lists import NotAList, read_list
 from loftweir.config.model import Options
 from loftweir.errors import LoftweirError
-from loftweir.http1.strict import H11Reader
+from loftweir.http1.strict import H11Reader, fixed
 from loftweir.interface import MembershipUpdate, UpdateKind
 from loftweir.net.loop import MS, Coroutine, Loop, Task, Wait
 from loftweir.net.stream import ConnectError, TimedOut, TooLarge, connect, send
@@ -548,7 +548,7 @@
     def _read_response(self, reader: H11Reader, until: int) -> Coroutine[ListResponse]:
         """Read the response to a call. Once it has begun it must be complete soon; otherwise it counts as silent."""
         try:
-            head = yield from reader.next_event(until)
+            head = yield from reader.next_event(fixed(until))
         except TimedOut:
             raise Silent("silent", partial(self._read_response, reader)) from None
         except (OSError, h11.RemoteProtocolError) as error:
--- a/loftweir/http1/flow.py
+++ b/loftweir/http1/flow.py
@@ -72,13 +72,9 @@
 
     def _next(self) -> Coroutine[bytes]:
         """Read the next piece from the connection."""
-        now = self.loop.time
-        until = now + self.silent_for
-        if self.length is None and self.returned <= SMALL:
-            until = min(until, max(now, self.deadline) + SILENT_LATE)
         if self.reader is not None:
             try:
-                return (yield from self.reader.part(until))
+                return (yield from self.reader.part(self._silent_until))
             except h11.RemoteProtocolError as error:
                 raise ConnectionResetError(str(error)) from None
         assert self.length is not None
@@ -87,7 +83,7 @@
             try:
                 piece = self.sock.recv(min(left, self.budget.piece()))
             except BlockingIOError:
-                if not (yield Wait(self.sock, READABLE, until)):
+                if not (yield Wait(self.sock, READABLE, self._silent_until())):
                     raise TimedOut from None
                 continue
             if not piece:
@@ -95,6 +91,14 @@
             return piece
         return b""
 
+    def _silent_until(self) -> int:
+        """Return until when the provider may be silent from now on."""
+        now = self.loop.time
+        until = now + self.silent_for
+        if self.length is None and self.returned <= SMALL:
+            until = min(until, max(now, self.deadline) + SILENT_LATE)
+        return until
+
     def close(self, reusable: bool = False) -> None:
         """Release the connection, once; `reusable`: the body was read to its end."""
         release, self.release = self.release, None
--- a/loftweir/http1/request_reader.py
+++ b/loftweir/http1/request_reader.py
@@ -14,7 +14,7 @@
 from loftweir.http1.message import HttpRequest, by_name
 from loftweir.http1.request import BadRequest, origin_form
 from loftweir.http1.stage import Stage
-from loftweir.http1.strict import H11Reader
+from loftweir.http1.strict import H11Reader, fixed
 from loftweir.net.loop import MS, READABLE, SECOND, Coroutine, Wait
 from loftweir.net.stream import READ_SIZE, Body, TimedOut, reserved
 
@@ -116,7 +116,7 @@
     def _read_strictly(self, reader: H11Reader) -> Coroutine[bool]:
         """Read a request with h11; return False if the connection ended before one began."""
         client = self.client
-        head = yield from reader.next_event(self.until)
+        head = yield from reader.next_event(fixed(self.until))
         if not isinstance(head, h11.Request):
             return False
         client.method, client.http_1_0 = head.method, head.http_version < b"1.1"
--- a/loftweir/http1/strict.py
+++ b/loftweir/http1/strict.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from socket import socket
 from typing import Any
 
@@ -13,6 +14,16 @@
 
 PARTS_PER_TURN = 32  # parts of a body read without a pause: one in tiny chunks must not block the loop
 
+# Returns until when to wait for more data, ns on the loop's clock, None without a limit. It is asked anew before each
+# wait, so that a limit may run from the last byte that arrived, whatever the byte belongs to.
+ReadBy = Callable[[], int | None]
+
+
+def fixed(until: int | None) -> ReadBy:
+    """Return a limit that does not move, whatever arrives."""
+    return lambda: until
+
+
 # Makes h11 expect a response. The request that is really sent is written without h11.
 EXPECT_RESPONSE = h11.Request(method="GET", target="/", headers=[("host", "provider")])
 
@@ -39,8 +50,8 @@
         """Return the data that was read behind the message."""
         return bytes(self.http.trailing_data[0])
 
-    def next_event(self, until: int | None) -> Coroutine[Any]:
-        """Return h11's next event; raise `TimedOut` if it is not there by `until`."""
+    def next_event(self, read_by: ReadBy) -> Coroutine[Any]:
+        """Return h11's next event; raise `TimedOut` if no data arrives in time."""
         while True:
             event = self.http.next_event()
             if event is not h11.NEED_DATA:
@@ -48,14 +59,14 @@
             try:
                 data = self.sock.recv(READ_SIZE)
             except BlockingIOError:
-                if not (yield Wait(self.sock, READABLE, until)):
+                if not (yield Wait(self.sock, READABLE, read_by())):
                     raise TimedOut from None
             else:
                 self.http.receive_data(data)
 
-    def part(self, until: int | None) -> Coroutine[bytes]:
+    def part(self, read_by: ReadBy) -> Coroutine[bytes]:
         """Return the next part of a body, which is empty at its end."""
-        event = yield from self.next_event(until)
+        event = yield from self.next_event(read_by)
         if isinstance(event, h11.EndOfMessage):
             return b""
         if not isinstance(event, h11.Data):
@@ -70,13 +81,13 @@
     ) -> Coroutine[list[bytes]]:
         """Return the parts of a whole body as they were read; raise `TooLarge` above `limit` bytes.
 
-        `read_by` returns until when to wait for the next part, given the bytes read so far. `keep` stores each part
+        `read_by` returns until when to wait for more data, given the bytes of the body so far. `keep` stores each part
         instead of the returned list, once there is memory for it.
         """
         parts: list[bytes] = []
         size = 0
         while True:
-            part = yield from self.part(read_by(size))
+            part = yield from self.part(partial(read_by, size))
             if not part:
                 return parts
             size += len(part)
--- a/loftweir/partners/link.py
+++ b/loftweir/partners/link.py
@@ -20,7 +20,7 @@
 from loftweir.config.model import REPLICATION_MARGIN
 from loftweir.config.model import Partners as Options
 from loftweir.errors import LoftweirError
-from loftweir.http1.strict import H11Reader
+from loftweir.http1.strict import H11Reader, fixed
 from loftweir.lease.duty import LeasedTask
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Task, Wait
 from loftweir.net.stream import ConnectError, TimedOut, connect, send
@@ -265,7 +265,7 @@
                 sock = yield from connect(self.loop, address, CONNECT_TIMEOUT, until)
             yield from send(self.loop, sock, [head.encode()], until)
             wire = H11Reader(sock, h11.CLIENT)
-            response = yield from wire.next_event(until)
+            response = yield from wire.next_event(fixed(until))
             if not isinstance(response, h11.Response):
                 raise NotAnswered("no response", address)
             body = yield from self._body(
@@ -292,7 +292,7 @@
         """Reads a whole body. One that exceeds `max_size` is read a little further, so that the parser of tables
         reports it."""
         chunks, size = [], 0
-        while size <= max_size and (part := (yield from wire.part(until))):
+        while size <= max_size and (part := (yield from wire.part(fixed(until)))):
             chunks.append(part)
             size += len(part)
         return b"".join(chunks)
--- a/loftweir/partners/offer.py
+++ b/loftweir/partners/offer.py
@@ -20,7 +20,7 @@
 import h11
 
 from loftweir.config.units import split_host_port
-from loftweir.http1.strict import H11Reader
+from loftweir.http1.strict import H11Reader, fixed
 from loftweir.net.loop import MS, READABLE, SECOND, WOKEN, Coroutine, Loop, Task, Wait
 from loftweir.net.stream import TimedOut, send
 from loftweir.partners.file import Neighbour
@@ -149,10 +149,10 @@
                     data = None
                 wire = H11Reader(sock, h11.SERVER, data)
                 until = self.loop.now() + HEAD_TIMEOUT
-                request = yield from wire.next_event(until)
+                request = yield from wire.next_event(fixed(until))
                 if not isinstance(request, h11.Request):
                     return
-                complete = isinstance((yield from wire.next_event(until)), h11.EndOfMessage)
+                complete = isinstance((yield from wire.next_event(fixed(until))), h11.EndOfMessage)
                 data = wire.rest()
                 self.connections[sock] = self.connections.pop(sock)  # moves to the end: the most recently active one
                 target = request.target.decode("ascii", "replace") if request.method == b"GET" else ""
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -300,3 +300,22 @@
         began = time.monotonic()
         self.assertEqual(self.invoke(ONCE, 29000, body=bytes(12 * MIB))[0], 503)
         self.assertLess(time.monotonic() - began, 8)
+
+
+class SlowWriterTest(SidecarTest):
+    operator = '[limits]\nbody_silent = "500ms"\n'
+
+    def test_every_byte_of_a_request_in_chunks_is_progress(self):
+        """Guards against a time for a chunk's head or the trailer as a whole, each of which arrives byte by byte."""
+        self.start(ok)
+        host, port = self.listen.split(":")
+        with socket.create_connection((host, int(port)), timeout=10) as sock:
+            head = f"POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: r\r\nReq-Kind: {ONCE}\r\n"
+            sock.sendall(f"{head}Transfer-Encoding: chunked\r\n\r\n".encode())
+            for data in (b"4;slow=1\r\n", b"body\r\n0\r\n\r\n"):
+                for byte in data:
+                    sock.sendall(bytes([byte]))
+                    time.sleep(0.08)
+            response = http.client.HTTPResponse(sock)
+            response.begin()
+            self.assertEqual((response.status, response.read()), (200, b"served body"))
