A response that may be long is begun before its deadline, also if it pauses early

Cause: an answer of unknown length was taken for a short one until more than 64 KiB of it had come: below that Backend._part waited up to the deadline and gave up; the check that begins a slow one ran only with another part. The same on related paths: with its head alone there, one of known length waited with its head for its body, and if the server broke off then, the client's connection was reset with no answer.

Change: http1/buffering.py is the one rule for when a response is begun: as before, and also 1 s after its first part if it pauses, and 200 ms before its deadline at the latest, with its head alone if need be.

--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -8,6 +8,7 @@
 
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 import h11
@@ -15,6 +16,7 @@
 from loftweir.config.model import Options
 from loftweir.core.invocation import ProviderAttempt
 from loftweir.http1 import grammar
+from loftweir.http1.buffering import ResponseBuffering
 from loftweir.http1.flow import ResponseStream, UploadFailed
 from loftweir.http1.message import BodyStream, HttpRequest, HttpResponse, by_name, end_to_end_lines
 from loftweir.http1.strict import H11Reader, fixed
@@ -41,10 +43,6 @@
 # The outcome of an attempt, the response with OK, and whether the connection can be used again; None: the response owns
 # the connection.
 ExchangeResult = tuple[Outcome, HttpResponse | None, bool | None]
-# A response of unknown length is buffered, rather than forwarded, for MAX_BUFFER_TIME from its first part on or up to
-# MAX_BUFFER_FACTOR times `limits.held`: if it is reset before that, the client has not been sent a part of it.
-MAX_BUFFER_TIME = 200 * MS
-MAX_BUFFER_FACTOR = 4
 
 
 class ProviderConnection:
@@ -356,6 +354,9 @@
             if len(data) > head.end:
                 body.append(data[head.end :])
             if head.length > limits.held and body.size < head.length:
+                if not body.size:
+                    buffering = ResponseBuffering(head.length, limits.held, self.loop.time, give_up_at)
+                    yield from self._await_body(sock, buffering.latest)
                 return self._forwarded(attempt, connection, int(head.first), head, body, head.length, None)
             while body.size < head.length:
                 try:
@@ -404,10 +405,12 @@
         length = int(fields[b"content-length"]) if has_length else None
         if (length or 0) > options.limits.answer:
             return Outcome.ERROR, None, False
-        body, begun_at = Body(self.budget), self.loop.time
-        while part := (yield from self._part(reader, body, length, begun_at, until)):
+        body = Body(self.budget)
+        buffering = ResponseBuffering(length, options.limits.held, self.loop.time, until)
+        while part := (yield from self._part(reader, body, buffering, until)):
             body.append(part)
-            if self._is_forwarded(body, length, begun_at):
+            buffering.add_part(self.loop.time)
+            if buffering.is_begun(body.size, self.loop.time):
                 break
         if part or part is None:
             read = grammar.Head(b"", head.reason, pairs, fields, 0, 0)
@@ -415,22 +418,26 @@
         reusable = reader.whole() and not reader.rest()
         return self._outcome(head.status_code, head.reason, pairs, fields, body, reusable)
 
-    def _part(
-        self, reader: H11Reader, body: Body, length: int | None, begun_at: int, until: int
-    ) -> Coroutine[bytes | None]:
-        """Return the next part of a response; None if a long one of unknown length must not be buffered any longer."""
-        buffer_until = until
-        if length is None and body.size > self.pool.options.limits.held:
-            if not self._can_buffer(body):
-                return None
-            buffer_until = min(until, begun_at + MAX_BUFFER_TIME)
+    def _part(self, reader: H11Reader, body: Body, buffering: ResponseBuffering, until: int) -> Coroutine[bytes | None]:
+        """Return the next part of a response; None if the response must not be buffered any longer."""
+        if not buffering.may_be_long():
+            return (yield from reader.part(fixed(until)))
+        if body.size > buffering.held and not self._can_buffer(body):
+            return None
         try:
-            return (yield from reader.part(fixed(buffer_until)))
+            return (yield from reader.part(lambda: buffering.begin_by(body.size)))
         except TimedOut:
-            if buffer_until == until:
-                raise
             return None
 
+    @staticmethod
+    def _await_body(sock: socket.socket, until: int) -> Coroutine[None]:
+        """Wait for the first bytes of a long body. Until they arrive, a provider that breaks off can be replaced."""
+        if not (yield Wait(sock, READABLE, until)):
+            return
+        with suppress(BlockingIOError):
+            if not sock.recv(1, socket.MSG_PEEK):
+                raise ConnectionResetError("the provider closed the connection before the body of its response")
+
     def _can_buffer(self, body: Body) -> bool:
         """Whether a long response can be buffered further.
 
@@ -444,17 +451,6 @@
             return False
         return True
 
-    def _is_forwarded(self, body: Body, length: int | None, begun_at: int) -> bool:
-        """Whether a response is forwarded as it arrives instead of being buffered until it is complete.
-
-        One of unknown length may be reset at any time. It is buffered for a while, so that a reset early on can still
-        be answered with an error.
-        """
-        buffer_limit = self.pool.options.limits.held
-        if length is not None:
-            return length > buffer_limit
-        return self.loop.time - begun_at > MAX_BUFFER_TIME or body.size > MAX_BUFFER_FACTOR * buffer_limit
-
     def _forwarded(
         self,
         attempt: ProviderAttempt,
--- a/loftweir/http1/response.py
+++ b/loftweir/http1/response.py
@@ -74,16 +74,14 @@
     """
     progress = ReadProgress(loop, sock, silent_for)
     chunked = body.length is None and can_chunk
-    parts = [head + _framing(body.length, chunked)]
     whole = False
     try:
+        # The head does not wait for the body, whose first bytes may arrive much later.
+        yield from send_as_read(sock, [head + _framing(body.length, chunked)], progress)
         while not whole:
             piece = yield from body.pull()
             whole = not piece
-            if chunked:
-                parts += [b"%x\r\n" % len(piece), piece, b"\r\n"]
-            elif piece:
-                parts.append(piece)
+            parts = [b"%x\r\n" % len(piece), piece, b"\r\n"] if chunked else [piece]
             yield from send_as_read(sock, parts, progress)
     except TooLarge:
         raise ConnectionAbortedError("the response is larger than limits.answer") from None
