A begun response of unknown length is cut off for 300 ms of silence only while that helps

What callers saw: a long chunked answer that went on past its deadline was reset at the first silence of 300 ms, for as long as no more than 64 KiB of it had come.

Cause: ResponseStream counted those 300 ms anew from every piece. They are there because a short answer counts as lost half a second past its deadline, and as failed if it is ended before; past that half second ending it helps nobody, while a long one must not be cut off.

Change: the 300 ms hold only where they end within that half second; otherwise `limits.silent_for` does. The test of a short one that falls silent is as it was.

--- a/loftweir/http1/flow.py
+++ b/loftweir/http1/flow.py
@@ -15,8 +15,10 @@
 from loftweir.net.loop import MS, READABLE, Coroutine, Loop, Wait
 from loftweir.net.stream import SMALL, Body, MemoryBudget, TimedOut, TooLarge
 
-# How long past its deadline a small response may be silent. The platform counts a response as lost 500 ms past it.
+# A response of up to `SMALL` bytes counts by its last byte, and as lost if that comes LOST_AFTER past its deadline. One
+# of unknown length that may be so short is ended before that if it is silent for SILENT_LATE, and counts as failed.
 SILENT_LATE = 300 * MS
+LOST_AFTER = 500 * MS
 
 
 class ResponseStream:
@@ -96,7 +98,9 @@
         now = self.loop.time
         until = now + self.silent_for
         if self.length is None and self.returned <= SMALL:
-            until = min(until, max(now, self.deadline) + SILENT_LATE)
+            ended_at = max(now, self.deadline) + SILENT_LATE
+            if ended_at <= self.deadline + LOST_AFTER:
+                until = min(until, ended_at)
         return until
 
     def close(self, reusable: bool = False) -> None:
--- a/tests/test_begun_responses.py
+++ b/tests/test_begun_responses.py
@@ -283,3 +283,17 @@
         self.start_servers(respond)
         response = self.request("r")
         self.assertEqual((response.status, response.body == LONG), (200, True))
+
+    def test_a_response_that_may_be_short_and_goes_on_half_a_second_late_is_given_its_whole_silence(self):
+        """Once a short one would be lost in any case, ending it helps nobody, and a long one must not be cut off."""
+
+        def respond(sock, name):
+            sock.sendall(FRAMINGS["chunked"][0] + chunk(LONG[: 16 * KIB]))
+            time.sleep(DEADLINE_MS / 1000 + 0.25)
+            sock.sendall(chunk(LONG[16 * KIB : 32 * KIB]))
+            time.sleep(0.8)
+            sock.sendall(chunk(LONG[32 * KIB :]) + b"0\r\n\r\n")
+
+        self.start_servers(respond)
+        response = self.request("r")
+        self.assertEqual((response.status, response.body == LONG), (200, True))
