--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -321,6 +321,24 @@
     assert invocation.time_after_body == 3 * SECOND
 
 
+@pytest.mark.parametrize("pause_ms", [100, 500, 1000, 2000, 2400])
+def test_a_body_that_arrives_unevenly_at_the_rate_of_the_pages_is_awaited(pause_ms):
+    """Guards against a rate that only even writers keep: each burst comes at the end of its time."""
+    pause = pause_ms * MS
+    loop = SimpleNamespace(time=0)
+    front = SimpleNamespace(options=Options(), loop=loop)
+    limits = front.options.limits
+    reader = RequestReader(SimpleNamespace(front=front), limits.request_within)
+    reader._begin_body()
+    size = 0
+    for _ in range(20 * SECOND // pause):
+        assert reader._read_by(size) >= loop.time + pause
+        loop.time += pause
+        size += 64_000 * pause // SECOND
+    stopped_at = loop.time
+    assert reader._read_by(size) <= stopped_at + 3 * SECOND  # the pages' time for a client that stops
+
+
 class SlowWriterTest(SidecarTest):
     operator = '[limits]\nbody_silent = "500ms"\n'
 
