--- a/loftweir/catalog/hosts.py
+++ b/loftweir/catalog/hosts.py
@@ -31,7 +31,8 @@
 from loftweir.core.host import Host
 from loftweir.core.invocation import Invocation
 from loftweir.errors import LoftweirError
-from loftweir.http1.back import Backend, Pool, ProviderConnection
+from loftweir.http1.back import Backend
+from loftweir.http1.pool import Pool, ProviderConnection
 from loftweir.http1.request import BadRequest
 from loftweir.http1.response import BODY_RETRY_AFTER
 from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, Outcome, Settings, UpdateKind
--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -1,4 +1,4 @@
-"""The providers' side: the pool of open connections, and the attempts that are sent over them.
+"""The providers' side: the attempts that are sent over the connections of the pool.
 
 An attempt ends with exactly one outcome, and reports that the request never ran only if the protocol proves it. Nothing
 here sends a request twice: retries are the balancer's decision.
@@ -19,6 +19,7 @@
 from loftweir.http1.buffering import ResponseBuffering
 from loftweir.http1.flow import ResponseStream, UploadFailed
 from loftweir.http1.message import BodyStream, HttpRequest, HttpResponse, by_name, end_to_end_lines
+from loftweir.http1.pool import Pool, ProviderConnection
 from loftweir.http1.strict import H11Reader, fixed
 from loftweir.interface import Lifecycle, MembershipUpdate, Outcome, Settings, UpdateKind
 from loftweir.net.loop import MS, READABLE, Coroutine, Loop, Wait
@@ -33,7 +34,6 @@
     OutOfBudget,
     TimedOut,
     TooLarge,
-    connect,
     send,
     unacknowledged,
     unread_for,
@@ -45,185 +45,6 @@
 ExchangeResult = tuple[Outcome, HttpResponse | None, bool | None]
 
 
-class ProviderConnection:
-    """A connection to a provider.
-
-    While it is idle it watches itself: whatever arrives then, a close or unexpected data, ends it.
-    """
-
-    __slots__ = ("pool", "sock", "name", "address", "idle_since", "mask")
-
-    def __init__(self, pool: Pool, sock: socket.socket, name: str, address: str) -> None:
-        self.pool = pool
-        self.sock = sock
-        self.name = name
-        self.address = address
-        self.idle_since = 0
-        self.mask = READABLE
-
-    def ready(self, events: int) -> None:
-        """Handle an event of the loop in its turn."""
-        self.pool.loop.runnable.append(self.on_event)
-
-    def on_event(self) -> None:
-        """Close the connection, unless it is in use or closed by now."""
-        if self in self.pool.idle:
-            self.pool.remove_idle(self)
-            self.pool.close(self)
-
-    def is_usable(self) -> bool:
-        """Whether it is open and nothing has arrived on it.
-
-        The provider may have closed it while epoll had no turn yet to report that; a request on it would be lost.
-        """
-        try:
-            self.sock.recv(1)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        return False
-
-
-class Pool:
-    """The addresses of the providers, and the idle connections to them.
-
-    Invariants: `idle` has every idle connection, the one idle for longest first, and `idle_by_provider` the same by
-    provider, the one used last at the end. `open_count` counts these and the connections in use. `names_by_address` has
-    each address of `addresses` once, so that a whole list is applied in time proportional to its length.
-    """
-
-    def __init__(self, loop: Loop, settings: Settings, options: Options, max_connections: int) -> None:
-        self.loop = loop
-        self.settings = settings
-        self.options = options  # replaced whole by a reload
-        self.max_connections = max_connections  # in use and idle
-        self.open_count = 0
-        self.addresses: dict[str, str] = {}  # by name: of the providers to which requests may be sent
-        self.names_by_address: dict[str, str] = {}
-        self.last_response_at: dict[str, int] = {}  # by name: when its last complete response was read
-        self.idle_by_provider: dict[str, dict[ProviderConnection, None]] = {}
-        self.idle: dict[ProviderConnection, None] = {}
-
-    def max_idle_time(self) -> int:
-        """Return how long a connection may be idle.
-
-        The provider counts the idle time from its own last byte. The sidecar closes a connection earlier by a margin,
-        so that no request is written to one that the provider is closing.
-        """
-        conn_idle = self.settings.conn_idle
-        return max(conn_idle // 2, conn_idle - self.options.providers.idle_margin)
-
-    def set_address(self, name: str, address: str) -> None:
-        """Set a provider's address as listed.
-
-        Connections to another address lead to a process that is gone, and so do those of another provider that had this
-        address. Both are closed.
-        """
-        other = self.names_by_address.get(address)
-        if other == name:
-            return
-        if other is not None:
-            self.remove_provider(other)
-        self.remove_provider(name)
-        self.addresses[name] = address
-        self.names_by_address[address] = name
-
-    def remove_provider(self, name: str) -> None:
-        """Remove a provider that is gone or drains: no new request is sent to it."""
-        address = self.addresses.pop(name, None)
-        if address is not None:
-            del self.names_by_address[address]
-        self.last_response_at.pop(name, None)
-        self.close_idle(name)
-
-    def connect(self, name: str, until: int) -> Coroutine[ProviderConnection]:
-        """Open a new connection; raise `ConnectError` if that fails or there is no room for one."""
-        address = self.addresses.get(name)
-        if address is None:  # gone since the attempt was decided
-            raise ConnectError(Outcome.NOT_SENT)
-        if self.open_count >= self.max_connections and not self.evict_idle():
-            raise ConnectError(Outcome.NOT_SENT)
-        self.open_count += 1
-        try:
-            sock = yield from connect(self.loop, address, self.settings.connect_timeout, until)
-        except BaseException:
-            self.open_count -= 1
-            raise
-        connection = ProviderConnection(self, sock, name, address)
-        if not connection.is_usable():  # closed, or data arrived, before a request was sent: nothing ran
-            self.close(connection)
-            raise ConnectError(Outcome.CONNECT_FAILED)
-        return connection
-
-    def close(self, connection: ProviderConnection) -> None:
-        """Close a connection that is in use or has been removed from the idle ones."""
-        self.open_count -= 1
-        self.loop.close(connection.sock)
-
-    def evict_idle(self) -> bool:
-        """Close the connection that has been idle for longest, to make room; return whether there was one."""
-        connection = next(iter(self.idle), None)
-        if connection is not None:
-            connection.pool.remove_idle(connection)  # its pool may be that of a service
-            connection.pool.close(connection)
-        return connection is not None
-
-    def remove_idle(self, connection: ProviderConnection) -> None:
-        """Remove a connection from the idle ones."""
-        del self.idle[connection]
-        idle = self.idle_by_provider[connection.name]
-        del idle[connection]
-        if not idle:
-            del self.idle_by_provider[connection.name]
-        self.loop.unwatch(connection.sock.fileno())
-
-    def acquire(self, name: str) -> ProviderConnection | None:
-        """Return a usable idle connection; None if there is none.
-
-        It prefers the one used last of those that have been idle for a moment: a provider may close the connection
-        right after its response, or send more data, and that may not have arrived yet.
-        """
-        while idle := self.idle_by_provider.get(name):
-            settled_since = self.loop.time - self.options.providers.rest_least
-            connection = next((c for c in reversed(idle) if c.idle_since <= settled_since), None) or next(iter(idle))
-            self.remove_idle(connection)
-            if connection.is_usable():
-                return connection
-            self.close(connection)
-        return None
-
-    def release(self, connection: ProviderConnection) -> None:
-        """Make a connection idle after a complete response; close it if the provider is no longer at its address."""
-        name = connection.name
-        if connection.address != self.addresses.get(name):
-            self.close(connection)
-            return
-        self.last_response_at[name] = connection.idle_since = self.loop.time
-        self.idle[connection] = None
-        self.idle_by_provider.setdefault(name, {})[connection] = None
-        self.loop.watch(connection.sock.fileno(), connection)
-
-    def reap_idle(self) -> Coroutine[None]:
-        """Close idle connections before their providers do.
-
-        All may be idle for the same time, so the one idle for longest is due next, and one timer serves all.
-        """
-        while True:
-            expired = self.loop.time - self.max_idle_time()
-            oldest = next(iter(self.idle), None)
-            while oldest is not None and oldest.idle_since <= expired:
-                self.evict_idle()
-                oldest = next(iter(self.idle), None)
-            yield Wait(None, 0, (self.loop.time if oldest is None else oldest.idle_since) + self.max_idle_time())
-
-    def close_idle(self, name: str) -> None:
-        """Close all idle connections to a provider."""
-        for connection in list(self.idle_by_provider.get(name, ())):
-            self.remove_idle(connection)
-            self.close(connection)
-
-
 class Backend:
     """Carries out attempts; `on_attempt_ended` is called with the outcome of each and, with OK, its `HttpResponse`."""
 
--- a/tests/test_catalog_serves.py
+++ b/tests/test_catalog_serves.py
@@ -17,7 +17,7 @@
 from loftweir.catalog.hosts import ServicePool
 from loftweir.catalog.shares import SharedLimit
 from loftweir.config.model import Options
-from loftweir.http1.back import Pool
+from loftweir.http1.pool import Pool
 from loftweir.interface import Effect, Outcome
 from loftweir.net.loop import Loop
 from loftweir.net.stream import ConnectError
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -18,9 +18,10 @@
 from loftweir.config.model import Options
 from loftweir.core.host import Host
 from loftweir.core.invocation import Invocation, ProviderAttempt
-from loftweir.http1.back import Backend, ProviderConnection
+from loftweir.http1.back import Backend
 from loftweir.http1.flow import Upload
 from loftweir.http1.message import HttpRequest
+from loftweir.http1.pool import ProviderConnection
 from loftweir.interface import Outcome
 from loftweir.net.loop import Loop
 from loftweir.net.stream import Body, MemoryBudget
--- a/tests/test_list_crossings.py
+++ b/tests/test_list_crossings.py
@@ -30,8 +30,9 @@
 from test_list_clock import Clock
 
 from loftweir.config.model import Options
-from loftweir.http1.back import Backend, Pool
+from loftweir.http1.back import Backend
 from loftweir.http1.discovery import Discovery, ListResponse
+from loftweir.http1.pool import Pool
 from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, UpdateKind
 from loftweir.listclock import NOTIFIED_AFTER
 from loftweir.net.loop import MAX_TURN_TIME, MS, READABLE, Loop, Wait
