Requests read behind another are answered before a drain or SIGTERM ends their connection

Cause: ClientConnection._is_last made the next answer the connection's last once the lifecycle was not SERVING, whatever was read behind its request, and threw the rest away.

Change: it is the last one only if nothing was read behind it. The rest of a request that was read in part is awaited for 1 s from the drain or SIGTERM on, so a client that never stops sending is ended too. What is still in the kernel is not read: its client sends it again, as before.

--- a/loftweir/http1/client.py
+++ b/loftweir/http1/client.py
@@ -15,7 +15,7 @@
 from loftweir.http1.flow import Upload
 from loftweir.http1.message import BodyStream, HttpRequest, HttpResponse, text_response
 from loftweir.http1.request import BadRequest, check_length, is_health_check, to_invocation
-from loftweir.http1.request_reader import RequestReader
+from loftweir.http1.request_reader import RequestReader, has_whole_request
 from loftweir.http1.response import (
     BODY_RETRY_AFTER,
     begin_head,
@@ -26,7 +26,7 @@
     whole_message,
 )
 from loftweir.http1.stage import Stage
-from loftweir.net.loop import HUNG_UP, MS, READABLE, WOKEN, Coroutine, Task, Wait
+from loftweir.net.loop import HUNG_UP, MS, READABLE, SECOND, WOKEN, Coroutine, Task, Wait
 from loftweir.net.progress import ReadProgress, send_as_read
 from loftweir.net.stream import READ_SIZE, OutOfBudget, TimedOut, has_unacknowledged, hung_up, unread_for
 from loftweir.telemetry.catalogue import INVOCATION_BROKEN, INVOCATION_OVERDUE
@@ -35,6 +35,8 @@
 if TYPE_CHECKING:
     from loftweir.http1.front import Frontend
 
+# Once connections are to end, for how long the rest of a request that was read in part behind another one is awaited.
+READS_ON_FOR = SECOND
 ACK_CHECK = 20 * MS  # between checks whether the client has acknowledged its last response, once lingering is over
 # The response to a client that is closed in the middle of sending a request.
 HALF_REQUEST_RESPONSE = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -209,8 +211,9 @@
             self.received = self.sock.recv(READ_SIZE)
         except BlockingIOError:  # there is nothing to read after all
             return True
+        behind = False  # whether the request came behind another one
         while self.received:
-            exchange = yield from self._exchange()
+            exchange = yield from self._exchange_behind() if behind else self._exchange()
             if exchange is None:
                 return False
             last = self._is_last(exchange)
@@ -223,7 +226,7 @@
                 return False
             if not exchange.rest:
                 return not exchange.ended
-            self.received = exchange.rest
+            self.received, behind = exchange.rest, True
             del exchange  # else the waiting connection keeps the response in memory
             # A client that pipelines may never leave the socket empty, and a request that is answered at once never
             # waits. So other connections get a turn here. Busy: the data that was read may be a whole request.
@@ -231,13 +234,35 @@
             self.stage = Stage.IDLE
         return False
 
-    def _exchange(self) -> Coroutine[Exchange | None]:
-        """Read a request and have it answered; return None if the connection ended before one began."""
+    def _exchange_behind(self) -> Coroutine[Exchange | None]:
+        """Have a request answered that came behind another one; `_exchange` if the connection is not to end.
+
+        The rest of one that was read in part is awaited for a while only. A client that never stops sending would
+        always have one, and keep its connection.
+        """
+        if not self._is_ending():
+            return (yield from self._exchange())
+        read_by = self.front.ending_since + READS_ON_FOR
+        if self.front.loop.time >= read_by and not has_whole_request(self.received):
+            return Exchange(rejection(0), None, self.front.options.limits.linger_bytes)
+        return (yield from self._exchange(read_by))
+
+    def _is_ending(self) -> bool:
+        """Whether the connection ends with the last request that was read."""
+        return self.front.life.traits.last
+
+    def _exchange(self, read_by: int | None = None) -> Coroutine[Exchange | None]:
+        """Read a request and have it answered; return None if the connection ended before one began.
+
+        `read_by`: until when it must have arrived, if that is earlier than its own time.
+        """
         began = self.front.loop.time
         # A client has limited time for a request: for the first one on a connection from its opening, for a later one
         # from its first byte.
         started = self.since if self.stage is Stage.SILENT else began
         until = started + self.front.options.limits.request_within
+        if read_by is not None:
+            until = min(until, read_by)
         self.stage, self.method, self.http_1_0 = Stage.BEGUN, b"", False
         request = RequestReader(self, until)
         try:
@@ -274,9 +299,12 @@
         """Whether the connection is closed after this response.
 
         It is after a client error: such a client may have sent more invalid requests, or continue at full speed, and
-        each one then costs it a new connection.
+        each one then costs it a new connection. A connection that is to end has its last response once nothing more was
+        read: a request that was read is answered.
         """
-        return exchange.rest is None or self.front.life.traits.last or 400 <= exchange.response.status < 500
+        if exchange.rest is None or 400 <= exchange.response.status < 500:
+            return True
+        return self._is_ending() and not exchange.rest
 
     def _write(self, response: HttpResponse, last: bool) -> Coroutine[None]:
         """Write a response; `last`: the connection is closed after it."""
--- a/loftweir/http1/front.py
+++ b/loftweir/http1/front.py
@@ -53,6 +53,7 @@
         self.opens_at = 0  # until then, or `open`, clients wait in the listener's queue
         self.shared = False  # whether other processes accept from the same listener
         self.short_since: int | None = None  # since when no descriptor is free for a new connection
+        self.ending_since = 0  # since when connections are to end, as of `life`
         self.ends_at = 0  # when this process ends, even with requests unanswered; 0: not known
         self.free_descriptor: Any = lambda: False  # closes an idle connection to a provider; whether there was one
 
--- a/loftweir/http1/request_reader.py
+++ b/loftweir/http1/request_reader.py
@@ -25,6 +25,22 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
+def has_whole_request(data: bytes) -> bool:
+    """Whether data that was read begins with a whole request, or with one whose errors show already."""
+    head = grammar.request(data)
+    if head is not None:
+        return len(data) >= head.end + head.length
+    parser = h11.Connection(h11.SERVER)
+    parser.receive_data(data)
+    try:
+        event = parser.next_event()
+        while isinstance(event, (h11.Request, h11.Data)):
+            event = parser.next_event()
+    except h11.RemoteProtocolError:
+        return True
+    return isinstance(event, h11.EndOfMessage)
+
+
 class RequestReader:
     """Reads the request that begins with the data which the client's connection has received.
 
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -13,7 +13,7 @@
 from loftweir.config.model import MIB, Options
 from loftweir.config.platform import Platform
 from loftweir.core.host import Host
-from loftweir.core.life import LifecycleEvent, SidecarLifecycle, State
+from loftweir.core.life import TRAITS, LifecycleEvent, SidecarLifecycle, State
 from loftweir.http1.back import Backend
 from loftweir.http1.discovery import Discovery
 from loftweir.http1.front import Frontend
@@ -314,6 +314,8 @@
     def _changed(self, before: State) -> None:
         """Handle a change of the lifecycle's state."""
         emit(LIFE_CHANGED, state=self.life.state.value, before=before.value, open=len(self.host.invocations))
+        if self.life.traits.last and not TRAITS[before].last:
+            self.front.ending_since = self.loop.now()
         if self.life.state is State.LEAVING:
             self.loop.spawn(self._drain())
 
