An error of a function that the loop calls is logged and ends nothing else

Cause: Loop.run called steps, new work, urgent work and timers' functions with nothing round them. Errors of coroutines were contained (Task.step), those of events of connections at rest and of timers were not.

Change: each such call is guarded; the error goes to the log as coroutine.broken, with its place, and the loop goes on.

--- a/loftweir/net/loop.py
+++ b/loftweir/net/loop.py
@@ -203,6 +203,12 @@
                 self.on_crash(error)
 
 
+def _report_broken(call: Callable[..., None], error: Exception) -> None:
+    """Log an error of a function that the loop called."""
+    name = getattr(call, "__qualname__", repr(call))
+    emit(COROUTINE_BROKEN, coroutine=name, error=repr(error), at=traceback_location(error))
+
+
 class Loop:
     """Runs coroutines on epoll.
 
@@ -360,7 +366,10 @@
             at, _, task, call, arguments = heapq.heappop(timers)
             if task is None:
                 assert call is not None
-                call(*arguments)
+                try:
+                    call(*arguments)
+                except Exception as error:
+                    _report_broken(call, error)
             elif task.over or task.timer_at != at:
                 self.dead_timers -= 1
             else:
@@ -372,7 +381,8 @@
         """Run turns until `stopped` is set.
 
         A turn runs the timers that are due, all urgent work and a part of the round, then polls epoll. It takes at most
-        `MAX_TURN_TIME` and one step, so that urgent work, or what has to be read for it, waits no longer.
+        `MAX_TURN_TIME` and one step, so that urgent work, or what has to be read for it, waits no longer. A step or a
+        timer's function that raises is logged, and ends nothing but itself.
         """
         runnable, new_work, urgent, watchers = self.runnable, self.new_work, self.urgent, self.watchers
         offset, monotonic = self.offset, time.monotonic_ns
@@ -383,16 +393,28 @@
             self.time = monotonic() + offset
             self.run_timers()
             while urgent:
-                urgent.popleft()()
+                step = urgent.popleft()
+                try:
+                    step()
+                except Exception as error:
+                    _report_broken(step, error)
                 self.time = monotonic() + offset
             ends_at = self.time + MAX_TURN_TIME
             while runnable and steps_left and self.time < ends_at:
-                runnable.popleft()()
+                step = runnable.popleft()
+                try:
+                    step()
+                except Exception as error:
+                    _report_broken(step, error)
                 steps_left -= 1
                 self.time = monotonic() + offset
             if not runnable or not steps_left:
                 while new_work and new_steps_left:
-                    new_work.popleft()()
+                    step = new_work.popleft()
+                    try:
+                        step()
+                    except Exception as error:
+                        _report_broken(step, error)
                     new_steps_left -= 1
                     self.time = monotonic() + offset
                     if self.time >= ends_at:
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -295,3 +295,28 @@
         overload.read(now, 3 * TARGET)
     overload.read(now + 30 * INTERVAL, 0)
     assert overload.read(now + 31 * INTERVAL, 0) == 0
+
+
+def test_an_error_of_a_function_that_the_loop_calls_ends_nothing_else(capfd):
+    """Guards against a process that ends with all its requests because one connection's callback broke (review/2)."""
+    loop = Loop()
+    done = []
+
+    def breaks():
+        raise ValueError("broken on purpose")
+
+    for queue in (loop.urgent, loop.runnable, loop.new_work):
+        queue.extend([breaks, lambda: done.append("a step")])
+    loop.after(0, breaks)
+    loop.after(0, done.append, "a timer")
+
+    def waits():
+        yield Wait(None, 0, loop.time + 20 * MS)
+        loop.stopped = True
+
+    loop.spawn(waits())
+    loop.run()
+    assert sorted(done) == ["a step"] * 3 + ["a timer"]
+    lines = capfd.readouterr().err.splitlines()
+    # The log writes equal lines once.
+    assert any("coroutine.broken" in line and "broken on purpose" in line for line in lines)
