A connection's slot and its service's unit are released in one place each

Cause: Pool.connect closes a connection that ended before it was used, which gave back the unit of the service's limit (ServicePool.close), and ServicePool.connect gave it back again for the error. The service then had fewer units than connections, and the last close raised ValueError.

Change: Pool.acquire_slot and Pool.release_slot are the one place each; a service's pool extends them by its unit.

--- a/loftweir/catalog/hosts.py
+++ b/loftweir/catalog/hosts.py
@@ -94,8 +94,8 @@
     def options(self) -> Any:  # type: ignore[override]
         return self.sidecar_pool.options
 
-    def connect(self, name: str, until: int) -> Coroutine[ProviderConnection]:
-        """Opens a connection, and closes the service's longest idle ones while the sidecar has no room for another."""
+    def acquire_slot(self) -> None:
+        """Acquire a unit too. While none is free, the service's longest idle connection is closed for it."""
         while not self.shared.acquire(self.key):
             oldest = min(
                 (c for idle in self.idle_by_provider.values() for c in idle), key=lambda c: c.idle_since, default=None
@@ -105,14 +105,14 @@
             self.remove_idle(oldest)
             self.close(oldest)
         try:
-            return (yield from super().connect(name, until))
-        except BaseException:
+            super().acquire_slot()
+        except ConnectError:
             self.shared.release(self.key)
             raise
 
-    def close(self, connection: ProviderConnection) -> None:
-        """Closes a connection and releases its unit."""
-        super().close(connection)
+    def release_slot(self) -> None:
+        """Release the unit too."""
+        super().release_slot()
         self.shared.release(self.key)
 
 
--- a/loftweir/http1/pool.py
+++ b/loftweir/http1/pool.py
@@ -107,13 +107,11 @@
         address = self.addresses.get(name)
         if address is None:  # gone since the attempt was decided
             raise ConnectError(Outcome.NOT_SENT)
-        if self.open_count >= self.max_connections and not self.evict_idle():
-            raise ConnectError(Outcome.NOT_SENT)
-        self.open_count += 1
+        self.acquire_slot()
         try:
             sock = yield from connect(self.loop, address, self.settings.connect_timeout, until)
         except BaseException:
-            self.open_count -= 1
+            self.release_slot()
             raise
         connection = ProviderConnection(self, sock, name, address)
         if not connection.is_usable():  # closed, or data arrived, before a request was sent: nothing ran
@@ -123,9 +121,19 @@
 
     def close(self, connection: ProviderConnection) -> None:
         """Close a connection that is in use or has been removed from the idle ones."""
-        self.open_count -= 1
+        self.release_slot()
         self.loop.close(connection.sock)
 
+    def acquire_slot(self) -> None:
+        """Count a connection that is about to be opened; raise `ConnectError` if there is no room for one."""
+        if self.open_count >= self.max_connections and not self.evict_idle():
+            raise ConnectError(Outcome.NOT_SENT)
+        self.open_count += 1
+
+    def release_slot(self) -> None:
+        """Count a connection no more: it is closed, or could not be opened. Its slot is released nowhere else."""
+        self.open_count -= 1
+
     def evict_idle(self) -> bool:
         """Close the connection that has been idle for longest, to make room; return whether there was one."""
         connection = next(iter(self.idle), None)
--- a/tests/test_catalog_serves.py
+++ b/tests/test_catalog_serves.py
@@ -19,7 +19,7 @@
 from loftweir.config.model import Options
 from loftweir.http1.pool import Pool
 from loftweir.interface import Effect, Outcome
-from loftweir.net.loop import Loop
+from loftweir.net.loop import MS, Loop, Wait
 from loftweir.net.stream import ConnectError
 from loftweir.partners.merge import UsedRoute
 from loftweir.partners.table import parse_route
@@ -263,6 +263,51 @@
         assert {one.effect for one in catalog.find(name).contract.values()} == {effect}, name
 
 
+def test_a_connection_that_ends_before_it_is_used_releases_its_unit_once():
+    """Guards against a unit that is released twice, and a process that then ends with a ValueError (review/2)."""
+    loop = Loop()
+    whole = Pool(loop, settings(), Options(), 9)
+    shared = SharedLimit(whole.max_connections)
+    pool = ServicePool(whole, shared, "a")
+    closing, refusing, open_server = (socket.create_server(("127.0.0.1", 0)) for _ in range(3))
+    refused_address = address_of(refusing)
+    refusing.close()
+    outcomes, connections = [], []
+
+    def accepts():
+        while True:
+            try:
+                closing.accept()[0].close()
+            except OSError:
+                return
+
+    threading.Thread(target=accepts, daemon=True).start()
+
+    def connects():
+        for address in [None, refused_address, *[address_of(closing)] * 20, address_of(open_server)]:
+            pool.addresses.pop("p", None)
+            if address is not None:
+                pool.addresses["p"] = address
+            try:
+                connections.append((yield from pool.connect("p", loop.time + 5 * SECOND)))
+            except ConnectError as error:
+                outcomes.append(error.outcome)
+            yield Wait(None, 0, loop.time + MS)
+        assert shared.in_use == {"a": len(connections)} and whole.open_count == len(connections)
+        for connection in connections:
+            pool.close(connection)
+        loop.stopped = True
+
+    crashes = []
+    loop.spawn(connects(), lambda error: (crashes.append(error), setattr(loop, "stopped", True)))
+    loop.run()
+    closing.close()
+    open_server.close()
+    assert not crashes
+    assert outcomes[:2] == [Outcome.NOT_SENT, Outcome.CONNECT_FAILED]
+    assert (whole.open_count, shared.free, shared.in_use) == (0, shared.total, {})
+
+
 def test_connections_of_one_service_leave_room_for_others_and_are_counted_once():
     loop = Loop()
     whole = Pool(loop, settings(), Options(), 9)
