A partner's providers keep the zones of the partner's table

Cause: border_providers gave all providers of a partner the zone partner:SITE and left out the zone that its table tells. A key is dropped within a zone, and the balancer took all zones of a partner for one.

Change: the zone is partner:SITE:ZONE; no label has a colon. The catalog's map of zones and cells keeps them apart already.

--- a/loftweir/partners/standby.py
+++ b/loftweir/partners/standby.py
@@ -49,13 +49,15 @@
 def border_providers(used: UsedRoute, back_at: int) -> dict[str, BorderProvider]:
     """The route's providers, each with a name, zone and cell that this site does not have.
 
+    Two of them are in one zone or cell only if the partner's table says so: keys are deduplicated within these.
     None counts as warmer than the way to its site: a partner that has returned is treated like a provider that has just
     started.
     """
-    zone, cell_base = f"partner:{used.partner}", int.from_bytes(used.partner.encode(), "big") << 64
+    cell_base = int.from_bytes(used.partner.encode(), "big") << 64
     providers = {}
     for provider in used.route.providers:
         name = f"{provider.name}@{used.partner}"
+        zone = f"partner:{used.partner}:{provider.zone}"  # no label has a colon
         lifecycle = Lifecycle.READY if provider.status == "active" else Lifecycle.DRAINING
         started_at = max(provider.since_ms * MS, back_at)
         providers[name] = BorderProvider(
