FLEET-REMOVE is acknowledged only if the member is known to be out

Cause: Proposer.remove took any rejection after a try without an answer for "it is out already". A leader that will not remove a member, for want of a majority, rejects it with the same code.

Change: after such a try only the leader's word that there is no member of that name means that it is out; any other rejection is OutcomeUnknown. A leader says that word only once the last change of the members is committed. The frames stay.

--- a/loftweir/replication/caller.py
+++ b/loftweir/replication/caller.py
@@ -35,6 +35,7 @@
     RemoveMember,
     SubmitCommand,
     TurnedAway,
+    no_such_member,
 )
 
 BUSY_POLL_INTERVAL = 5 * MS  # while waiting until the previous write has ended
@@ -131,7 +132,11 @@
             self.writes.busy = False
 
     def remove(self, name: str, within: int) -> Coroutine[None]:
-        """Removes a member. Raises as `write` does, and `NotTaken` if there is no member of that name."""
+        """Removes a member. Raises as `write` does, and `NotTaken` if it can't be removed or does not exist.
+
+        After a try without an answer, only a leader's word that there is no member of that name shows that it was
+        removed. Any other rejection leaves open whether that try still takes effect.
+        """
         until = self.loop.now() + within
         yield from self.writes.reserve(until)
         try:
@@ -139,8 +144,13 @@
         finally:
             self.writes.busy = False
         assert isinstance(outcome, CommandOutcome)
-        if outcome.how is OutcomeCode.UNFIT and not uncertain:
-            raise NotTaken(outcome.result.decode("utf-8", "replace") or "the membership can't be changed now")
+        if outcome.how is not OutcomeCode.UNFIT:
+            return
+        why = outcome.result.decode("utf-8", "replace") or "the membership can't be changed now"
+        if not uncertain:
+            raise NotTaken(why)
+        if outcome.result != no_such_member(name):
+            raise OutcomeUnknown(f"a first try had no answer, the next one was rejected: {why}")
 
     def read(self, query: Query, within: int) -> Coroutine[ReadResult]:
         """The value of a query: linearizable if a leader with a majority is found in time, else the most recent of the
--- a/loftweir/replication/reception.py
+++ b/loftweir/replication/reception.py
@@ -51,6 +51,7 @@
     TurnedAway,
     encode_frame,
     hello_rejection,
+    no_such_member,
 )
 from loftweir.telemetry.catalogue import REPLICATION_TURNED_AWAY
 from loftweir.telemetry.log import emit
@@ -320,9 +321,10 @@
         members = self.voter.core.members
         remaining = tuple(m for m in members if m.name != frame.name)
         if remaining == members and self.voter.leads():
-            connection.put(
-                CommandOutcome(frame.token, OutcomeCode.UNFIT, 0, f"no member has the name {frame.name}".encode())
-            )
+            # As long as the last change is not committed, the member may come back with another leader.
+            committed = self.voter.core.can_change_members
+            how, result = (OutcomeCode.UNFIT, no_such_member(frame.name)) if committed else (OutcomeCode.BUSY, b"")
+            connection.put(CommandOutcome(frame.token, how, 0, result))
             return
         voting = [m for m in remaining if m.votes]
         reachable = [m.name for m in voting if self.voter.is_reachable(m.id)]
--- a/loftweir/replication/wire.py
+++ b/loftweir/replication/wire.py
@@ -127,6 +127,11 @@
     name: str
 
 
+def no_such_member(name: str) -> bytes:
+    """The result with which a leader rejects the removal of a member that is not there."""
+    return f"no member has the name {name}".encode()
+
+
 # ---- writes and reads ---------------------------------------------------------------------------
 
 
--- a/tests/test_replication_wire.py
+++ b/tests/test_replication_wire.py
@@ -26,7 +26,7 @@
 from loftweir.replication import follower as follower_module
 from loftweir.replication import wire
 from loftweir.replication.api import AppendEntries, Entry, EntryKind, Member, TimeoutNow
-from loftweir.replication.caller import NoMajority, OutcomeUnknown, Proposer
+from loftweir.replication.caller import NoMajority, NotTaken, OutcomeUnknown, Proposer
 from loftweir.replication.follower import Observer
 from loftweir.replication.line import FrameConnection
 from loftweir.replication.links import MemberLink
@@ -370,6 +370,42 @@
     assert len(made[0].seen + made[1].seen) > 1 or isinstance(error_raised, OutcomeUnknown)
 
 
+REFUSED = b"without f9 there is no majority"
+
+
+@pytest.mark.parametrize(
+    ("first", "how", "result", "error"),
+    [
+        ("answered", OutcomeCode.DONE, b"", None),
+        ("answered", OutcomeCode.UNFIT, wire.no_such_member("f9"), NotTaken),
+        ("answered", OutcomeCode.UNFIT, REFUSED, NotTaken),
+        ("answered", OutcomeCode.LOST, b"", OutcomeUnknown),
+        ("silent", OutcomeCode.DONE, b"", None),
+        ("silent", OutcomeCode.UNFIT, wire.no_such_member("f9"), None),
+        ("silent", OutcomeCode.UNFIT, REFUSED, OutcomeUnknown),
+        ("silent", OutcomeCode.UNFIT, b"", OutcomeUnknown),
+        ("silent", OutcomeCode.LOST, b"", OutcomeUnknown),
+        ("lost", OutcomeCode.UNFIT, wire.no_such_member("f9"), None),
+        ("lost", OutcomeCode.UNFIT, REFUSED, OutcomeUnknown),
+        ("ended", OutcomeCode.UNFIT, REFUSED, OutcomeUnknown),
+    ],
+)
+def test_a_removal_is_acknowledged_only_if_it_is_known_to_be_done(voters, first, how, result, error):
+    """Guards against an OK for a member that votes on: a rejection after a try without an answer (review/3)."""
+    tries = []
+
+    def answer(frame):
+        tries.append(frame)
+        if len(tries) > 1 or first == "answered":
+            return CommandOutcome(frame.token, how, 0, result)
+        return {"silent": None, "ended": ..., "lost": CommandOutcome(frame.token, OutcomeCode.LOST)}[first]
+
+    made = voters(answer, answer)
+    loop = Loop()
+    outcome = run(loop, make_proposer(loop, made).remove("f9", 1500 * MS))
+    assert (type(outcome) if outcome is not None else None) is error
+
+
 def test_a_write_that_could_not_be_sent_is_known_to_have_no_effect(voters):
     made = voters(
         lambda frame: None, lambda frame: None, hello=wire.ConnectionRejected(wire.RejectReason.CLUSTER, "other")
