A removed member asks to be taken in again only as a new process

Cause: a process that is not in its place took itself for removed only by the answer of a leader that is sure of its members. The next leader is not sure before an entry of its term is committed, so the process went on to ask that leader to take it in, and any listed name is taken in. A request that was sent before the removal and arrives later has the same effect.

Change: two decisions in replication/seats.py. A process that a sure leader has listed in its life (it asks for that after its start) waits until one is sure, and ends its part if that one does not list it. For 5 s after a removal the leader refuses the id. Frames and stored data are the same. A new process of the name is taken in after those 5 s.

A first form trusted messages of the leader as a proof of membership; a queued one may be older than the removal, and two tests of members removed while down failed by it.

--- a/loftweir/replication/joining.py
+++ b/loftweir/replication/joining.py
@@ -10,7 +10,13 @@
 from loftweir.replication.api import Member
 from loftweir.replication.line import CONNECTION_ERRORS, dial
 from loftweir.replication.member import Removed, Voter
-from loftweir.replication.seats import founding_members, waiting_reason
+from loftweir.replication.seats import (
+    MembershipStep,
+    OwnMembership,
+    founding_members,
+    next_own_step,
+    waiting_reason,
+)
 from loftweir.replication.wire import (
     VERSION,
     ConnectionKind,
@@ -38,6 +44,9 @@
 LEADERLESS_ELECTIONS = 4
 WAIT_LOG_DELAY = 3 * SECOND  # after the start, before the reason for waiting is logged
 
+# By name: the id that answered and its status.
+StatusAnswers = dict[str, tuple[str, StatusResponse]]
+
 SET_ASIDE_WAIT = (
     "files were set aside here, and no leader is known: it founds no cluster, as writes may have been acknowledged; "
     "check the other members, and empty all folders, this one too, only if the replicated data is lost"
@@ -57,8 +66,9 @@
         self.random = Random(f"{voter.me} joining")
         self.begun_at = loop.now()
         self.joining = False
-        # As observed during the life of this process; the disk alone does not prove it.
-        self.is_confirmed_voter = False
+        # During the life of this process a leader sure of its members had it among them. Neither the disk nor a message
+        # of a leader proves that: both may be from a time before it was removed.
+        self.was_member = False
         self.collecting = False  # waits for responses; in any other wait, a wake-up would be taken for its end
         self.task: Task = loop.spawn(self._run(), self._crashed)
 
@@ -71,7 +81,7 @@
 
     def _run(self) -> Coroutine[None]:
         while self.is_active():
-            if self._is_in_place():
+            if self._is_in_place() and self._is_known_member():
                 delay = MEMBER_CHECK_INTERVAL
             elif (yield from self._step()):
                 delay = STEP_INTERVAL
@@ -93,10 +103,14 @@
         if self.joining:
             self.joining = False
             emit(REPLICATION_JOINED, id=voter.me, leader=voter.leader()[0])
-        self.is_confirmed_voter = self.is_confirmed_voter or age is not None
         leaderless_time = age if age is not None else self.loop.now() - self.begun_at
         return leaderless_time < LEADERLESS_ELECTIONS * voter.options.election
 
+    def _is_known_member(self) -> bool:
+        """Whether a leader sure of its members, itself included, had it among them during the life of this process."""
+        self.was_member = self.was_member or self._lists_this(self.voter.status(()))
+        return self.was_member
+
     def _step(self) -> Coroutine[bool]:
         """Makes one step. Returns whether there was progress, so that the next step should follow at once."""
         voter = self.voter
@@ -109,15 +123,34 @@
                 emit(REPLICATION_BEGUN, id=voter.me, members=[m.name for m in members])
                 voter.found(members)
                 return True
-        lacking_this = [
-            n for n, (_, status) in answers.items() if status.sure and all(m.id != voter.me for m in status.members)
-        ]
-        if lacking_this and self.is_confirmed_voter:
-            voter.end(Removed(f"{lacking_this[0]} leads, and {voter.me} is not among its members", voter.name))
-            return False
-        own = voter.member(voter.me)
-        if not lacking_this and own is not None and own.votes and own.address == self.own.address:
-            return False
+        match next_own_step(self._own_membership(), [status for _, status in answers.values()]):
+            case MembershipStep.END:
+                voter.end(Removed(self._removal_reason(answers), voter.name))
+                return False
+            case MembershipStep.JOIN:
+                self._note_listing(answers)
+                return (yield from self._ask_leaders(answers))
+            case MembershipStep.WAIT:
+                self._note_listing(answers)
+                return False
+
+    def _own_membership(self) -> OwnMembership:
+        voter = self.voter
+        return OwnMembership(voter.me, self.own.address, voter.member(voter.me), self.was_member)
+
+    def _lists_this(self, status: StatusResponse) -> bool:
+        return status.sure and any(member.id == self.voter.me for member in status.members)
+
+    def _note_listing(self, answers: StatusAnswers) -> None:
+        self.was_member = self.was_member or any(self._lists_this(status) for _, status in answers.values())
+
+    def _removal_reason(self, answers: StatusAnswers) -> str:
+        leader = next(name for name, (_, status) in answers.items() if status.sure and not self._lists_this(status))
+        return f"{leader} leads, and {self.voter.me} is not among its members"
+
+    def _ask_leaders(self, answers: StatusAnswers) -> Coroutine[bool]:
+        """Asks the leaders that the answers name for the next step of joining. Returns whether one was made."""
+        voter = self.voter
         leaders = {
             status.leader: status.address for _, status in answers.values() if status.leader not in ("", voter.name)
         }
@@ -136,9 +169,9 @@
     def _join(self) -> JoinRequest:
         return JoinRequest(self.own.id, self.own.name, self.own.address)
 
-    def _collect_status(self) -> Coroutine[dict[str, tuple[str, StatusResponse]]]:
+    def _collect_status(self) -> Coroutine[StatusAnswers]:
         """The status of the other listed members, requested from all at once."""
-        answers: dict[str, tuple[str, StatusResponse]] = {}
+        answers: StatusAnswers = {}
         others = {name: address for name, address in self.voter.slots.items() if name != self.voter.name}
         left = len(others)
 
@@ -163,7 +196,7 @@
         return dict(answers)
 
     def _request(
-        self, address: str, name: str, frame: Frame, answers: dict[str, tuple[str, StatusResponse]] | None = None
+        self, address: str, name: str, frame: Frame, answers: StatusAnswers | None = None
     ) -> Coroutine[Frame | None]:
         """Sends one request to a member and returns the response; None: there was none."""
         until = self.loop.now() + RESPONSE_TIMEOUT
--- a/loftweir/replication/member.py
+++ b/loftweir/replication/member.py
@@ -66,6 +66,9 @@
 
 LINK_IDLE_TIMEOUT = 10 * SECOND  # of a link to an id that is not a member
 MAX_LINKS = 32  # twice the number of members that there may be
+# After a removal, the time for which a request to join may still be on its way that was sent before it: a process asks
+# all members for their status, and then the leader, with a timeout for each.
+REMOVED_JOIN_DELAY = 5 * SECOND
 UNKNOWN_LAG = 1 << 62  # entries; also a time that is never reached
 
 ResultCallback = Callable[[OutcomeCode, int, AnyResult | None], None]
@@ -125,6 +128,8 @@
         self.leadership = (0, 0)  # the last term that it led, and when it began to
         # During the life of this process it was a voter by a log that included everything committed at the time.
         self.is_confirmed_voter = False
+        self.removed_at: dict[str, int] = {}  # by id, ns; of the members that left within `REMOVED_JOIN_DELAY`
+        self.known_ids: frozenset[str] = frozenset(member.id for member in self.core.members)
         self.hello = Hello(VERSION, options.cluster, self.me, name, ConnectionKind.MEMBER)
         self.ticker: Task = loop.spawn(self._tick(), self._crashed, urgent=True)
         self.disk_task: Task = loop.spawn(self._read_disk(), self._crashed, urgent=True)
@@ -320,11 +325,19 @@
             members=[m.name if m.votes else f"{m.name} (learns)" for m in action.members],
             id=self.me,
         )
-        known, now = {m.id for m in action.members}, self.loop.now()
+        known, now = frozenset(m.id for m in action.members), self.loop.now()
+        self._note_removals(known)
         for id, link in list(self.links.items()):
             if id not in known and link.last_used_at < now - LINK_IDLE_TIMEOUT:
                 self._drop_link(id)
 
+    def _note_removals(self, ids: frozenset[str]) -> None:
+        """Notes when the members left that are not among `ids` any more."""
+        now = self.loop.now()
+        recent = {id: at for id, at in self.removed_at.items() if at > now - REMOVED_JOIN_DELAY and id not in ids}
+        self.removed_at = recent | dict.fromkeys(self.known_ids - ids, now)
+        self.known_ids = ids
+
     def _take_snapshot(self, action: TakeSnapshot) -> None:
         self.pending.append(CompactLog(self.machine.index, self.machine.dump()))
 
@@ -400,6 +413,11 @@
         now, election = self.loop.now(), self.options.election
         return id == self.me or max(self.core.last_response_at(id), self.leadership[1] + election) > now - election
 
+    def recently_removed(self, id: str) -> bool:
+        """Whether a member left within `REMOVED_JOIN_DELAY`, as far as this process saw."""
+        removed_at = self.removed_at.get(id)
+        return removed_at is not None and removed_at > self.loop.now() - REMOVED_JOIN_DELAY
+
     def is_reachable(self, id: str) -> bool:
         """Whether a member responded to this leader within the last election timeout."""
         return id == self.me or self.core.last_response_at(id) > self.loop.now() - self.options.election
--- a/loftweir/replication/reception.py
+++ b/loftweir/replication/reception.py
@@ -305,7 +305,14 @@
         if not voter.leads():
             connection.put(JoinResponse(False, False, "not the leader", *voter.leader()))
             return
-        step = next_join_step(frame, voter.core.members, voter.slots, voter.recently_heard, voter.replication_lag)
+        step = next_join_step(
+            frame,
+            voter.core.members,
+            voter.slots,
+            voter.recently_heard,
+            voter.recently_removed,
+            voter.replication_lag,
+        )
         if isinstance(step, JoinResponse):
             connection.put(step)
             return
--- a/loftweir/replication/seats.py
+++ b/loftweir/replication/seats.py
@@ -9,6 +9,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Mapping, Sequence
+from enum import Enum
+from typing import NamedTuple
 
 from loftweir.replication.api import Member
 from loftweir.replication.wire import JoinRequest, JoinResponse, RejectReason, StatusResponse
@@ -16,6 +18,39 @@
 MAX_LEARNER_LAG = 64  # committed entries that a learner may lack when it becomes a voter
 
 
+class OwnMembership(NamedTuple):
+    """What a process knows of its own place among the members."""
+
+    id: str
+    address: str  # as configured
+    latest: Member | None  # its entry in the newest members of its log; None: it has none
+    was_member: bool  # a leader sure of its members has listed it during the life of this process
+
+
+class MembershipStep(Enum):
+    """What a listed process does about its place among the members."""
+
+    WAIT = "wait"
+    JOIN = "join"  # asks the leader for the next step of joining
+    END = "end"  # it was removed, and takes no part until it is started again
+
+
+def next_own_step(own: OwnMembership, answers: Collection[StatusResponse]) -> MembershipStep:
+    """The step of a process that is not in its place, or has no leader.
+
+    A process that was a member and was removed never asks to be taken in: only a new process does. A leader that is not
+    sure of its members may be about to lose or to commit a removal, so that its word tells neither.
+    """
+    certain = [answer for answer in answers if answer.sure]
+    is_lacking = any(all(member.id != own.id for member in answer.members) for answer in certain)
+    if is_lacking and own.was_member:
+        return MembershipStep.END
+    in_place = own.latest is not None and own.latest.votes and own.latest.address == own.address
+    if in_place and not is_lacking:
+        return MembershipStep.WAIT
+    return MembershipStep.WAIT if own.was_member and not certain else MembershipStep.JOIN
+
+
 def founding_members(
     me: Member, first: str, names: Collection[str], answers: Mapping[str, tuple[str, StatusResponse]]
 ) -> Sequence[Member]:
@@ -56,16 +91,20 @@
     members: tuple[Member, ...],
     listed: Collection[str],
     recently_heard: Callable[[str], bool],
+    recently_removed: Callable[[str], bool],
     lag: Callable[[str], int],
 ) -> JoinResponse | tuple[Member, ...]:
     """The leader's decision on a request to join: an answer, or the members of the next step.
 
     `recently_heard`: whether a member responded within the last election timeout, or may have done so (a leader that
-    has just been elected can't tell). `lag`: how many committed entries a member is not known to have.
+    has just been elected can't tell). `recently_removed`: whether a request of this id may have been sent before the id
+    was removed. `lag`: how many committed entries a member is not known to have.
     """
     if join.name not in listed:
         return JoinResponse(False, False, f"{join.name}: {RejectReason.NOT_LISTED.value}")
     own = next((m for m in members if m.id == join.id), None)
+    if own is None and recently_removed(join.id):
+        return JoinResponse(False, False, f"{join.name}: {RejectReason.JUST_REMOVED.value}, {join.id}")
     slot_member = next((m for m in members if m.name == join.name), None)
     if own is None and slot_member is None:
         return (*members, Member(join.id, join.name, join.address, votes=False))
--- a/loftweir/replication/wire.py
+++ b/loftweir/replication/wire.py
@@ -57,6 +57,7 @@
     FULL = "as many as may be are served"
     NOT_LISTED = "not among replication.members"
     SLOT_TAKEN = "the member in this seat was heard from just now"
+    JUST_REMOVED = "the member was removed just now"
     LISTS_DIFFER = "replication.members is another there"
     ENDED = "it takes no part any more"
 
--- a/tests/test_replication_member.py
+++ b/tests/test_replication_member.py
@@ -246,7 +246,7 @@
 
 def test_only_a_leader_with_committed_members_can_report_a_removal(harness):
     voter, ended = harness.start(), []
-    voter.ended, voter.has_state, harness.agent.joining.is_confirmed_voter = ended.append, True, True
+    voter.ended, voter.has_state, harness.agent.joining.was_member = ended.append, True, True
     response_ = StatusResponse(False, True, "127.0.0.1:1", "n1", "", (Member("id-n1", "n1", "127.0.0.1:1"),))
     harness.stubs["n1"].answer = lambda frame: response_ if isinstance(frame, StatusRequest) else None
     harness.wait(800 * MS)
@@ -575,7 +575,7 @@
 
 def test_a_member_at_another_address_joins_again_and_one_without_a_leader_checks_its_membership(harness):
     voter, ended = harness.start(), []
-    voter.ended, voter.has_state, harness.agent.joining.is_confirmed_voter = ended.append, True, True
+    voter.ended, voter.has_state, harness.agent.joining.was_member = ended.append, True, True
     own, asked = Member(voter.me, "n0", "127.0.0.1:1"), []
     members = [(own, Member("id-n1", "n1", "127.0.0.1:2"))]
     voter.member = lambda id: own
--- a/tests/test_replication_wire.py
+++ b/tests/test_replication_wire.py
@@ -138,13 +138,20 @@
 NAMES = ("n0", "n1", "n2", "n3", "n4")
 
 
+def never(id):
+    """A condition that no member fulfils."""
+    return False
+
+
 @settings(derandomize=True, deadline=None)
 @given(st.lists(st.tuples(st.sampled_from(NAMES), st.integers(0, 3), st.booleans(), st.integers(0, 200)), max_size=80))
 def test_members_join_in_steps_of_one_voter_and_never_replace_a_live_one(steps):
     members = tuple(Member(f"{name}-0", name, "a:1") for name in NAMES[:3])
     for name, life, lives, behind in steps:
         join = JoinRequest(f"{name}-{life}", name, f"a:{life}")
-        step = next_join_step(join, members, NAMES, lambda id, lives=lives: lives, lambda id, behind=behind: behind)
+        step = next_join_step(
+            join, members, NAMES, lambda id, lives=lives: lives, never, lambda id, behind=behind: behind
+        )
         if isinstance(step, JoinResponse):
             own = [m for m in members if m.id == join.id]
             assert own or (lives and any(m.name == name for m in members))
@@ -157,11 +164,11 @@
         members = step
     for name in NAMES:  # in the end all of them join
         join, count = JoinRequest(f"{name}-9", name, "a:9"), 0
-        while not isinstance(step := next_join_step(join, members, NAMES, lambda _: False, lambda _: 0), JoinResponse):
+        while not isinstance(step := next_join_step(join, members, NAMES, never, never, lambda _: 0), JoinResponse):
             members, count = step, count + 1
         assert step.votes and count <= 3
     assert isinstance(
-        next_join_step(JoinRequest("x", "x", "a:1"), members, NAMES, lambda _: False, lambda _: 0), JoinResponse
+        next_join_step(JoinRequest("x", "x", "a:1"), members, NAMES, never, never, lambda _: 0), JoinResponse
     )
 
 
