Tests, benchmarks and links take addresses that nothing else is given

What was seen: scenes failed at times as a sidecar could not listen (Address already in use).

Cause: a scene chose its addresses by closing a socket that the kernel had given a port. A link (standins/faults.py) asked the kernel for any port of the same host, and was given one that a sidecar of its fleet was about to listen on. Elsewhere two workers of a run could choose one port of 127.0.0.1.

Change: standins/addresses.py hands out addresses below the kernel's range, each once, on a loopback host of the process and scene; links, fleets, partners, stub servers, benchmarks and `loftweir try` use it.

--- a/benchmarks/engine_trial.py
+++ b/benchmarks/engine_trial.py
@@ -34,12 +34,15 @@
 from pathlib import Path
 from typing import Any
 
+from loftweir.standins.addresses import Addresses
+
 ROOT = Path(__file__).parent.parent
 TESTED_VERSION = "0.3.17"  # of pysyncobj
 # Configurations of the library; times in s.
 FAST_ELECTIONS = {"raftMinTimeout": 0.4, "raftMaxTimeout": 0.8, "connectionRetryTime": 0.2}
 NO_ELECTIONS = {"raftMinTimeout": 60.0, "raftMaxTimeout": 61.0, "connectionTimeout": 70.0}  # never becomes a candidate
 SYNC_CALLS = ("fsync", "fdatasync", "msync")
+ADDRESSES = Addresses()
 RESOURCES = ExitStack()  # everything that a check has started; `main` closes it after the check
 Findings = Iterator[tuple[str, bool, str]]  # the property, whether the library has it, and the evidence
 
@@ -220,8 +223,8 @@
 
 def free_address() -> tuple[str, int]:
     """An unused address."""
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return sock.getsockname()  # type: ignore[no-any-return]
+    host, port = ADDRESSES.unused().split(":")
+    return host, int(port)
 
 
 class Fleet:
--- a/benchmarks/faults/fleet.py
+++ b/benchmarks/faults/fleet.py
@@ -9,7 +9,6 @@
 import os
 import re
 import resource
-import secrets
 import signal
 import socket
 from contextlib import suppress
@@ -45,7 +44,6 @@
 os.fsync, os.fdatasync = hooked(os.fsync), hooked(os.fdatasync)
 """
 PROVIDERS = 200  # names in the endpoint list; nothing listens there, and no request is sent
-FIRST_PORT = 10_000  # below the ports that the kernel assigns
 VOTING_ROLES = ("leader", "follower", "asking", "candidate")
 FULL_DISK_RESERVE = 256 * 1024  # bytes by which a file may still grow on a disk that is almost full
 
@@ -53,27 +51,12 @@
 class Fleet(FleetScene):
     """Can be made outside of tests too, by `Fleet()`; `doCleanups` ends all of it."""
 
-    def __init__(self, method: str = "runTest"):
-        super().__init__(method)
-        number = secrets.randbelow(1 << 16)
-        # A loopback address of this fleet alone, so that no other process takes its ports.
-        self.host = f"127.{1 + number % 254}.{number >> 8}.1"
-        self.port = FIRST_PORT
-
-    def free(self):
-        """An address on which nothing listens."""
-        while True:
-            self.port += 1
-            with suppress(OSError), socket.socket() as sock:
-                sock.bind((self.host, self.port))
-                return f"{self.host}:{self.port}"
-
     def fleet(self, voters=3, followers=2, providers=0):
         """Makes the sidecars, with a link for each pair of a sidecar and another that votes."""
         super().fleet(voters, followers, providers)
         self.catalog.entries = [entry(f"s{n}", "127.0.0.1:9") for n in range(PROVIDERS)]
         self.oracle = Oracle()
-        self.links = Links(self.host)
+        self.links = Links(self.addresses)
         self.addCleanup(self.links.close)
         self.link: dict[tuple[str, str], Link] = {}  # by the names of the sidecar and the voter
         for name in self.sidecars:
--- a/benchmarks/scale/fleet.py
+++ b/benchmarks/scale/fleet.py
@@ -19,7 +19,6 @@
 import time
 from calendar import timegm
 from collections.abc import Callable, Sequence
-from contextlib import suppress
 from multiprocessing.connection import Connection as Pipe
 from multiprocessing.connection import wait
 from multiprocessing.process import BaseProcess
@@ -31,11 +30,11 @@
 from benchmarks.scale.discovery import EntryChange, ListVersion
 from benchmarks.scale.hollow import LIST, OVERRIDE, ChangeReached, StubPlan, StubState
 from loftweir.config import operator
+from loftweir.standins.addresses import Addresses
 from loftweir.standins.faults import Links
 from loftweir.standins.toy import SETTINGS
 
 T = TypeVar("T")
-FIRST_PORT = 10_000  # below the ports that the kernel assigns to connections
 VOTER_SOCKETS = 8192  # limit of a voter, which has a connection from each sidecar
 SIDECAR_SOCKETS = 512  # limit of every other sidecar
 MEMORY_MB = 256  # limit of each sidecar
@@ -207,13 +206,12 @@
     def __init__(self, size: Size) -> None:
         self.size = size
         self.run = int(time.time())
-        self.host = f"127.{1 + secrets.randbelow(250)}.{secrets.randbelow(250)}.{1 + secrets.randbelow(250)}"
-        self.port = FIRST_PORT
+        self.addresses = Addresses()
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = Path(self.temporary.name)
-        self.seats = {f"n{n}": self._free_address() for n in range(size.voters)}
+        self.seats = {f"n{n}": self.addresses.unused() for n in range(size.voters)}
         self.far_voter = f"n{size.voters - 1}" if size.regions > 1 else ""
-        self.links = Links(self.host)
+        self.links = Links(self.addresses)
         # The link by which each voter is reached from the region that it is not in.
         self.region_links = {name: self.links.add(seat) for name, seat in self.seats.items()} if self.far_voter else {}
         self.members = discovery.members(size.listed)
@@ -242,16 +240,8 @@
 
     # ---- setup ----------------------------------------------------------------------------------
 
-    def _free_address(self) -> str:
-        while True:
-            self.port += 1
-            with suppress(OSError), socket.socket() as sock:
-                sock.bind((self.host, self.port))
-                return f"{self.host}:{self.port}"
-
     def _start_discovery(self) -> tuple[Pipe, BaseProcess, str]:
-        host, port = self._free_address().split(":")
-        listener = socket.create_server((host, int(port)))
+        listener = self.addresses.listener()
         pipe, child_pipe = _spawned.Pipe()
         process = _spawned.Process(target=discovery.serve, args=(listener, self.size.listed, child_pipe), daemon=True)
         process.start()
@@ -277,7 +267,7 @@
     def _sidecar(self, name: str) -> Sidecar:
         folder = self.folder / name
         folder.mkdir()
-        sidecar = Sidecar(name, folder, self._free_address(), self._free_address())
+        sidecar = Sidecar(name, folder, self.addresses.unused(), self.addresses.unused())
         config = {
             "name": name,
             "listen": sidecar.listen,
--- a/loftweir/cli/attempt.py
+++ b/loftweir/cli/attempt.py
@@ -4,7 +4,6 @@
 
 import json
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -16,6 +15,7 @@
 import click
 
 from loftweir.config.units import split_host_port
+from loftweir.standins.addresses import LOOPBACK, Addresses
 from loftweir.standins.toy import ProviderList, platform_config, start_discovery, start_provider
 
 READY_TIMEOUT = 10.0  # seconds
@@ -43,8 +43,7 @@
     providers_by_name = {f"toy-{n}": start_provider(f"toy-{n}") for n in range(1, providers + 1)}
     members = ProviderList((name, provider.address) for name, provider in providers_by_name.items())
     discovery = start_discovery(members)
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        listen = f"127.0.0.1:{free.getsockname()[1]}"
+    listen = Addresses(LOOPBACK).unused()
     with tempfile.TemporaryDirectory() as folder:
         config, operator = Path(folder, "config.json"), Path(folder, "loftweir.toml")
         config.write_text(json.dumps(platform_config(listen, members, discovery.address)), encoding="utf-8")
--- a/loftweir/errors.py
+++ b/loftweir/errors.py
@@ -7,7 +7,7 @@
 command. Exceptions that are caught before that stay outside. `TimedOut`, `TooLarge`, `OutOfBudget`, `ConnectError`,
 `LocalError` and `UploadFailed` become an attempt's outcome, a status or a `CallFailed`; `BadRequest` and
 `InvalidRequest` become the answer to the client's own request (docs/on-call.md has the statuses); `Unfit` becomes the
-report of a damaged journal. `InvariantViolation` is a finding of the simulations.
+report of a damaged journal. `InvariantViolation` is a finding of the simulations, and `NoAddress` one of the stand-ins.
 """
 
 from __future__ import annotations
--- a/loftweir/standins/faults.py
+++ b/loftweir/standins/faults.py
@@ -17,6 +17,8 @@
 from collections import deque
 from contextlib import suppress
 
+from loftweir.standins.addresses import Addresses
+
 MAX_BUFFERED = 256 * 1024  # bytes for each direction of a connection; more stay in the kernel
 MAX_CONNECTIONS = 1024  # at a time over all links; more wait to be accepted
 READ_SIZE = 64 * 1024  # bytes
@@ -55,7 +57,7 @@
 class Link:
     """A proxy to one address. All methods may be called from any thread and have taken effect when they return."""
 
-    def __init__(self, links: Links, target: str, host: str) -> None:
+    def __init__(self, links: Links, target: str, address: str) -> None:
         self.target = target
         self._links = links
         self._blocked = [False, False]  # forward, backward
@@ -63,15 +65,14 @@
         self._refuses = False
         self._reset_after: list[int | None] = [None, None]  # bytes that pass until all connections are reset
         self._corrupt_after: list[int | None] = [None, None]  # bytes that pass until one is changed
-        with socket.create_server((host, 0)) as free:
-            port = free.getsockname()[1]
+        host, port = address.split(":")
         # Bound by number, so that the port stays reserved while the link does not listen.
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind((host, port))
+        self._listener.bind((host, int(port)))
         self._listener.setblocking(False)
         self._listener.listen(BACKLOG)
-        self.address = f"{host}:{port}"
+        self.address = address
         self.passed = [0, 0]  # bytes forward and backward
 
     def heal(self) -> None:
@@ -115,8 +116,9 @@
 class Links:
     """All links and the thread that runs them. Everything happens under `_lock`, except waiting."""
 
-    def __init__(self, host: str = "127.0.0.1") -> None:
-        self._host = host
+    def __init__(self, addresses: Addresses | None = None) -> None:
+        """`addresses`: of the links; None: of a host of their own."""
+        self._addresses = addresses or Addresses()
         self._lock = threading.RLock()
         self._poll = select.epoll()
         self._masks: dict[int, int] = {}  # registered events by descriptor
@@ -133,7 +135,7 @@
     def add(self, target: str) -> Link:
         """Adds a link without faults to an address."""
         with self._lock:
-            link = Link(self, target, self._host)
+            link = Link(self, target, self._addresses.unused())
             self._links[link._listener.fileno()] = link
         self._wake_thread()
         return link
--- a/tests/fleet_scene.py
+++ b/tests/fleet_scene.py
@@ -14,12 +14,11 @@
 import tempfile
 import unittest
 from contextlib import suppress
-from itertools import count
 from pathlib import Path
 
-from scene import READ, ROOT, SETTINGS, StubDiscovery, StubServer, address_of, entry, eventually, list_body, ok
+from scene import READ, ROOT, SETTINGS, StubDiscovery, StubServer, entry, eventually, list_body, ok
 
-FLEETS = count()
+from loftweir.standins.addresses import Addresses
 
 
 class Sidecar:
@@ -150,9 +149,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
-        process = os.getpid()
-        self.used_addresses = set()
-        self.host = f"127.{1 + process // 250 % 250}.{process % 250}.{1 + next(FLEETS) % 250}"
+        self.addresses = Addresses()
         self.catalog = StubDiscovery()
         self.providers = [StubServer(ok) for _ in range(providers)]
         for stub in (self.catalog, *self.providers):
@@ -171,15 +168,8 @@
         return self.sidecars[name].call(line)
 
     def unused_address(self):
-        """An unused address. It is on a loopback address of this process and fleet, so that no other process takes it
-        meanwhile.
-        """
-        while True:
-            with socket.create_server((self.host, 0)) as sock:
-                address = address_of(sock)
-            if address not in self.used_addresses:
-                self.used_addresses.add(address)
-                return address
+        """An address on which nothing listens."""
+        return self.addresses.unused()
 
     def members_of(self, name):
         """The list of members in one sidecar's file."""
--- a/tests/pages.py
+++ b/tests/pages.py
@@ -18,7 +18,7 @@
 from contextlib import chdir, suppress
 from doctest import ELLIPSIS, OutputChecker
 
-from scene import ROOT, listener
+from scene import ROOT
 from sybil import Document, Example, Region
 from sybil.evaluators.doctest import DocTestEvaluator
 from sybil.evaluators.python import PythonEvaluator
@@ -30,6 +30,7 @@
 from loftweir.config.faults import Faulty
 from loftweir.config.model import Options
 from loftweir.emulator import scenario
+from loftweir.standins.addresses import LOOPBACK, Addresses
 from loftweir.telemetry.catalogue import EVENTS, level_name
 from loftweir.telemetry.reading import parse_line, parse_time
 
@@ -37,6 +38,7 @@
 COMMENTS = DirectiveInHTMLCommentLexer("not run|first|until|file")
 INDENTED = re.compile(r"(?:\A|\n[ \t]*\n)(?=(?: {4,}|\t)(?![-*+] |\d+[.)] )\S)")  # a nested list is not code
 ADDRESS = re.compile(r"(127\.0\.0\.1[:/ ])([1-9]\d*)\b")
+PAGE_ADDRESSES = Addresses(LOOPBACK)
 COMMON_FIELDS = {"time", "level", "event"}
 
 
@@ -348,6 +350,5 @@
 
 
 def free_port():
-    """A port at which nothing listens, as text."""
-    with listener() as free:
-        return str(free.getsockname()[1])
+    """A port of 127.0.0.1 at which nothing listens, as text; the pages name that host."""
+    return PAGE_ADDRESSES.unused().rpartition(":")[2]
--- a/tests/partner_scene.py
+++ b/tests/partner_scene.py
@@ -2,11 +2,9 @@
 
 import http.client
 import json
-import random
 import socket
 import threading
 import time
-from contextlib import suppress
 from urllib.parse import parse_qsl, urlencode
 
 import msgspec
@@ -20,7 +18,6 @@
 FAST_OPTIONS = {"wait": "500ms", "silent_after": "300ms", "hold": "3s", "gone": "1500ms", "lease": "1500ms"}
 OPEN = {"use": "all", "show": "all", "passes": 3, "until": "forever"}
 command_decoder = msgspec.msgpack.Decoder(Command)
-USED_PORTS = set()  # ports that tests of this process use
 CLASSES = ["status-read", "apply-submit", "place-confirm"]
 
 
@@ -100,16 +97,6 @@
         site.listens = {n: site.unused_address() for n in site.voters}
         return site
 
-    def unused_address(self):
-        """An address with a port below the range for outgoing connections, which any of them could take before it is
-        listened on."""
-        while True:
-            port = random.randrange(10_000, 32_000)
-            with suppress(OSError), socket.create_server(("127.0.0.1", port)):
-                if port not in USED_PORTS:
-                    USED_PORTS.add(port)
-                    return f"127.0.0.1:{port}"
-
     def add_neighbour(self, name, *addresses, **more):
         """Adds a neighbour to the configuration."""
         self.neighbours[name] = {"name": name, "addresses": list(addresses), **more}
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -3,7 +3,6 @@
 import http.client
 import json
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -15,13 +14,12 @@
 from contextlib import contextmanager, suppress
 from pathlib import Path
 
+from loftweir.standins.addresses import Addresses
+
 ROOT = Path(__file__).parent.parent
 MS = 1_000_000  # ns
 SECOND = 1_000_000_000  # ns
-LEAST_PORT = 10_000  # the lowest port that a test uses
-PORT_TRIES = 1_000  # ports that are tried before a test gives up
-FIRST_EPHEMERAL_PORT = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
-PORTS = random.SystemRandom()  # tests seed the global generator, so ports come from another one
+ADDRESSES = Addresses()
 # The classes of the tests.
 READ = "status-read"  # may be retried
 ONCE = "apply-submit"  # must run once
@@ -68,15 +66,8 @@
 
 
 def listener():
-    """A listening socket on a random port.
-
-    Many are closed at once, so that a program that starts a moment later can use their address. So the port is none
-    that the system assigns to outgoing connections, or to a program that asks for any port.
-    """
-    for _ in range(PORT_TRIES):
-        with suppress(OSError):
-            return socket.create_server(("127.0.0.1", PORTS.randrange(LEAST_PORT, FIRST_EPHEMERAL_PORT)))
-    raise OSError("no free port was found")
+    """A listening socket; many are closed at once, so that a program that starts a moment later can use the address."""
+    return ADDRESSES.listener()
 
 
 def address_of(sock):
