Requests behind one without memory, or that met a fault of the program, are answered

What callers saw: of requests that were sent together, those read behind one that got 503 for want of memory for its body, or 500 by a fault of the program, were dropped with their connection.

Cause: ClientConnection._error_exchange knew no end of the request for any error and closed the connection.

Change: RequestReader.rest is known as soon as the request's end was read, also if there is no memory for its body; such a connection stays open. Behind an error of the client itself nothing is run, as before: test_client.py holds that against smuggled requests, and `Connection: close` on that answer tells the client. The condition on 4xx in _is_last is gone, since only errors of the client had such a status.

--- a/loftweir/http1/client.py
+++ b/loftweir/http1/client.py
@@ -275,34 +275,36 @@
         except OSError:
             raise
         except Exception as error:
-            return self._error_exchange(error)
+            return self._error_exchange(error, request.rest)
         unread = self.front.options.limits.linger_bytes
         if request.upload is not None and request.upload.length is not None:
             unread = request.upload.length  # it may not have arrived yet
         return Exchange(response, request.rest, unread, request.ended)
 
-    def _error_exchange(self, error: Exception) -> Exchange:
-        """Return the response to a request that could not be read or decided."""
+    def _error_exchange(self, error: Exception, rest: bytes | None) -> Exchange:
+        """Return the response to a request that could not be read or decided; `rest`: what was read behind it.
+
+        Behind a client's error nothing is served: such a client may have sent more invalid requests, or continue at
+        full speed, and each one then costs it a new connection. Its response says so with `Connection: close`.
+        """
         limits = self.front.options.limits
         if isinstance(error, OutOfBudget):
             after = min(BODY_RETRY_AFTER, self.front.host.settings.max_retry_after)
             # Most clients read the response only once they have written the whole request.
-            return Exchange(rejection(max(1, after // MS)), None, limits.body)
+            return Exchange(rejection(max(1, after // MS)), rest, limits.body)
         response = client_error(error, limits.body)
-        if response is None:
-            # A fault of this program: this request fails, and the process continues.
-            emit(INVOCATION_BROKEN, error=repr(error), at=traceback_location(error))
-            response = text_response(500, "failed")
-        return Exchange(response, None, limits.linger_bytes)
+        if response is not None:
+            return Exchange(response, None, limits.linger_bytes)
+        # A fault of this program: this request fails, and the process continues.
+        emit(INVOCATION_BROKEN, error=repr(error), at=traceback_location(error))
+        return Exchange(text_response(500, "failed"), rest, limits.linger_bytes)
 
     def _is_last(self, exchange: Exchange) -> bool:
         """Whether the connection is closed after this response.
 
-        It is after a client error: such a client may have sent more invalid requests, or continue at full speed, and
-        each one then costs it a new connection. A connection that is to end has its last response once nothing more was
-        read: a request that was read is answered.
+        One that is to end has its last response once nothing more was read: a request that was read is answered.
         """
-        if exchange.rest is None or 400 <= exchange.response.status < 500:
+        if exchange.rest is None:
             return True
         return self._is_ending() and not exchange.rest
 
--- a/loftweir/http1/request_reader.py
+++ b/loftweir/http1/request_reader.py
@@ -16,7 +16,7 @@
 from loftweir.http1.stage import Stage
 from loftweir.http1.strict import H11Reader, fixed
 from loftweir.net.loop import MS, READABLE, SECOND, Coroutine, Wait
-from loftweir.net.stream import READ_SIZE, Body, TimedOut, reserved
+from loftweir.net.stream import READ_SIZE, Body, OutOfBudget, TimedOut, reserved
 
 if TYPE_CHECKING:
     from loftweir.http1.client import ClientConnection
@@ -58,7 +58,8 @@
         self.front = client.front
         self.until = until
         self.invocation: Invocation | None = None  # None: a health check of the sidecar
-        self.rest: bytes | None = None  # data read behind the request; None: its end is unknown or not reached
+        # Data read behind the request, also if there is no memory for that; None: its end is unknown or not reached.
+        self.rest: bytes | None = None
         self.upload: Upload | None = None  # its body, if that is forwarded as it arrives
         self.ended = False  # the client sends nothing more behind `rest`
 
@@ -80,20 +81,22 @@
     def _read_common(self, head: grammar.Head, data: bytes) -> Coroutine[bool]:
         """Read the rest of a request whose head is parsed; `data` is what has been read of it."""
         body = Body(self.front.budget)
-        self.invocation = self.client.admit(HttpRequest(head.first, head.second, head.pairs, head.fields, body))
         end = head.end + head.length
+        if len(data) >= end:
+            self.rest = data[end:]
+        self.invocation = self.client.admit(HttpRequest(head.first, head.second, head.pairs, head.fields, body))
         if self.invocation is not None and head.length > body.budget.most():
             body.append(data[head.end : end])
             self.upload = self._upload(self.invocation, body, head.length)
+            self.rest = None
             return True
         if head.length:
             yield from self._reserve(body, head.length)
             body.append(data[head.end : end])
-        rest = data[end:]
         del data  # else its bytes are in memory twice while the rest is awaited
         if body.size < head.length:
             yield from self._fill(body, head.length)
-        self.rest = rest
+            self.rest = b""
         return True
 
     def _fill(self, body: Body, length: int) -> Coroutine[None]:
@@ -140,7 +143,11 @@
         self.invocation = client.admit(request)
         if reader.http.they_are_waiting_for_100_continue and self.invocation is not None:
             client.sock.send(CONTINUE)
-        body = yield from self._strict_body(reader, int(request.fields.get(b"content-length", 0)))
+        try:
+            body = yield from self._strict_body(reader, int(request.fields.get(b"content-length", 0)))
+        except OutOfBudget:
+            self.rest = reader.rest_at_hand()
+            raise
         if self.invocation is not None:
             self.invocation.payload = request._replace(body=body)
         self.rest = reader.rest() if reader.whole() else None
--- a/loftweir/http1/strict.py
+++ b/loftweir/http1/strict.py
@@ -50,6 +50,15 @@
         """Return the data that was read behind the message."""
         return bytes(self.http.trailing_data[0])
 
+    def rest_at_hand(self) -> bytes | None:
+        """Skip the rest of the message without reading any more; None if its end has not been read."""
+        try:
+            while isinstance(self.http.next_event(), h11.Data):
+                pass
+        except h11.RemoteProtocolError:
+            return None
+        return self.rest() if self.whole() else None
+
     def next_event(self, read_by: ReadBy) -> Coroutine[Any]:
         """Return h11's next event; raise `TimedOut` if no data arrives in time."""
         while True:
--- a/tests/test_pipelined_ends.py
+++ b/tests/test_pipelined_ends.py
@@ -2,6 +2,7 @@
 
 import http.client
 import itertools
+import json
 import signal
 import socket
 import threading
@@ -53,7 +54,7 @@
 
 
 class PipelinedTest(SidecarTest):
-    def begin(self):
+    def begin(self, **changes):
         """Start a program whose provider answers no request named `first` before `self.gate` is set."""
         self.gate = threading.Event()
         self.addCleanup(self.gate.set)
@@ -65,7 +66,7 @@
 
         with listener() as free:
             self.operator_address = address_of(free)
-        self.start(*[answer] * 3, operator=self.operator_address)
+        self.start(*[answer] * 3, operator=self.operator_address, **changes)
         self.assertTrue(eventually(lambda: self.health() == 200), self.log())
 
     def drain(self):
@@ -166,3 +167,36 @@
                 self.assertLess(time.monotonic() - began, SIGKILL_AFTER)
                 self.assertEqual(received.count(b"Connection: close"), 1)
                 self.assertIn(b"Connection: close", bytes(received[-300:]))
+
+    def test_a_connection_with_a_request_behind_another_is_not_closed_to_make_room(self):
+        """Connections run out again and again while the first request waits for its provider."""
+        self.begin()
+        socks = {name: self.send_together(n, *what) for n, (name, what) in enumerate(BEHIND.items())}
+        self.assertTrue(eventually(lambda: sum(len(p.seen) for p in self.providers) == len(socks)))
+        crowd = [self.connect() for _ in range(200)]
+        for sock in crowd:
+            sock.sendall(b"GET /api HTTP/1.1\r\n")
+        self.assertTrue(eventually(lambda: self.logged("accept.no_room")))
+        for sock, rest in socks.values():
+            sock.sendall(rest)
+        self.gate.set()
+        for name, (sock, _) in socks.items():
+            with self.subTest(behind=name):
+                statuses = [status for status, _ in self.answers(sock)]  # it is closed once it is idle
+                self.assertEqual(statuses, [200] * (1 + len(BEHIND[name][0])))
+
+
+class SharedListenerTest(PipelinedTest):
+    """The same with a listening socket that the next process of an upgrade accepts from."""
+
+    def run_program(self, config, fault=""):
+        """Start the program on a listening socket of the test."""
+        self.listening_socket = listener()
+        self.addCleanup(self.listening_socket.close)
+        self.listen = address_of(self.listening_socket)
+        super().run_program(json.dumps(json.loads(config) | {"listen": self.listen}), fault)
+
+    def launch(self, pass_fds=(), **environment):
+        """Start a process that accepts from the listening socket."""
+        descriptor = self.listening_socket.fileno()
+        return super().launch(pass_fds=(descriptor,), RELAY_LISTEN_FD=str(descriptor), **environment)
