After a restart drained servers stay out, enabled ones serve, and an ended drain stays ended

A start that finds no other process ended the drain in memory and not in the file.

Sidecar.receive_list stores discovery's list as it came. The record's file is written again once the drain has ended. Forms of files and frames are the same.

--- a/loftweir/operations/command_handler.py
+++ b/loftweir/operations/command_handler.py
@@ -119,6 +119,7 @@
         if not self.found_other_process and self.overlay.record.drain.active:
             # The drain was of processes that have all ended. A disabled provider stays disabled until it is enabled.
             self.apply_record(self.overlay.record.with_drain(False, self.loop.now()))
+            self.file_is_behind = True  # else a process that is started beside this one would drain
 
     def _give_up_reading(self) -> None:
         if not self.begun:
@@ -141,14 +142,15 @@
         assert store is not None
         while True:
             yield Wait(None, 0, self.loop.now() + POLL_INTERVAL)
-            if not store.has_changed():
-                continue
-            sound = self._read()
-            if sound and not self.begun:
-                self._begin()
+            sound = True
+            if store.has_changed():
+                sound = self._read()
+                if sound and not self.begun:
+                    self._begin()
             if self.begun and (not sound or self.file_is_behind):
                 try:
-                    store.save(self.overlay.record)
+                    self.apply_record(store.save(self.overlay.record))
+                    self.file_is_behind = False
                 except OSError as error:
                     store.last_stamp = None  # read again at the next poll
                     if not isinstance(error, BlockingIOError):
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -24,7 +24,7 @@
 from loftweir.operations.command_handler import CommandHandler
 from loftweir.state.disk import Disk
 from loftweir.state.sealed import Damaged
-from loftweir.state.snapshot import ListSource, ListTracker, Snapshot, choose_list
+from loftweir.state.snapshot import ListSource, ListTracker, Snapshot, choose_list, without_removed
 from loftweir.telemetry import log
 from loftweir.telemetry.catalogue import (
     DISCOVERY_LIST,
@@ -77,7 +77,7 @@
         self.life.changed = self._changed
         self.drain_began = 0  # when the latest drain began
         self.commands = CommandHandler(loop, self.life, self.update_list, self._takes_clients)
-        self.discovery = Discovery(loop, platform.discovery, options, self.commands.update_list, platform.seed)
+        self.discovery = Discovery(loop, platform.discovery, options, self.receive_list, platform.seed)
         client_sockets = max(int(platform.sockets * limits.consumers_of_sockets), 1)
         other_descriptors = limits.other_sockets + (DESCRIPTORS if platform.operator else 0)
         self.fleet: ReplicationAgent | None = None
@@ -128,8 +128,15 @@
         """Pass a list update of the partners' providers to the balancer, like any other update."""
         self.host.update_list(update, addresses)
 
+    def receive_list(self, update: MembershipUpdate, addresses: dict[str, str]) -> None:
+        """Take discovery's list, or changes to it. The snapshot gets it as it is, without the operators' overrides."""
+        if self.list_tracker is not None and update.kind is not UpdateKind.FAILED:
+            self.list_tracker.apply(update, addresses)
+            self._schedule_snapshot()
+        self.commands.update_list(update, addresses)
+
     def update_list(self, update: MembershipUpdate, addresses: dict[str, str]) -> None:
-        """Pass a list update from discovery to all parts that use it."""
+        """Pass a list update, with the operators' overrides applied, to all parts that use it."""
         if self.partners is None:
             self.host.update_list(update, addresses)
         else:
@@ -138,12 +145,6 @@
             self.catalog.update_membership(update, addresses)
         if update.kind in (UpdateKind.FULL, UpdateKind.CHANGES):
             self.front.open()
-        if self.list_tracker is not None and update.kind is not UpdateKind.FAILED:
-            self.list_tracker.apply(update, addresses)
-            if not self.write_due:
-                self.write_due = True
-                apart = self.options.state.write_apart
-                self.loop.after(max(0, self.written_at + apart - self.loop.now()), self._write_snapshot)
         emit(
             DISCOVERY_LIST,
             kind=update.kind.value,
@@ -229,7 +230,10 @@
     def _initial_list(
         self, platform_list: MembershipUpdate, addresses: dict[str, str]
     ) -> tuple[MembershipUpdate, dict[str, str]]:
-        """Return the list to start with: the platform's, or the snapshot if that is newer and not too old."""
+        """Return the list to start with: the platform's, or the snapshot if that is newer and not too old.
+
+        A snapshot that is too old stays as it is until discovery answers: the next start needs what it says is gone.
+        """
         folder = os.environ.get("TMPDIR")
         if self.options.state.keep != "on" or not folder:
             return platform_list, addresses
@@ -247,11 +251,23 @@
         current = platform_list
         if snapshot is not None and chosen is ListSource.SNAPSHOT:
             current, addresses = snapshot.update()
+        elif snapshot is not None and chosen is ListSource.OLD:
+            current = without_removed(platform_list, snapshot)
+        self.list_tracker.apply(current, addresses)
+        if chosen is not ListSource.OLD:
+            self._schedule_snapshot()
         age = (now - snapshot.taken_at) // MS if snapshot else 0
         epoch, index = (snapshot.epoch, snapshot.index) if snapshot else (0, current.version)
         emit(STATE_TAKEN, choice=chosen.value, epoch=epoch, index=index, age_ms=age, providers=len(current.endpoints))
         return current, addresses
 
+    def _schedule_snapshot(self) -> None:
+        """Have the snapshot written, `state.write_apart` after the last one at the earliest."""
+        if not self.write_due:
+            self.write_due = True
+            apart = self.options.state.write_apart
+            self.loop.after(max(0, self.written_at + apart - self.loop.now()), self._write_snapshot)
+
     def _write_snapshot(self) -> None:
         """Write the snapshot of the current list."""
         self.write_due, self.written_at = False, self.loop.now()
--- a/loftweir/state/snapshot.py
+++ b/loftweir/state/snapshot.py
@@ -3,11 +3,13 @@
 The file has the format of `sealed`, with the snapshot as JSON in its body.
 
 Invariants: the epoch grows with every snapshot of a sidecar; a start never uses a snapshot that is older than the list
-it was given, or older than `trust_for`; a provider that was draining is still draining.
+it was given, or older than `trust_for`, but for one thing: a provider that the snapshot has as draining, or has not any
+more, is not used again because of an older list.
 """
 
 from __future__ import annotations
 
+from dataclasses import replace
 from enum import Enum
 
 import msgspec
@@ -88,6 +90,22 @@
     return ListSource.SNAPSHOT
 
 
+def without_removed(platform_list: MembershipUpdate, snapshot: Snapshot) -> MembershipUpdate:
+    """The platform's list without what a newer snapshot knows to be leaving or gone, however old that snapshot is.
+
+    The list is returned as it is if the snapshot is not newer, or of another history: none of its providers is known.
+    """
+    known = {entry.name: Lifecycle(entry.lifecycle) for entry in snapshot.entries}
+    endpoints = [
+        replace(endpoint, lifecycle=Lifecycle.DRAINING) if known[endpoint.address] is Lifecycle.DRAINING else endpoint
+        for endpoint in platform_list.endpoints
+        if endpoint.address in known
+    ]
+    if snapshot.index <= platform_list.version or not endpoints:
+        return platform_list
+    return replace(platform_list, endpoints=tuple(endpoints))
+
+
 class ListTracker:
     """The whole list as this sidecar knows it, built from the lists and changes it receives. Owned by the sidecar."""
 
--- a/tests/test_mass_restart.py
+++ b/tests/test_mass_restart.py
@@ -50,6 +50,7 @@
         self.discovery.entries = [entry("s-old", self.old.address)]
         self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
         self.programs = {}
+        self.environment = {}
 
     def config(self, number):
         with listener() as free:
@@ -77,7 +78,7 @@
             "TMPDIR": str(own),
             "LOFTWEIR_STATE_KEEP": "on",
             "LOFTWEIR_STATE_WRITE_APART": write_apart,
-        }
+        } | self.environment
         with (own / "log").open("ab") as log:
             program = subprocess.Popen([sys.executable, "-m", "loftweir"], env=os.environ | environment, stderr=log)
         self.addCleanup(program.wait, 10)
@@ -175,6 +176,30 @@
             self.assertEqual([self.served_by(config["listen"]) for _ in range(8)], [(200, b"far")] * 8)
 
 
+class OldSnapshot(Fleet):
+    def test_a_provider_that_was_drained_is_not_used_again_because_the_snapshot_is_old(self):
+        """Guards against a drained provider that a start with discovery down takes from the platform's older list."""
+        self.environment = {"LOFTWEIR_STATE_TRUST_FOR": "1s"}
+        self.discovery.entries += [entry("s-leaving", self.leaving.address), entry("s-new", self.new.address)]
+        config = self.config(0)
+        self.launch(0, config)
+        self.assertTrue(self.serves(config, b"leaving"))
+        self.discovery.change(
+            entry("s-leaving", self.leaving.address, status="leaving"), entry("s-new", self.new.address, status="left")
+        )
+        self.assertTrue(eventually(lambda: self.snapshot_index(0) == 1))
+        self.discovery.fail(True)
+        for _ in range(2):  # the second start has the same snapshot
+            self.programs[0].kill()
+            self.programs[0].wait(10)
+            time.sleep(1.2)
+            self.launch(0, config)
+            self.assertTrue(self.serves(config, b"old"))
+            self.assertEqual({self.served_by(config["listen"]) for _ in range(30)}, {(200, b"old")})
+            self.assertEqual(self.logged(0, "state.taken")[-1]["choice"], "old")
+        self.assertEqual(self.snapshot_index(0), 1)
+
+
 class UnusableSnapshot(Fleet):
     def test_a_truncated_snapshot_is_renamed_and_the_start_uses_the_given_list(self):
         self.start_with_snapshot(b'loftweir-snapshot 1 0000abcd\n{"epoch": 4, "index": 9, "taken', self.config(0))
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -4,7 +4,7 @@
 
 from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, UpdateKind
 from loftweir.state.sealed import Damaged, seal, unseal
-from loftweir.state.snapshot import ListSource, ListTracker, choose_list, decode, encode
+from loftweir.state.snapshot import ListSource, ListTracker, choose_list, decode, encode, without_removed
 
 SECOND = 1_000_000_000  # ns
 
@@ -84,3 +84,21 @@
 def test_a_start_uses_the_snapshot_only_if_it_is_newer_and_recent_enough(given, now, source):
     assert choose_list(given, decode(encode(snapshot_of("s1"))), now, 60 * SECOND) is source
     assert choose_list(given, None, now, 60 * SECOND) is ListSource.GIVEN
+
+
+@pytest.mark.parametrize(
+    "given, usable",
+    [
+        (platform_list(2, "s1", "gone-soon"), ["s1"]),  # drained since
+        (platform_list(2, "s1", "s2"), ["s1"]),  # gone since
+        (platform_list(2, "gone-soon", "s2"), []),
+        (platform_list(3, "s1", "gone-soon"), ["s1", "gone-soon"]),  # as new as the snapshot
+        (platform_list(4, "s1", "s2"), ["s1", "s2"]),  # newer
+        (platform_list(2, "s8", "s9"), ["s8", "s9"]),  # of another history: it has none of them
+        (platform_list(0), []),
+    ],
+)
+def test_an_old_snapshot_takes_out_of_an_older_list_what_is_leaving_or_gone(given, usable):
+    update = without_removed(given, decode(encode(snapshot_of("s1", "gone-soon"))))
+    assert [e.address for e in update.endpoints if e.lifecycle is Lifecycle.READY] == usable
+    assert (update.kind, update.version) == (given.kind, given.version)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -132,6 +132,43 @@
         oldest.settimeout(5)
         self.assertEqual(oldest.recv(1), b"", "with too many connections the oldest is closed")
 
+    def test_a_provider_enabled_after_a_restart_is_used_again_although_the_snapshot_was_written_meanwhile(self):
+        """Guards against a snapshot that has a disabled provider as draining."""
+        self.open(ok, ok)
+        self.program.kill()
+        self.program.wait(10)
+        self.environment |= {"LOFTWEIR_STATE_KEEP": "on", "LOFTWEIR_STATE_WRITE_APART": "10ms"}
+        self.program, self.operator_address = self.launch_ready()
+        self.assertEqual(self.call("DISABLE s0"), "OK")
+        self.discovery.change(entry("s1", self.providers[1].address, since_ms=5))
+        self.wait_until_list_read()
+        snapshot = self.shared / "loftweir-snapshot"
+        self.assertTrue(eventually(lambda: snapshot.exists() and b'"index":1' in snapshot.read_bytes()))
+        self.program.kill()
+        self.program.wait(10)
+        self.discovery.fail(True)
+        self.program, self.operator_address = self.launch_ready()
+        self.assertEqual(self.logged("state.taken")[-1]["choice"], "snapshot")
+        self.assertEqual(self.served_by(), [False, True])
+        self.assertEqual(self.call("ENABLE s0"), "OK")
+        self.assertTrue(eventually(lambda: self.served_by()[0]))
+
+    def test_a_drain_that_ended_with_its_process_does_not_return_with_an_upgrade(self):
+        self.open(ok)
+        self.assertEqual(self.call("DRAIN"), "OK")
+        self.program.kill()
+        self.program.wait(10)
+        self.program, self.operator_address = self.launch_ready()
+        self.assertEqual(self.health(), 200)
+        self.assertTrue(eventually(lambda: not self.stored().drain.active))
+        following, _ = self.launch_ready()
+        time.sleep(0.5)
+        self.assertEqual([record["drain"] for record in self.logged("operator.record")][-1:], [False])
+        self.program.send_signal(signal.SIGTERM)
+        self.assertEqual(self.program.wait(10), 0)
+        self.program = following
+        self.assertEqual(self.health(), 200)
+
     def test_a_disabled_provider_gets_no_request_until_it_is_enabled_once(self):
         self.open(ok, ok)
         self.assertEqual(self.served_by(), [True, True])
