A long response on its way at SIGTERM is forwarded to its end if no SIGKILL comes

Cause: Sidecar._stop ended at `latest` whatever was under way, and closed connections as soon as the last response was written.

Change: responses under way go on for LONGEST_STOP, 60 s at most, and the last one has limits.linger_for to be acknowledged.

Evidence: tests/test_long.py, a response of 6 s with SIGTERM after 0.5 s: reset on the text before, whole now, exit 0, none left.

--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -54,6 +54,7 @@
 RELOADS_APART = 100 * MS
 PARTIAL_REQUEST_WAIT = 2 * SECOND  # from SIGTERM on, how long the rest of a partly received request is awaited
 LONGEST_COUNTED = 3 * SECOND  # the longest deadline that the end waits for before SIGKILL may come
+LONGEST_STOP = 60 * SECOND  # for long responses that are on their way: their clients go on reading
 ENDS_BEFORE = 600 * MS  # how long before the end the last response is due: SIGKILL may come 0.3 s before the end
 
 
@@ -365,7 +366,7 @@
         now = self.loop.now()
         longest = max(c.deadline for c in self.host.settings.classes.values())
         last = now + min(longest, LONGEST_COUNTED) + SECOND
-        latest = now + longest + SECOND  # SIGKILL may come far later: requests with more time left still get it
+        latest = now + max(longest + SECOND, LONGEST_STOP)  # SIGKILL may come far later
         front.ends_at = last - ENDS_BEFORE
         if self.commands.store is not None and not self.commands.store.is_alone():
             front.stop_accepting()
@@ -373,7 +374,10 @@
         while not front.stop_accepting() and self.loop.now() < front.ends_at:
             yield Wait(None, 0, self.loop.now() + 5 * MS)
         self.life.step(LifecycleEvent.SHUT)
-        while front.clients and self.loop.now() < (latest if front.has_unanswered() else last):
+        until = last
+        while front.clients and self.loop.now() < until:
+            if front.has_unanswered():  # the last response has time to be acknowledged
+                until = max(last, min(self.loop.now() + limits.linger_for, latest))
             front.close_unused(half=self.loop.now() > now + PARTIAL_REQUEST_WAIT)
             yield Wait(None, 0, self.loop.now() + 5 * MS)
         # Python removes its handlers at exit: a signal that arrived then would determine the exit code.
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -2,9 +2,9 @@
 
 import http.client
 import os
+import signal
 import threading
 import time
-import unittest
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
@@ -264,9 +264,26 @@
         self.assertEqual(response.read(), b"served " + b"b" * 20000)
         self.assertLess(self.peak_mb() - before, 4)
 
+    def test_a_long_response_on_its_way_at_sigterm_is_forwarded_to_its_end_if_no_sigkill_comes(self):
+        """Guards against a response that is cut off 4 s after SIGTERM although it arrives piece by piece."""
+        part, count = os.urandom(20_000), 40
 
-if __name__ == "__main__":
-    unittest.main()
+        def answer(head, body):
+            yield b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % (len(part) * count)
+            for _ in range(count):
+                yield part
+                time.sleep(0.15)
+
+        self.start(answer)
+        with ThreadPoolExecutor() as pool:
+            pending = pool.submit(self.invoke, READ)
+            self.assertTrue(eventually(lambda: self.providers[0].seen))
+            time.sleep(0.5)
+            self.program.send_signal(signal.SIGTERM)
+            status, received = pending.result()[:2]
+        self.assertEqual((status, received == part * count), (200, True))
+        self.assertEqual(self.program.wait(5), 0)
+        self.assertEqual([record["left"] for record in self.logged("stop.done")], [0])
 
 
 class SmallBudgetTest(SidecarTest):
