Standing coroutines are started again after an error, and a list that met one is read again

What callers saw, with an error put into one callback at a time: after one in Frontend._add_client no connection was accepted any more; after one in set_idle the client's connection stayed open and unread; after one in Host.update_list the change of the list was never in force, so that a drained server was sent to for good.

Cause: coroutines that run for as long as the process were spawned with nothing that handles their end. ClientConnection.serve took the connection for idle whatever set_idle did. Discovery counted a list as current before it was in force.

Change: net/standing.py (StandingTask) for the listeners, the expiry, the pool's reaper, signals, log, record, and those of copies, partners and catalog. The connection is closed; Discovery requests the whole list. An end after SIGTERM that breaks ends the process.

Evidence: tests/test_broken_callbacks.py, fifteen callbacks raise once each beside six clients. On the text before: 18 of 18 requests unanswered after _add_client, 5 s of waiting after set_idle, and the test of the drained server fails; now at most the request concerned gets 500, and all later ones 200.

--- a/loftweir/catalog/hosts.py
+++ b/loftweir/catalog/hosts.py
@@ -38,6 +38,7 @@
 from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, Outcome, Settings, UpdateKind
 from loftweir.lease.duty import LeasedTask
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Wait
+from loftweir.net.standing import StandingTask
 from loftweir.net.stream import ConnectError
 from loftweir.partners.merge import MergeResult
 from loftweir.replication.machine import Ok
@@ -161,8 +162,8 @@
         self.shared = SharedLimit(back.pool.max_connections)
         self.service_balancers: dict[str, ServiceBalancer] = {}  # by service key
         self.catalog = self._build_catalog()
-        loop.spawn(self._sweep())
-        loop.spawn(self._submit_claims(), self._claims_crashed)
+        StandingTask(loop, self._sweep)
+        StandingTask(loop, self._submit_claims)
 
     @property
     def settings(self) -> Settings:
@@ -436,12 +437,6 @@
         claim, declared = self.claims.get(name), self.observed[name][1].declared
         return claim is None if declared is None else claim is not None and claim.declared == declared
 
-    def _claims_crashed(self, _: Exception) -> None:
-        self.loop.after(CLAIM_INTERVAL, self._restart_claims)
-
-    def _restart_claims(self) -> None:
-        self.loop.spawn(self._submit_claims(), self._claims_crashed)
-
 
 def _classes_of(classes: Mapping[str, Any], service: Service) -> dict[str, Any]:
     return {name: cls for name, cls in classes.items() if name.lower() in service.contract}
--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -24,6 +24,7 @@
 from loftweir.interface import Lifecycle, MembershipUpdate, Outcome, Settings, UpdateKind
 from loftweir.net.loop import MS, READABLE, Coroutine, Loop, Wait
 from loftweir.net.progress import ReadProgress, send_as_read
+from loftweir.net.standing import StandingTask
 from loftweir.net.stream import (
     READ_SIZE,
     RETRY_WRITE,
@@ -54,7 +55,7 @@
         self.budget = MemoryBudget(budget)
         # Replaced by the host's method once there is a host.
         self.on_attempt_ended: OnAttemptEnded = lambda attempt, outcome, payload: None
-        loop.spawn(self.pool.reap_idle())
+        StandingTask(loop, self.pool.reap_idle)
 
     def apply_settings(self, options: Options, settings: Settings) -> None:
         """Use new options and settings from now on."""
--- a/loftweir/http1/client.py
+++ b/loftweir/http1/client.py
@@ -95,7 +95,14 @@
         self.front.loop.new_work.append(self.begin)
 
     def begin(self) -> None:
-        """Start the coroutine: data has arrived, or the client has gone."""
+        """Start the coroutine: data has arrived, or the client has gone. If that fails, the connection is closed."""
+        try:
+            self._begin()
+        except Exception:
+            self.front.remove(self)
+            raise
+
+    def _begin(self) -> None:
         if self.sock.fileno() >= 0 and self.stage is not Stage.ENDING:
             self.front.waiting(self).pop(self, None)
             self.task = self.front.loop.task(self.serve())
@@ -199,11 +206,16 @@
             waits = False
         finally:
             self.task = None
-            self._log_access(CLIENT_GONE)
-            if waits:
-                self.front.set_idle(self)
-            else:
-                self.front.remove(self)
+            try:
+                self._log_access(CLIENT_GONE)
+                if waits:
+                    self.front.set_idle(self)
+            except Exception:
+                waits = False
+                raise
+            finally:
+                if not waits:
+                    self.front.remove(self)
 
     def _serve_requests(self) -> Coroutine[bool]:
         """Answer one request after another; return whether the connection then stays open for more."""
--- a/loftweir/http1/discovery.py
+++ b/loftweir/http1/discovery.py
@@ -281,9 +281,17 @@
             self.list_source, self.version = call.source, update.version
         if is_new or report:
             self.updates += is_new
-            self.on_update(update, response.addresses)
+            self._report(update, response.addresses)
         return True
 
+    def _report(self, update: MembershipUpdate, addresses: dict[str, str]) -> None:
+        """Pass an update on. If that fails, it may not be in force, so the whole list is requested next."""
+        try:
+            self.on_update(update, addresses)
+        except Exception:
+            self.version = None
+            raise
+
     # ---- calls ----------------------------------------------------------------------------------
 
     def _fetch(self) -> Coroutine[None]:
--- a/loftweir/http1/front.py
+++ b/loftweir/http1/front.py
@@ -13,7 +13,8 @@
 from loftweir.core.life import SidecarLifecycle
 from loftweir.http1.client import ClientConnection
 from loftweir.http1.connections import ClientConnections
-from loftweir.net.loop import EXCLUSIVE, MS, READABLE, Coroutine, Loop, Task, Wait
+from loftweir.net.loop import EXCLUSIVE, MS, READABLE, Coroutine, Loop, Wait
+from loftweir.net.standing import StandingTask
 from loftweir.net.stream import MemoryBudget, prepare
 from loftweir.telemetry.catalogue import ACCEPT_FAILED, ACCEPT_NO_ROOM
 from loftweir.telemetry.log import emit
@@ -49,7 +50,7 @@
         self.life = life
         self.budget = MemoryBudget(budget)
         self.listener: socket.socket | None = None
-        self.accepting: Task | None = None
+        self.accepting: StandingTask | None = None
         self.opens_at = 0  # until then, or `open`, clients wait in the listener's queue
         self.shared = False  # whether other processes accept from the same listener
         self.short_since: int | None = None  # since when no descriptor is free for a new connection
@@ -96,8 +97,8 @@
     def _listen(self, sock: socket.socket) -> None:
         """Start accepting from a listening socket."""
         self.listener = sock
-        self.accepting = self.loop.spawn(self._accept(sock), new_work=True)
-        self.loop.spawn(self.expire_idle())
+        self.accepting = StandingTask(self.loop, lambda: self._accept(sock), new_work=True)
+        StandingTask(self.loop, self.expire_idle)
 
     def open(self) -> None:
         """Begin to accept clients: everything that had to be known before is known."""
--- a/loftweir/http1/pool.py
+++ b/loftweir/http1/pool.py
@@ -33,8 +33,10 @@
     def on_event(self) -> None:
         """Close the connection, unless it is in use or closed by now."""
         if self in self.pool.idle:
-            self.pool.remove_idle(self)
-            self.pool.close(self)
+            try:
+                self.pool.remove_idle(self)
+            finally:
+                self.pool.close(self)
 
     def is_usable(self) -> bool:
         """Whether it is open and nothing has arrived on it.
--- a/loftweir/operations/address.py
+++ b/loftweir/operations/address.py
@@ -12,6 +12,7 @@
 
 from loftweir.config.units import split_host_port
 from loftweir.net.loop import MS, READABLE, SECOND, Coroutine, Loop, Task, Wait
+from loftweir.net.standing import StandingTask
 from loftweir.net.stream import TimedOut, send
 from loftweir.operations.calls import MAX_LINE_BYTES, No, OperatorCommand, error_answer, ok_answer, parse_command
 from loftweir.telemetry.catalogue import OPERATOR_CALL
@@ -50,7 +51,7 @@
             raise
         sock.setblocking(False)
         self.listener = sock
-        self.loop.spawn(self._accept(sock), urgent=True)
+        StandingTask(self.loop, lambda: self._accept(sock), urgent=True)
 
     def _accept(self, listener: socket.socket) -> Coroutine[None]:
         while True:
--- a/loftweir/operations/command_handler.py
+++ b/loftweir/operations/command_handler.py
@@ -9,6 +9,7 @@
 from loftweir.core.life import LifecycleEvent, SidecarLifecycle
 from loftweir.interface import MembershipUpdate
 from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Wait
+from loftweir.net.standing import StandingTask
 from loftweir.operations.calls import No, OperatorCommand, Verb
 from loftweir.operations.overlay import Overlay
 from loftweir.operations.record import Override, OverrideRecord
@@ -112,7 +113,7 @@
             self.loop.after(REPAIR_TIMEOUT, self._give_up_reading)
         else:
             self._begin()
-        self.loop.spawn(self._follow_file(), urgent=True)
+        StandingTask(self.loop, self._follow_file, urgent=True)
 
     def _begin(self) -> None:
         self.begun = True
--- a/loftweir/partners/offer.py
+++ b/loftweir/partners/offer.py
@@ -22,6 +22,7 @@
 from loftweir.config.units import split_host_port
 from loftweir.http1.strict import H11Reader, fixed
 from loftweir.net.loop import MS, READABLE, SECOND, WOKEN, Coroutine, Loop, Task, Wait
+from loftweir.net.standing import StandingTask
 from loftweir.net.stream import TimedOut, send
 from loftweir.partners.file import Neighbour
 from loftweir.partners.shown import NeighbourOffers
@@ -86,11 +87,11 @@
         self.connections: dict[socket.socket, Task] = {}
         self.waiting: dict[str, set[Task]] = {}  # by neighbour: requests that wait for changes
         self.listener: socket.socket | None = None
-        self.accepting: Task | None = None
+        self.accepting: StandingTask | None = None
 
     def listen(self, address: str) -> None:
         """Starts to listen at host:port."""
-        self.accepting = self.loop.spawn(self._listen(address))
+        self.accepting = StandingTask(self.loop, lambda: self._listen(address))
 
     def close(self) -> None:
         """Closes the listener and all connections."""
@@ -122,10 +123,16 @@
         sock.setblocking(False)
         self.listener = sock
         emit(PARTNERS_LISTENS, address=address, why="")
+        try:
+            yield from self._accept(sock)
+        finally:
+            self.loop.close(sock)
+
+    def _accept(self, listener: socket.socket) -> Coroutine[None]:
         while True:
-            yield Wait(sock, READABLE, None)
+            yield Wait(listener, READABLE, None)
             try:
-                connection, _ = sock.accept()
+                connection, _ = listener.accept()
             except BlockingIOError:
                 continue
             except OSError:  # usually no descriptor is free
--- a/loftweir/replication/line.py
+++ b/loftweir/replication/line.py
@@ -11,6 +11,7 @@
 
 from loftweir.interface import Outcome
 from loftweir.net.loop import READABLE, SECOND, WOKEN, WRITABLE, Coroutine, Loop, Task, Wait
+from loftweir.net.standing import StandingTask
 from loftweir.net.stream import READ_SIZE, ConnectError, TimedOut, connect
 from loftweir.replication.wire import BadFrame, ConnectionRejected, Frame, FrameReader, Hello, TurnedAway, encode_frame
 
@@ -33,7 +34,7 @@
         self.loop = loop
         self.sock = sock
         self.max_unsent_bytes = max_unsent_bytes
-        self.task: Task | None = None  # the coroutine that reads
+        self.task: Task | StandingTask | None = None  # the coroutine that reads
         self.reader = FrameReader()
         self.unsent: deque[tuple[memoryview, bool]] = deque()  # the rest of each frame, and whether it may be dropped
         self.unsent_bytes = 0
--- a/loftweir/replication/links.py
+++ b/loftweir/replication/links.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 from random import Random
 
-from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Task, Wait
+from loftweir.net.loop import MS, SECOND, Coroutine, Loop, Wait
+from loftweir.net.standing import StandingTask
 from loftweir.net.stream import ConnectError
 from loftweir.replication.api import AnyMessage, AppendEntries, InstallSnapshot
 from loftweir.replication.line import CONNECTION_ERRORS, FrameConnection, dial
@@ -47,7 +48,7 @@
         self.last_used_at = loop.now()
         self.idle = False  # waits for a message; in any other wait, a wake-up would be taken for its end
         self.random = Random(f"{hello.id} {id}")
-        self.task: Task = loop.spawn(self._run(), urgent=True)
+        self.task = StandingTask(loop, self._run, urgent=True)
 
     def put(self, message: AnyMessage) -> None:
         """Sends a message, or queues it while there is no connection."""
--- a/loftweir/replication/reception.py
+++ b/loftweir/replication/reception.py
@@ -17,6 +17,7 @@
 
 from loftweir.config.units import split_host_port
 from loftweir.net.loop import HUNG_UP, MS, READABLE, SECOND, WOKEN, Coroutine, Loop, Task, Wait
+from loftweir.net.standing import StandingTask
 from loftweir.net.stream import TimedOut, prepare
 from loftweir.replication.api import Message, MessageReceived
 from loftweir.replication.line import CONNECTION_ERRORS, GREETING_TIMEOUT, FrameConnection
@@ -109,13 +110,13 @@
         self.notify_scheduled = False
         self.notified_at = 0
         self.listener: socket.socket | None = None
-        self.accepting: Task | None = None
+        self.accepting: StandingTask | None = None
         self.closed = False
 
     def listen(self, sock: socket.socket) -> None:
         """Accepts connections on a socket of `bind_listener`, which `close` closes."""
         self.listener = sock
-        self.accepting = self.loop.spawn(self._accept(sock), urgent=True)
+        self.accepting = StandingTask(self.loop, lambda: self._accept(sock), urgent=True)
 
     def close(self) -> None:
         """Must not be called from a task of this listener."""
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -20,6 +20,7 @@
 from loftweir.interface import MembershipUpdate, Settings, UpdateKind
 from loftweir.listclock import SHORTEST_FRESH_TIMEOUT
 from loftweir.net.loop import MS, READABLE, SECOND, WRITABLE, Coroutine, Loop, Task, Wait
+from loftweir.net.standing import StandingTask
 from loftweir.operations.address import DESCRIPTORS, Address
 from loftweir.operations.command_handler import CommandHandler
 from loftweir.state.disk import Disk
@@ -225,8 +226,8 @@
             self.partners.start()
         if self.fleet is not None:
             self.fleet.start()
-        self.loop.spawn(self._handle_signals(woken, wakes, received, reload))
-        self.loop.spawn(self._keep_log())
+        StandingTask(self.loop, lambda: self._handle_signals(woken, wakes, received, reload))
+        StandingTask(self.loop, self._keep_log)
 
     def _initial_list(
         self, platform_list: MembershipUpdate, addresses: dict[str, str]
@@ -288,7 +289,8 @@
         arrive from then on, until `RELOADS_APART` after its end, cause one more. SIGTERM and SIGINT never wait for a
         reload, and stay blocked: the end can't be undone.
         """
-        unblock_at: int | None = None  # when SIGHUP is unblocked; None while it is not blocked
+        # When SIGHUP is unblocked; None while it is not blocked, which is not known after an error.
+        unblock_at: int | None = self.loop.now()
         while True:
             if (yield Wait(woken, READABLE, unblock_at)):
                 woken.recv(4096)
@@ -296,7 +298,7 @@
                 received.discard(number)
                 if self.life.step(LifecycleEvent.END):
                     emit(STOP_BEGUN, signal=signal.Signals(number).name, open=len(self.host.invocations))
-                    self.loop.spawn(self._stop(wakes))
+                    self.loop.spawn(self._stop(wakes), self._stop_broken)
             if unblock_at is not None and self.loop.now() >= unblock_at:
                 unblock_at = None
                 # A pending signal is recorded within this call.
@@ -350,6 +352,13 @@
             self.front.close_unused(half=False)
             yield Wait(None, 0, self.loop.now() + SWEEP_EVERY)
 
+    def _stop_broken(self, _: Exception) -> None:
+        """End the process although its end has failed, once what it has taken had its time."""
+        self.loop.after(LONGEST_COUNTED, self._stop_now)
+
+    def _stop_now(self) -> None:
+        self.loop.stopped = True
+
     def _stop(self, wakes: socket.socket) -> Coroutine[None]:
         """End the process; requests that were taken are answered.
 
