A late copy of FLEET-DISABLE does not undo a FLEET-ENABLE that was answered OK

What operators saw: FLEET-DISABLE answered OutcomeUnknown, then FLEET-ENABLE answered OK, and the provider was disabled again once a late copy of the first command arrived.

Cause: FLEET-ENABLE writes nothing where a linearizable read shows no override. Only a later number of the session makes a late copy harmless, and none was written.

Change: Proposer.settle submits another command under the number of the command whose outcome is not known, before that read; the state machine applies one of the two and answers both with its result. Frames and stored data are the same.

--- a/loftweir/replication/caller.py
+++ b/loftweir/replication/caller.py
@@ -21,7 +21,15 @@
 from loftweir.net.stream import ConnectError
 from loftweir.replication.api import StrictStruct
 from loftweir.replication.line import CONNECTION_ERRORS, FrameConnection, dial
-from loftweir.replication.machine import AnyResult, Command, Operation, UnknownSession, decode_result, encode
+from loftweir.replication.machine import (
+    AnyResult,
+    Command,
+    EndSession,
+    Operation,
+    UnknownSession,
+    decode_result,
+    encode,
+)
 from loftweir.replication.wire import (
     VERSION,
     CommandOutcome,
@@ -99,6 +107,7 @@
             LeaderConnection(loop, hello, options, slots, Random(f"{name} {id} {n}")) for n in range(2)
         )
         self.session, self.number, self.since = "", 0, 0
+        self.may_apply_late = False  # the outcome of the session's last command is not known
 
     def close(self) -> None:
         """Closes both connections."""
@@ -110,26 +119,52 @@
         until = self.loop.now() + within
         yield from self.writes.reserve(until)
         try:
-            for _ in range(2):
-                if not self.session:
-                    self.session, self.number, self.since = secrets.token_hex(8), 0, max(self.since, self.known_index())
-                self.number += 1
-                command = encode(Command(self.session, self.number, operation, self.since))
-                outcome, uncertain = yield from self.writes.request(_submit(command), until)
-                assert isinstance(outcome, CommandOutcome)
-                try:
-                    result = decode_result(outcome.result)
-                except msgspec.MsgspecError:
-                    raise OutcomeUnknown("a malformed outcome", self.writes.target) from None
-                if not isinstance(result, UnknownSession):
-                    return result
-                # Unused for long, or evicted for lack of space: if it was not sent before, it was not applied either.
-                self.session, self.since = "", result.index
-                if uncertain:
-                    break
-            raise OutcomeUnknown("the cluster has evicted its session meanwhile")
+            result = yield from self._write(operation, until)
+        except NoMajority:
+            raise
+        except BaseException:  # also if the caller has given it up
+            self.may_apply_late = True
+            raise
         finally:
             self.writes.busy = False
+        self.may_apply_late = False  # a later number was applied: a copy of the last one is refused
+        return result
+
+    def settle(self, within: int) -> Coroutine[None]:
+        """Makes sure that no command of this proposer takes effect from now on whose outcome was not known.
+
+        Submits another command under the same number: the state machine applies only one of the two. Raises as `write`
+        does.
+        """
+        if not self.may_apply_late or not self.session:
+            return
+        until = self.loop.now() + within
+        yield from self.writes.reserve(until)
+        try:
+            command = encode(Command(self.session, self.number, EndSession(self.session), self.since))
+            outcome, _ = yield from self.writes.request(_submit(command), until)
+        finally:
+            self.writes.busy = False
+        assert isinstance(outcome, CommandOutcome)
+        _result_of(outcome, self.writes.target)
+        self.session, self.may_apply_late = "", False
+
+    def _write(self, operation: Operation, until: int) -> Coroutine[AnyResult]:
+        for _ in range(2):
+            if not self.session:
+                self.session, self.number, self.since = secrets.token_hex(8), 0, max(self.since, self.known_index())
+            self.number += 1
+            command = encode(Command(self.session, self.number, operation, self.since))
+            outcome, uncertain = yield from self.writes.request(_submit(command), until)
+            assert isinstance(outcome, CommandOutcome)
+            result = _result_of(outcome, self.writes.target)
+            if not isinstance(result, UnknownSession):
+                return result
+            # Unused for long, or evicted for lack of space: if it was not sent before, it was not applied either.
+            self.session, self.since = "", result.index
+            if uncertain:
+                break
+        raise OutcomeUnknown("the cluster has evicted its session meanwhile")
 
     def remove(self, name: str, within: int) -> Coroutine[None]:
         """Removes a member. Raises as `write` does, and `NotTaken` if it can't be removed or does not exist.
@@ -171,6 +206,14 @@
         return ReadResult(answer.sure, answer.index, answer.age, msgspec.msgpack.decode(answer.value))
 
 
+def _result_of(outcome: CommandOutcome, target: str) -> AnyResult:
+    """The state machine's result. Raises `OutcomeUnknown` if it is malformed."""
+    try:
+        return decode_result(outcome.result)
+    except msgspec.MsgspecError:
+        raise OutcomeUnknown("a malformed outcome", target) from None
+
+
 def _submit(command: bytes) -> Callable[[int], Frame]:
     return lambda token: SubmitCommand(token, command)
 
--- a/loftweir/replication/part.py
+++ b/loftweir/replication/part.py
@@ -280,7 +280,9 @@
                 yield from self.proposer.remove(command.id, self.options.write_within)
                 return "removed"
             if command.verb is Verb.FLEET_ENABLE:
-                reading = yield from self.proposer.read(OverrideQuery(command.id), self.options.write_within)
+                # What a read shows must not be undone by a late copy of this sidecar's own last command.
+                yield from self.proposer.settle(self.options.write_within)
+                reading = yield from self.proposer.read(OverrideQuery(command.id), max(MS, until - self.loop.now()))
                 if reading.sure and not (reading.value and reading.value[0]):
                     # Nobody disabled it, so it must not start cold; this sidecar may not have received the override
                     # yet.
