A connection's slot is an object that is released once; a service's pool holds one

Change: ConnectionSlot gives back once. Connections has what is the sidecar's (limit, count, idle ones, settings); a Pool has the addresses of some providers and takes its slots from a SlotSource. The catalog's ServiceSlots is one; ServicePool, its setters and its copies of Pool's fields are gone.

--- a/loftweir/catalog/hosts.py
+++ b/loftweir/catalog/hosts.py
@@ -32,7 +32,7 @@
 from loftweir.core.invocation import Invocation
 from loftweir.errors import LoftweirError
 from loftweir.http1.back import Backend
-from loftweir.http1.pool import Pool, ProviderConnection
+from loftweir.http1.pool import Connections, ConnectionSlot, Pool
 from loftweir.http1.request import BadRequest
 from loftweir.http1.response import BODY_RETRY_AFTER
 from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, Outcome, Settings, UpdateKind
@@ -62,59 +62,36 @@
 BURST = 1.0  # seconds of a partner's rate that may be sent at once
 
 
-class ServicePool(Pool):
-    """The connections of one service. Its providers' names and addresses are its own; the number of connections is
-    limited for the sidecar as a whole.
-
-    Invariant: the service has acquired one unit of `shared` for each connection that is open or being opened.
+class ServiceSlots:
+    """Counts the connections of one service: each takes a unit of the limit that the services share, and one of the
+    sidecar's connections.
     """
 
-    def __init__(self, sidecar_pool: Pool, shared: SharedLimit, key: str) -> None:
-        self.sidecar_pool, self.shared, self.key = sidecar_pool, shared, key
-        self.loop = sidecar_pool.loop
-        self.max_connections, self.idle = sidecar_pool.max_connections, sidecar_pool.idle
-        self.addresses: dict[str, str] = {}
-        self.names_by_address: dict[str, str] = {}  # the inverse, as in `Pool`
-        self.last_response_at: dict[str, int] = {}
-        self.idle_by_provider: dict[str, dict[ProviderConnection, None]] = {}
-
-    @property
-    def open_count(self) -> int:
-        """The number of connections of the sidecar."""
-        return self.sidecar_pool.open_count
-
-    @open_count.setter
-    def open_count(self, count: int) -> None:
-        self.sidecar_pool.open_count = count
-
-    @property
-    def settings(self) -> Settings:  # type: ignore[override]
-        return self.sidecar_pool.settings
+    def __init__(self, connections: Connections, shared: SharedLimit, key: str) -> None:
+        self.connections, self.shared, self.key = connections, shared, key
 
-    @property
-    def options(self) -> Any:  # type: ignore[override]
-        return self.sidecar_pool.options
-
-    def acquire_slot(self) -> None:
-        """Acquire a unit too. While none is free, the service's longest idle connection is closed for it."""
+    def acquire_slot(self, pool: Pool) -> ConnectionSlot:
+        """Acquire both. While no unit is free, the service's longest idle connection is closed for it."""
         while not self.shared.acquire(self.key):
-            oldest = min(
-                (c for idle in self.idle_by_provider.values() for c in idle), key=lambda c: c.idle_since, default=None
-            )
-            if oldest is None:
+            if not pool.evict_oldest():
                 raise ConnectError(Outcome.NOT_SENT)
-            self.remove_idle(oldest)
-            self.close(oldest)
+        unit = ConnectionSlot(lambda: self.shared.release(self.key))
         try:
-            super().acquire_slot()
-        except ConnectError:
-            self.shared.release(self.key)
+            slot = self.connections.acquire_slot(pool)
+        except BaseException:
+            unit.release()
             raise
 
-    def release_slot(self) -> None:
-        """Release the unit too."""
-        super().release_slot()
-        self.shared.release(self.key)
+        def release() -> None:
+            slot.release()
+            unit.release()
+
+        return ConnectionSlot(release)
+
+
+def service_pool(connections: Connections, shared: SharedLimit, key: str) -> Pool:
+    """The pool of one service. Its providers' names and addresses are its own."""
+    return Pool(connections, ServiceSlots(connections, shared, key))
 
 
 class NoDiscovery:
@@ -159,7 +136,7 @@
         self.observed: dict[str, tuple[str, ObservedService]] = {}
         self.rejected_until: dict[str, int] = {}  # by global name: time before which a rejected claim is not repeated
         self.outdated_claims: set[str] = set()  # names whose claim may differ from what was observed
-        self.shared = SharedLimit(back.pool.max_connections)
+        self.shared = SharedLimit(back.connections.max_connections)
         self.service_balancers: dict[str, ServiceBalancer] = {}  # by service key
         self.catalog = self._build_catalog()
         StandingTask(loop, self._sweep)
@@ -236,7 +213,7 @@
 
     def _start_balancer(self, service: Service) -> ServiceBalancer:
         side = copy.copy(self.back)
-        side.pool = ServicePool(self.back.pool, self.shared, service.key)
+        side.pool = service_pool(self.back.connections, self.shared, service.key)
         host = Host(
             self.loop, self._settings_for(service), self.seed ^ crc32(service.key.encode()), side, NoDiscovery()
         )
--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -19,7 +19,7 @@
 from loftweir.http1.buffering import ResponseBuffering
 from loftweir.http1.flow import ResponseStream, UploadFailed
 from loftweir.http1.message import BodyStream, HttpRequest, HttpResponse, by_name, end_to_end_lines
-from loftweir.http1.pool import Pool, ProviderConnection
+from loftweir.http1.pool import Connections, Pool, ProviderConnection
 from loftweir.http1.strict import H11Reader, fixed
 from loftweir.interface import Lifecycle, MembershipUpdate, Outcome, Settings, UpdateKind
 from loftweir.net.loop import MS, READABLE, Coroutine, Loop, Wait
@@ -51,15 +51,16 @@
 
     def __init__(self, loop: Loop, settings: Settings, options: Options, max_connections: int, budget: int) -> None:
         self.loop = loop
-        self.pool = Pool(loop, settings, options, max_connections)
+        self.connections = Connections(loop, settings, options, max_connections)
+        self.pool = Pool(self.connections)
         self.budget = MemoryBudget(budget)
         # Replaced by the host's method once there is a host.
         self.on_attempt_ended: OnAttemptEnded = lambda attempt, outcome, payload: None
-        StandingTask(loop, self.pool.reap_idle)
+        StandingTask(loop, self.connections.reap_idle)
 
     def apply_settings(self, options: Options, settings: Settings) -> None:
         """Use new options and settings from now on."""
-        self.pool.options, self.pool.settings = options, settings
+        self.connections.options, self.connections.settings = options, settings
 
     def close_idle(self, provider: str) -> None:
         """Close all idle connections to a provider."""
--- a/loftweir/http1/pool.py
+++ b/loftweir/http1/pool.py
@@ -1,8 +1,10 @@
-"""The pool of connections to providers: their addresses, the idle connections, and when these are closed."""
+"""The connections to providers: their number, their providers' addresses, the idle ones, and when these are closed."""
 
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
+from typing import Protocol
 
 from loftweir.config.model import Options
 from loftweir.interface import Outcome, Settings
@@ -10,19 +12,35 @@
 from loftweir.net.stream import ConnectError, connect
 
 
+class ConnectionSlot:
+    """A connection's place in all limits that it counts against. It is released once, however often that is asked."""
+
+    __slots__ = ("_release",)
+
+    def __init__(self, release: Callable[[], None]) -> None:
+        self._release: Callable[[], None] | None = release
+
+    def release(self) -> None:
+        """Count the connection no more: it is closed, or could not be opened."""
+        release, self._release = self._release, None
+        if release is not None:
+            release()
+
+
 class ProviderConnection:
     """A connection to a provider.
 
     While it is idle it watches itself: whatever arrives then, a close or unexpected data, ends it.
     """
 
-    __slots__ = ("pool", "sock", "name", "address", "idle_since", "mask")
+    __slots__ = ("pool", "sock", "name", "address", "slot", "idle_since", "mask")
 
-    def __init__(self, pool: Pool, sock: socket.socket, name: str, address: str) -> None:
+    def __init__(self, pool: Pool, sock: socket.socket, name: str, address: str, slot: ConnectionSlot) -> None:
         self.pool = pool
         self.sock = sock
         self.name = name
         self.address = address
+        self.slot = slot
         self.idle_since = 0
         self.mask = READABLE
 
@@ -52,12 +70,10 @@
         return False
 
 
-class Pool:
-    """The addresses of the providers, and the idle connections to them.
+class Connections:
+    """All connections of the sidecar to providers, of whichever pool.
 
-    Invariants: `idle` has every idle connection, the one idle for longest first, and `idle_by_provider` the same by
-    provider, the one used last at the end. `open_count` counts these and the connections in use. `names_by_address` has
-    each address of `addresses` once, so that a whole list is applied in time proportional to its length.
+    Invariants: `open_count` counts those in use and the idle ones; `idle` has the latter, the longest idle first.
     """
 
     def __init__(self, loop: Loop, settings: Settings, options: Options, max_connections: int) -> None:
@@ -66,12 +82,26 @@
         self.options = options  # replaced whole by a reload
         self.max_connections = max_connections  # in use and idle
         self.open_count = 0
-        self.addresses: dict[str, str] = {}  # by name: of the providers to which requests may be sent
-        self.names_by_address: dict[str, str] = {}
-        self.last_response_at: dict[str, int] = {}  # by name: when its last complete response was read
-        self.idle_by_provider: dict[str, dict[ProviderConnection, None]] = {}
         self.idle: dict[ProviderConnection, None] = {}
 
+    def acquire_slot(self, pool: Pool) -> ConnectionSlot:
+        """Count a connection that is about to be opened; raise `ConnectError` if there is no room for one."""
+        if self.open_count >= self.max_connections and not self.evict_idle():
+            raise ConnectError(Outcome.NOT_SENT)
+        self.open_count += 1
+        return ConnectionSlot(self._release_slot)
+
+    def _release_slot(self) -> None:
+        self.open_count -= 1
+
+    def evict_idle(self) -> bool:
+        """Close the connection that has been idle for longest, to make room; return whether there was one."""
+        connection = next(iter(self.idle), None)
+        if connection is not None:
+            connection.pool.remove_idle(connection)
+            connection.pool.close(connection)
+        return connection is not None
+
     def max_idle_time(self) -> int:
         """Return how long a connection may be idle.
 
@@ -81,6 +111,56 @@
         conn_idle = self.settings.conn_idle
         return max(conn_idle // 2, conn_idle - self.options.providers.idle_margin)
 
+    def reap_idle(self) -> Coroutine[None]:
+        """Close idle connections before their providers do.
+
+        All may be idle for the same time, so the one idle for longest is due next, and one timer serves all.
+        """
+        while True:
+            expired = self.loop.time - self.max_idle_time()
+            oldest = next(iter(self.idle), None)
+            while oldest is not None and oldest.idle_since <= expired:
+                self.evict_idle()
+                oldest = next(iter(self.idle), None)
+            yield Wait(None, 0, (self.loop.time if oldest is None else oldest.idle_since) + self.max_idle_time())
+
+
+class SlotSource(Protocol):
+    """What a pool's connections are counted by."""
+
+    def acquire_slot(self, pool: Pool) -> ConnectionSlot:
+        """Count a connection that is about to be opened; raise `ConnectError` if there is no room for one."""
+
+
+class Pool:
+    """The addresses of some providers, and the idle connections to them.
+
+    Invariants: `idle_by_provider` has the pool's idle connections by provider, the one used last at the end; they are
+    also in `idle`, which is that of all pools. `names_by_address` has each address of `addresses` once, so that a whole
+    list is applied in time proportional to its length.
+    """
+
+    def __init__(self, connections: Connections, slots: SlotSource | None = None) -> None:
+        """`slots`: what its connections are counted by, if there are further limits than that of all connections."""
+        self.connections = connections
+        self.loop = connections.loop
+        self.idle = connections.idle
+        self.slots = slots or connections
+        self.addresses: dict[str, str] = {}  # by name: of the providers to which requests may be sent
+        self.names_by_address: dict[str, str] = {}
+        self.last_response_at: dict[str, int] = {}  # by name: when its last complete response was read
+        self.idle_by_provider: dict[str, dict[ProviderConnection, None]] = {}
+
+    @property
+    def settings(self) -> Settings:
+        """The settings in force."""
+        return self.connections.settings
+
+    @property
+    def options(self) -> Options:
+        """The options in force."""
+        return self.connections.options
+
     def set_address(self, name: str, address: str) -> None:
         """Set a provider's address as listed.
 
@@ -109,13 +189,13 @@
         address = self.addresses.get(name)
         if address is None:  # gone since the attempt was decided
             raise ConnectError(Outcome.NOT_SENT)
-        self.acquire_slot()
+        slot = self.slots.acquire_slot(self)
         try:
             sock = yield from connect(self.loop, address, self.settings.connect_timeout, until)
         except BaseException:
-            self.release_slot()
+            slot.release()
             raise
-        connection = ProviderConnection(self, sock, name, address)
+        connection = ProviderConnection(self, sock, name, address, slot)
         if not connection.is_usable():  # closed, or data arrived, before a request was sent: nothing ran
             self.close(connection)
             raise ConnectError(Outcome.CONNECT_FAILED)
@@ -123,26 +203,17 @@
 
     def close(self, connection: ProviderConnection) -> None:
         """Close a connection that is in use or has been removed from the idle ones."""
-        self.release_slot()
+        connection.slot.release()
         self.loop.close(connection.sock)
 
-    def acquire_slot(self) -> None:
-        """Count a connection that is about to be opened; raise `ConnectError` if there is no room for one."""
-        if self.open_count >= self.max_connections and not self.evict_idle():
-            raise ConnectError(Outcome.NOT_SENT)
-        self.open_count += 1
-
-    def release_slot(self) -> None:
-        """Count a connection no more: it is closed, or could not be opened. Its slot is released nowhere else."""
-        self.open_count -= 1
-
-    def evict_idle(self) -> bool:
-        """Close the connection that has been idle for longest, to make room; return whether there was one."""
-        connection = next(iter(self.idle), None)
-        if connection is not None:
-            connection.pool.remove_idle(connection)  # its pool may be that of a service
-            connection.pool.close(connection)
-        return connection is not None
+    def evict_oldest(self) -> bool:
+        """Close this pool's connection that has been idle for longest; return whether there was one."""
+        idle = (connection for connections in self.idle_by_provider.values() for connection in connections)
+        oldest = min(idle, key=lambda connection: connection.idle_since, default=None)
+        if oldest is not None:
+            self.remove_idle(oldest)
+            self.close(oldest)
+        return oldest is not None
 
     def remove_idle(self, connection: ProviderConnection) -> None:
         """Remove a connection from the idle ones."""
@@ -179,19 +250,6 @@
         self.idle_by_provider.setdefault(name, {})[connection] = None
         self.loop.watch(connection.sock.fileno(), connection)
 
-    def reap_idle(self) -> Coroutine[None]:
-        """Close idle connections before their providers do.
-
-        All may be idle for the same time, so the one idle for longest is due next, and one timer serves all.
-        """
-        while True:
-            expired = self.loop.time - self.max_idle_time()
-            oldest = next(iter(self.idle), None)
-            while oldest is not None and oldest.idle_since <= expired:
-                self.evict_idle()
-                oldest = next(iter(self.idle), None)
-            yield Wait(None, 0, (self.loop.time if oldest is None else oldest.idle_since) + self.max_idle_time())
-
     def close_idle(self, name: str) -> None:
         """Close all idle connections to a provider."""
         for connection in list(self.idle_by_provider.get(name, ())):
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -106,7 +106,7 @@
         self.back.on_attempt_ended = self.host.attempt_ended
         bodies = int(memory * limits.requests_of_memory)
         self.front = Frontend(loop, self.host, self.life, options, platform.sockets, bodies)
-        self.front.free_descriptor = self.back.pool.evict_idle
+        self.front.free_descriptor = self.back.connections.evict_idle
         self.catalog: Hosts | None = None
         self.services_file = options.catalog.file  # another file is used only from the next start on
         if services is not None and self.partners is not None:
--- a/tests/test_broken_callbacks.py
+++ b/tests/test_broken_callbacks.py
@@ -23,7 +23,7 @@
     ("loftweir.http1.pool", "ProviderConnection", "on_event"),
     ("loftweir.http1.pool", "Pool", "acquire"),
     ("loftweir.http1.pool", "Pool", "release"),
-    ("loftweir.http1.pool", "Pool", "max_idle_time"),
+    ("loftweir.http1.pool", "Connections", "max_idle_time"),
     ("loftweir.http1.back", "Backend", "run"),
     ("loftweir.core.host", "Host", "accept"),
     ("loftweir.core.host", "Host", "update_list"),
--- a/tests/test_catalog_serves.py
+++ b/tests/test_catalog_serves.py
@@ -14,10 +14,10 @@
 from loftweir.catalog.build import Catalog, CatalogState, LocalSite, OwnService
 from loftweir.catalog.claims import Declaration
 from loftweir.catalog.contract import clause
-from loftweir.catalog.hosts import ServicePool
+from loftweir.catalog.hosts import service_pool
 from loftweir.catalog.shares import SharedLimit
 from loftweir.config.model import Options
-from loftweir.http1.pool import Pool
+from loftweir.http1.pool import Connections
 from loftweir.interface import Effect, Outcome
 from loftweir.net.loop import MS, Loop, Wait
 from loftweir.net.stream import ConnectError
@@ -266,9 +266,9 @@
 def test_a_connection_that_ends_before_it_is_used_releases_its_unit_once():
     """Guards against a unit that is released twice, and a process that then ends with a ValueError (review/2)."""
     loop = Loop()
-    whole = Pool(loop, settings(), Options(), 9)
+    whole = Connections(loop, settings(), Options(), 9)
     shared = SharedLimit(whole.max_connections)
-    pool = ServicePool(whole, shared, "a")
+    pool = service_pool(whole, shared, "a")
     closing, refusing, open_server = (socket.create_server(("127.0.0.1", 0)) for _ in range(3))
     refused_address = address_of(refusing)
     refusing.close()
@@ -310,19 +310,20 @@
 
 def test_connections_of_one_service_leave_room_for_others_and_are_counted_once():
     loop = Loop()
-    whole = Pool(loop, settings(), Options(), 9)
+    whole = Connections(loop, settings(), Options(), 9)
     shared = SharedLimit(whole.max_connections)
-    pools = [ServicePool(whole, shared, key) for key in "ab"]
+    pools = {key: service_pool(whole, shared, key) for key in "ab"}
     peer = socket.create_server(("127.0.0.1", 0), backlog=64)
     made, rejected = {"a": [], "b": []}, []
 
-    def fill(pool):
+    def fill(key):
+        pool = pools[key]
         pool.addresses["p"] = address_of(peer)
         try:
             while True:
-                made[pool.key].append((yield from pool.connect("p", loop.time + 5 * SECOND)))
+                made[key].append((yield from pool.connect("p", loop.time + 5 * SECOND)))
         except ConnectError as error:
-            rejected.append((pool.key, error.outcome))
+            rejected.append((key, error.outcome))
 
     def run(coroutine):
         task = loop.spawn(coroutine)
@@ -333,19 +334,21 @@
             loop.stopped = False
             loop.run()
 
-    run(fill(pools[0]))
-    run(fill(pools[1]))
+    run(fill("a"))
+    run(fill("b"))
     assert rejected == [("a", Outcome.NOT_SENT), ("b", Outcome.NOT_SENT)]
     assert (len(made["a"]), whole.open_count) == (6, 6 + len(made["b"])) and made["b"] and shared.free >= 1
     # An idle connection makes room for the next one of its own service, and a connection closed by the sidecar's pool
     # releases its unit.
-    pools[1].release(made["b"].pop())
-    run(fill(pools[1]))
+    pools["b"].release(made["b"].pop())
+    run(fill("b"))
     assert not whole.idle
     for connection in [*made["a"], *made["b"]]:
         connection.pool.release(connection)
+    closed = next(iter(whole.idle))
     while whole.evict_idle():
         pass
+    closed.pool.close(closed)  # its slot and its unit are released once
     assert (whole.open_count, shared.free, shared.in_use) == (0, 9, {})
     peer.close()
 
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -150,7 +150,7 @@
     backend.run_until(lambda: len(backend.ended_with) == 2)
     assert backend.ended_with[1] == (Outcome.RESET, None)
     assert peer.recv(9999).endswith(b"{}"), "it was written completely, and may run"
-    assert backend.back.pool.open_count == 0
+    assert backend.back.connections.open_count == 0
 
 
 @pytest.mark.parametrize("what", ["a second answer", "half a line", "its end", "a reset"])
@@ -165,7 +165,7 @@
     if what != "a reset":
         with suppress(ConnectionResetError):
             assert peer.recv(9999) == b""
-    assert backend.back.pool.open_count == 0
+    assert backend.back.connections.open_count == 0
 
 
 def hand_out_event(backend):
@@ -186,14 +186,14 @@
     connection = hand_out_event(backend)
     assert pool.acquire("s") is connection, "no data had arrived"
     run_queued_steps(backend)
-    assert pool.open_count == 1 and connection.sock.fileno() >= 0, "a connection in use is not closed"
+    assert pool.connections.open_count == 1 and connection.sock.fileno() >= 0, "a connection in use is not closed"
     pool.release(connection)
     peer.sendall(b"noise")
     assert select.select([connection.sock], [], [], 5)[0]
     hand_out_event(backend)
-    assert pool.acquire("s") is None and pool.open_count == 0, "a connection with unread data is not used"
+    assert pool.acquire("s") is None and pool.connections.open_count == 0, "a connection with unread data is not used"
     run_queued_steps(backend)
-    assert pool.open_count == 0 and not pool.idle and not pool.idle_by_provider
+    assert pool.connections.open_count == 0 and not pool.idle and not pool.idle_by_provider
 
 
 def test_a_connection_that_is_idle_again_before_an_event_is_handled_is_closed_at_most_once(backend):
@@ -202,7 +202,12 @@
     connection = hand_out_event(backend)
     pool.release(pool.acquire("s"))
     run_queued_steps(backend)
-    assert (pool.open_count, list(pool.idle), pool.idle_by_provider, backend.loop.watchers) == (0, [], {}, {})
+    assert (pool.connections.open_count, list(pool.idle), pool.idle_by_provider, backend.loop.watchers) == (
+        0,
+        [],
+        {},
+        {},
+    )
     assert connection.sock.fileno() == -1 and peer.recv(1) == b""
 
 
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -319,7 +319,7 @@
             self.addCleanup(sock.close)
         ours.setblocking(False)
         back.pool.set_address("s", "127.0.0.1:1")
-        connection = ProviderConnection(back.pool, ours, "s", "127.0.0.1:1")
+        connection = ProviderConnection(back.pool, ours, "s", "127.0.0.1:1", back.connections.acquire_slot(back.pool))
         back.pool.release(connection)
         connection.idle_since = idle_since = loop.time - 1000 * MS
         upload = Upload(loop, theirs, Body(MemoryBudget(1 << 20)), 9 << 20, 1000 * MS)
--- a/tests/test_list_crossings.py
+++ b/tests/test_list_crossings.py
@@ -32,7 +32,7 @@
 from loftweir.config.model import Options
 from loftweir.http1.back import Backend
 from loftweir.http1.discovery import Discovery, ListResponse
-from loftweir.http1.pool import Pool
+from loftweir.http1.pool import Connections, Pool
 from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, UpdateKind
 from loftweir.listclock import NOTIFIED_AFTER
 from loftweir.net.loop import MAX_TURN_TIME, MS, READABLE, Loop, Wait
@@ -330,7 +330,7 @@
 
 @given(st.lists(st.tuples(st.sampled_from("abcd"), st.integers(0, 4)), max_size=30))
 def test_an_address_belongs_to_the_provider_that_got_it_last(moves):
-    pool, whole = Pool(Loop(), settings(), Options(), 8), {}
+    pool, whole = Pool(Connections(Loop(), settings(), Options(), 8)), {}
     for name, number in moves:
         if number:
             whole = {n: a for n, a in whole.items() if a != str(number) and n != name} | {name: str(number)}
