--- a/loftweir/partners/offer.py
+++ b/loftweir/partners/offer.py
@@ -190,13 +190,13 @@
         request = RouteRequest(target)
         if request.error:
             return request.status, f"{request.error}\n".encode(), "text/plain"
-        rejection = self._rejection_reason(request.site, sock)
-        if rejection:
-            emit(PARTNERS_TURNED_AWAY, site=request.site if request.site.isprintable() else "", why=rejection)
-            return 403, f"{rejection}\n".encode(), "text/plain"
         until = self.loop.now() + request.wait
         unavailable_since: int | None = None
         while True:
+            rejection = self._rejection_reason(request.site, sock)  # a reload may remove a neighbour that waits
+            if rejection:
+                emit(PARTNERS_TURNED_AWAY, site=request.site if request.site.isprintable() else "", why=rejection)
+                return 403, f"{rejection}\n".encode(), "text/plain"
             now, reason = self.loop.now(), self.offers.rejection_reason(request.site, request.after)
             offer = self.offers.offers.get(request.site)
             if not reason and offer is not None and (now >= until or offer.has_changes(request.after)):
