--- a/loftweir/cli/explain.py
+++ b/loftweir/cli/explain.py
@@ -19,7 +19,7 @@
 from loftweir.errors import LoftweirError
 from loftweir.explain import BEHAVIOURS, Explanation, Traffic
 from loftweir.explain import explain as run_explanation
-from loftweir.http1.discovery import CallFailed
+from loftweir.http1.list_call import CallFailed
 from loftweir.interface import MembershipUpdate, UpdateKind
 
 MS = 1_000_000
--- a/tests/discovery_scene.py
+++ b/tests/discovery_scene.py
@@ -8,7 +8,8 @@
 from support import MS, SECOND, make_balancer, of_type, settings
 
 from loftweir.config.model import Options
-from loftweir.http1.discovery import CallFailed, Discovery, ListResponse, Refused, Silent
+from loftweir.http1.discovery import Discovery
+from loftweir.http1.list_call import CallFailed, ListResponse, Refused, Silent
 from loftweir.interface import MembershipUpdate, Timer, TimerFired, UpdateKind, Watch
 from loftweir.net.loop import Wait
 
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -15,7 +15,8 @@
 from loftweir.config.lists import NotAList, read_list
 from loftweir.config.model import Options
 from loftweir.daemon import origin, read
-from loftweir.http1.discovery import CallFailed, Discovery
+from loftweir.http1.discovery import Discovery
+from loftweir.http1.list_call import CallFailed
 from loftweir.interface import SettingsError
 from loftweir.net.loop import Loop
 from loftweir.operations.calls import No, parse_command
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -17,7 +17,8 @@
 from loftweir import listclock
 from loftweir.config.model import MINUTE, Options, contradictions
 from loftweir.config.model import Discovery as DiscoveryOptions
-from loftweir.http1.discovery import CallFailed, Discovery
+from loftweir.http1.discovery import Discovery
+from loftweir.http1.list_call import CallFailed
 from loftweir.interface import Outcome
 from loftweir.net.loop import Wait
 from loftweir.net.stream import ConnectError
--- a/tests/test_list_crossings.py
+++ b/tests/test_list_crossings.py
@@ -31,7 +31,8 @@
 
 from loftweir.config.model import Options
 from loftweir.http1.back import Backend
-from loftweir.http1.discovery import Discovery, ListResponse
+from loftweir.http1.discovery import Discovery
+from loftweir.http1.list_call import ListResponse
 from loftweir.http1.pool import Connections, Pool
 from loftweir.interface import Endpoint, Lifecycle, MembershipUpdate, UpdateKind
 from loftweir.listclock import NOTIFIED_AFTER
--- a/tests/test_watch_recovery.py
+++ b/tests/test_watch_recovery.py
@@ -27,7 +27,7 @@
 
 from loftweir import listclock
 from loftweir.config.model import Options
-from loftweir.http1.discovery import ListResponse, Refused, Silent
+from loftweir.http1.list_call import ListResponse, Refused, Silent
 from loftweir.interface import MembershipUpdate, UpdateKind
 from loftweir.net.loop import Wait
 
