A late copy of a session's first command does not undo a later one

What operators would see: FLEET-ENABLE answered OutcomeUnknown, FLEET-DISABLE answered OK, and the provider serving again once a late copy of the first arrives: requests to a server that is out.

Cause: only a later number of a known session makes a late copy harmless. If the session's first command has not arrived, the session is unknown, the next command gets another one, and the late copy begins the old one.

Change: Proposer.write settles a command whose outcome is not known before the next one, under its own number.

--- a/loftweir/replication/caller.py
+++ b/loftweir/replication/caller.py
@@ -119,7 +119,8 @@
         until = self.loop.now() + within
         yield from self.writes.reserve(until)
         try:
-            result = yield from self._write(operation, until)
+            yield from self._settle(until)
+            return (yield from self._write(operation, until))
         except NoMajority:
             raise
         except BaseException:  # also if the caller has given it up
@@ -127,24 +128,29 @@
             raise
         finally:
             self.writes.busy = False
-        self.may_apply_late = False  # a later number was applied: a copy of the last one is refused
-        return result
 
     def settle(self, within: int) -> Coroutine[None]:
         """Makes sure that no command of this proposer takes effect from now on whose outcome was not known.
 
-        Submits another command under the same number: the state machine applies only one of the two. Raises as `write`
-        does.
+        Raises as `write` does.
         """
-        if not self.may_apply_late or not self.session:
-            return
         until = self.loop.now() + within
         yield from self.writes.reserve(until)
         try:
-            command = encode(Command(self.session, self.number, EndSession(self.session), self.since))
-            outcome, _ = yield from self.writes.request(_submit(command), until)
+            yield from self._settle(until)
         finally:
             self.writes.busy = False
+
+    def _settle(self, until: int) -> Coroutine[None]:
+        """Submits another command under the last number: the state machine applies only one of the two.
+
+        A later number would not do: if the session's first command has not arrived, the session is not known, and a
+        late copy of that command begins it.
+        """
+        if not self.may_apply_late or not self.session:
+            return
+        command = encode(Command(self.session, self.number, EndSession(self.session), self.since))
+        outcome, _ = yield from self.writes.request(_submit(command), until)
         assert isinstance(outcome, CommandOutcome)
         _result_of(outcome, self.writes.target)
         self.session, self.may_apply_late = "", False
--- a/tests/test_replication_outcomes.py
+++ b/tests/test_replication_outcomes.py
@@ -105,33 +105,46 @@
     agent.proposer.close()
 
 
-@pytest.mark.parametrize("sent", ["as the first command", "as a later command", "not at all"])
-def test_a_late_copy_of_a_command_does_not_undo_an_enabling_that_a_read_confirmed(
+@pytest.mark.parametrize("is_out", [False, True], ids=["a read finds it in", "a read finds it out"])
+@pytest.mark.parametrize("is_first", [True, False], ids=["first command", "later command"])
+@pytest.mark.parametrize(
+    ("unknown", "later"),
+    [(Verb.FLEET_DISABLE, Verb.FLEET_ENABLE), (Verb.FLEET_ENABLE, Verb.FLEET_DISABLE)],
+    ids=["disable, enable", "enable, disable"],
+)
+def test_a_late_copy_of_a_command_does_not_undo_a_later_one_that_was_answered_ok(
     voters,  # noqa: F811
     tmp_path,
     monkeypatch,
-    sent,
+    unknown,
+    later,
+    is_first,
+    is_out,
 ):
-    """Guards against an OK for FLEET-ENABLE without a write, which a FLEET-DISABLE without an answer then undoes."""
+    """Guards against an OK that is undone by an earlier command of the same sidecar whose outcome was not known."""
     state, late = ReplicatedState(), []
+    silent = False
 
     def answer(frame):
         if isinstance(frame, QueryRequest):
-            return QueryResponse(frame.token, OutcomeCode.DONE, True, state.machine.index, 0, b"\xc0")
-        if b"word" in frame.order:  # the order of FLEET-DISABLE
+            out = is_out or silent  # else the first command would be answered without a write
+            value = b"\x93" + DISABLED + b"\x03\x04" if out else b"\xc0"
+            return QueryResponse(frame.token, OutcomeCode.DONE, True, state.machine.index, 0, value)
+        if silent:
             late.append(frame)
             return None
         return state.apply(frame)
 
     loop = Loop()
     agent = make_agent(loop, voters(answer, answer, answer), tmp_path, monkeypatch)
-    if sent == "as a later command":
+    if not is_first:
         run(loop, agent.proposer.write(EndSession("another"), SECOND))
-    if sent != "not at all":
-        assert outcome_of(loop, agent, Verb.FLEET_DISABLE) == "OutcomeUnknown"
-    answer_text = run(loop, agent.execute(OperatorCommand(Verb.FLEET_ENABLE, "s9")))
-    assert str(answer_text).startswith("enabled")
+    silent = True
+    assert outcome_of(loop, agent, unknown) == "OutcomeUnknown"
+    silent = False
+    assert isinstance(run(loop, agent.execute(OperatorCommand(later, "s9"))), str)
     for frame in late:
         state.apply(frame)
-    assert "s9" not in state.machine.overrides
+    override = state.machine.overrides.get("s9")
+    assert (override is not None and override.out) is (later is Verb.FLEET_DISABLE)
     agent.proposer.close()
