The test of a wiped disk reads the rejection on its own connection

The test looked for a rejection in the other voters' logs, which is there only if one of them dials the old id while it is a member.

It now sends its message for the old id and reads ConnectionRejected(ANOTHER_ID) with the new id, which does not depend on time. What it asserts of the terms is as it was.

The reading of pipelined responses stands once (scene.responses).

--- a/tests/scene.py
+++ b/tests/scene.py
@@ -81,6 +81,16 @@
     return "\r\n".join(lines).encode() + body
 
 
+def responses(sock):
+    """Yield the status and the Connection field of each response until the connection ends, not with a reset."""
+    while sock.recv(1, socket.MSG_PEEK):
+        response = http.client.HTTPResponse(sock)
+        response.fp = sock.makefile("rb", buffering=0)  # reads no byte of the next one
+        response.begin()
+        response.read()
+        yield response.status, response.getheader("Connection")
+
+
 class StubServer:
     """A server that calls `self.answer` for each request.
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -21,11 +21,13 @@
 from loftweir.replication.wire import (
     CommandOutcome,
     ConnectionKind,
+    ConnectionRejected,
     FencedValueQuery,
     FollowRequest,
     OutcomeCode,
     QueryRequest,
     QueryResponse,
+    RejectReason,
     SubmitCommand,
 )
 
@@ -280,6 +282,7 @@
         from_old_id = self.connection(leader.name, ConnectionKind.MEMBER, id=old[wiped.name])
         common = {"sender": "x", "to": old[wiped.name], "term": term + 100, "round": 1}
         to_old_id.send(AppendEntries(prev_index=0, prev_term=0, entries=(), commit=0, **common))
+        self.assertEqual(to_old_id.receive(5), ConnectionRejected(RejectReason.ANOTHER_ID, new[wiped.name]))
         forged = {"sender": old[wiped.name], "to": new[leader.name], "term": term + 100}
         for message in (
             RequestVote(last_index=1 << 40, last_term=term + 100, pre=False, **forged),
@@ -290,8 +293,6 @@
         time.sleep(0.3)
         for name in self.voters:
             self.assertEqual(int(self.sidecars[name].fleet_status()["term"]), term)
-        rejections = [r for n in self.others(wiped) for r in self.sidecars[n].logged("replication.turned_away")]
-        self.assertTrue(any("another id is here" in record["why"] for record in rejections))
 
     def test_a_member_that_was_removed_while_it_was_down_joins_when_it_is_started_again(self):
         leader = self.start_fleet()
--- a/tests/test_pipelined_ends.py
+++ b/tests/test_pipelined_ends.py
@@ -1,6 +1,5 @@
 """Requests that were read behind another one on their connection are answered before the connection ends."""
 
-import http.client
 import itertools
 import json
 import signal
@@ -10,7 +9,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-from scene import READ, SidecarTest, address_of, eventually, http_response, listener
+from scene import READ, SidecarTest, address_of, eventually, http_response, listener, responses
 
 from loftweir.http1.request_reader import has_whole_request
 
@@ -87,17 +86,6 @@
         self.addCleanup(sock.close)
         return sock
 
-    def answers(self, sock):
-        """The status and the Connection field of each answer until the end, which must not be a reset."""
-        answers = []
-        while sock.recv(1, socket.MSG_PEEK):
-            response = http.client.HTTPResponse(sock)
-            response.fp = sock.makefile("rb", buffering=0)  # reads no byte of the next answer
-            response.begin()
-            response.read()
-            answers.append((response.status, response.getheader("Connection")))
-        return answers
-
     def send_together(self, name, behind, held_back):
         """Send a first request and what is behind it at once; return the connection and what is held back."""
         requests = [WHOLE] + behind
@@ -118,7 +106,9 @@
             began = time.monotonic()
             self.gate.set()
             with ThreadPoolExecutor(len(socks)) as pool:
-                pending = {name: pool.submit(self.answers, sock) for name, (sock, _) in socks.items()}
+                pending = {
+                    name: pool.submit(lambda sock: list(responses(sock)), sock) for name, (sock, _) in socks.items()
+                }
                 time.sleep(0.2)
                 for sock, rest in socks.values():
                     if completes and rest:
@@ -182,7 +172,7 @@
         self.gate.set()
         for name, (sock, _) in socks.items():
             with self.subTest(behind=name):
-                answers = self.answers(sock)  # it is closed once it is idle
+                answers = list(responses(sock))  # it is closed once it is idle
                 self.assertEqual(len(answers), 1 + len(BEHIND[name][0]))
                 # On a loaded machine a rejection may be the answer; that of a connection closed for room says so.
                 self.assertLessEqual(set(answers), {(200, None), (503, None)})
--- a/tests/test_pipelined_errors.py
+++ b/tests/test_pipelined_errors.py
@@ -1,10 +1,9 @@
 """Requests that were read behind one that could not be served are answered, unless that was the client's own error."""
 
-import http.client
 import socket
 import threading
 
-from scene import READ, SidecarTest, eventually, http_response
+from scene import READ, SidecarTest, eventually, http_response, responses
 
 HEAD = f"GET /api HTTP/1.1\r\nHost: h\r\nReq-Id: %s\r\nReq-Kind: {READ}\r\n"
 WHOLE = HEAD + "\r\n"
@@ -83,12 +82,8 @@
             sock.sendall(data.encode())
             answers = []
             try:
-                while sock.recv(1, socket.MSG_PEEK):
-                    response = http.client.HTTPResponse(sock)
-                    response.fp = sock.makefile("rb", buffering=0)  # reads no byte of the next answer
-                    response.begin()
-                    response.read()
-                    answers.append((response.status, response.getheader("Connection")))
+                for answer in responses(sock):
+                    answers.append(answer)
                     sock.settimeout(0.5)
             except TimeoutError:
                 answers.append("open")
