config/model.py is split: what a key says, and which values contradict each other

It had 564 lines. config/spec.py has the units and the Spec of a key, config/contradictions.py the checks between keys; model.py has the keys, 455 lines. Imports go down only. Nothing is changed in what is read, shown or refused: the reference page and the example are the same.

--- a/loftweir/cli/explain.py
+++ b/loftweir/cli/explain.py
@@ -13,8 +13,8 @@
 
 from loftweir.cli.common import as_json, configured, origin_of, print_json, print_table, read_or_exit
 from loftweir.config.lists import read_list
-from loftweir.config.model import duration
 from loftweir.config.operator import convert_value
+from loftweir.config.spec import duration
 from loftweir.config.units import split_host_port
 from loftweir.errors import LoftweirError
 from loftweir.explain import BEHAVIOURS, Explanation, Traffic
--- a/loftweir/config/model.py
+++ b/loftweir/config/model.py
@@ -10,88 +10,34 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Annotated, Any, NamedTuple, get_args, get_type_hints
 
 import msgspec
 
-from loftweir import listclock
+from loftweir.config.spec import (
+    GIB,
+    HOUR,
+    KIB,
+    MIB,
+    MINUTE,
+    MS,
+    SECOND,
+    Section,
+    Spec,
+    choice,
+    count,
+    duration,
+    share,
+    size,
+    text,
+)
 from loftweir.config.units import (
-    Unit,
     check_address,
-    check_plain_text,
-    format_quantity,
     parse_label,
     parse_members,
     parse_service,
 )
-from loftweir.listclock import FRESH_CALLS, SHORTEST_FRESH_TIMEOUT
-
-# Durations in nanoseconds.
-MS = 1_000_000
-SECOND = 1_000_000_000
-MINUTE = 60 * SECOND
-HOUR = 60 * MINUTE
-
-# Sizes in bytes.
-KIB = 1024
-MIB = 1024**2
-GIB = 1024**3
-
-
-class Spec(NamedTuple):
-    """The unit, meaning and bounds of one key."""
-
-    unit: Unit
-    about: str
-    least: float = 0
-    most: float = float("inf")
-    live: bool = True
-    choices: tuple[str, ...] = ()
-    check: Callable[[str], object] = check_plain_text  # for text; its ValueError says what was expected
-
-    def expected(self) -> str:
-        """What a value has to be, for messages."""
-        if self.unit is Unit.TEXT:
-            return "text"
-        if self.unit is Unit.CHOICE:
-            return f"one of {', '.join(self.choices)}"
-        least, most = format_quantity(self.unit, self.least), format_quantity(self.unit, self.most)
-        return f"{self.unit.value}, from {least} to {most}"
-
-
-def duration(about: str, least: int, most: int, live: bool = True) -> Spec:
-    """A key with a duration in nanoseconds."""
-    return Spec(Unit.DURATION, about, least, most, live)
-
-
-def size(about: str, least: int, most: int, live: bool = True) -> Spec:
-    """A key with a size in bytes."""
-    return Spec(Unit.SIZE, about, least, most, live)
-
-
-def share(about: str, least: float, most: float, live: bool = True) -> Spec:
-    """A key with a share from 0 to 1, written in percent."""
-    return Spec(Unit.SHARE, about, float(least), float(most), live)
-
-
-def count(about: str, least: int, most: int, live: bool = True) -> Spec:
-    """A key with a whole number."""
-    return Spec(Unit.COUNT, about, least, most, live)
-
-
-def choice(about: str, *choices: str, live: bool = True) -> Spec:
-    """A key with one of several words."""
-    return Spec(Unit.CHOICE, about, live=live, choices=choices)
-
-
-def text(about: str, check: Callable[[str], object] = check_plain_text, live: bool = True) -> Spec:
-    """A key with text that `check` accepts."""
-    return Spec(Unit.TEXT, about, live=live, check=check)
-
-
-class Section(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """A table of the file."""
 
 
 class Limits(Section, frozen=True, kw_only=True):
@@ -507,58 +453,3 @@
         for field in msgspec.structs.fields(kind):
             (spec,) = [extra for extra in get_args(hints[field.name])[1:] if isinstance(extra, Spec)]
             yield Key(section, field.name, spec, field.default)
-
-
-def contradictions(options: Options) -> Iterator[tuple[str, str]]:
-    """Keys whose value contradicts that of another one: the path of each, and what it must be instead."""
-    limits, log, discovery = options.limits, options.log, options.discovery
-    if limits.sends_within > limits.request_within:
-        yield "limits.sends_within", "at most limits.request_within"
-    if limits.idle_of_sockets > limits.consumers_of_sockets:
-        yield "limits.idle_of_sockets", "at most limits.consumers_of_sockets, which includes the idle connections"
-    if log.access == "sampled" and log.access_sample == 0:
-        yield "log.access_sample", "above 0%, as log.access asks for a sample"
-    if options.replication.election < 3 * options.replication.beat:
-        yield "replication.election", "at least three times replication.beat, as one heartbeat may be lost"
-    if options.partners.site:
-        yield from _partner_contradictions(options)
-    if options.catalog.file and not options.partners.site:
-        yield "catalog.file", "empty, or partners.site and replication.members set, as the whole site shares the names"
-    yield from _late_notification(discovery)
-
-
-def _late_notification(discovery: Discovery) -> Iterator[tuple[str, str]]:
-    """Keys with which a sidecar can read a change later than it counts as notified of it."""
-    answer, apart = discovery.answer_within, discovery.calls_apart
-    own_calls = listclock.faults(discovery.wait, discovery.silent_after, answer, apart)
-    pushed = listclock.faults(discovery.agent_wait, discovery.agent_silent_after, answer, apart, pushed=True)
-    for prefix, faults in (("", own_calls), ("agent_", pushed)):
-        for name, most in faults:
-            yield (
-                f"discovery.{prefix}{name}",
-                (
-                    f"at most {format_quantity(Unit.DURATION, most)}: a change counts as told 6 s after discovery "
-                    "had it, and there must be time for another call after a silent one"
-                ),
-            )
-
-
-# The part of `partners.hold` that is reserved for a confirmed table to reach all sidecars of the site.
-REPLICATION_MARGIN = 500 * MS
-
-
-def _partner_contradictions(options: Options) -> Iterator[tuple[str, str]]:
-    partners = options.partners
-    if not options.replication.members:
-        yield "partners.site", "empty, or replication.members set, as the cluster stores the partners' routes"
-    if not partners.file:
-        yield "partners.file", "a file, as partners.site is set"
-    least = partners.wait + partners.silent_after + FRESH_CALLS * SHORTEST_FRESH_TIMEOUT + REPLICATION_MARGIN
-    if partners.hold < least:
-        yield (
-            "partners.hold",
-            f"at least {format_quantity(Unit.DURATION, least)}: partners.wait, partners.silent_after, and time to try "
-            "again",
-        )
-    if partners.hold < 2 * partners.lease:
-        yield "partners.hold", "at least twice partners.lease, so that the next sidecar has fetched by then"
--- a/loftweir/config/operator.py
+++ b/loftweir/config/operator.py
@@ -10,8 +10,10 @@
 
 import msgspec
 
+from loftweir.config.contradictions import contradictions
 from loftweir.config.faults import Fault, Faulty
-from loftweir.config.model import Key, Options, Spec, contradictions, keys, sections
+from loftweir.config.model import Key, Options, keys, sections
+from loftweir.config.spec import Spec
 from loftweir.config.units import Unit, check_plain_text, format_quantity, parse_quantity
 
 FILE_VARIABLE = "LOFTWEIR_OPERATOR"
--- a/loftweir/emulator/scenario.py
+++ b/loftweir/emulator/scenario.py
@@ -12,8 +12,8 @@
 import msgspec
 
 from loftweir.config.faults import MISSING, Fault, Faulty
-from loftweir.config.model import HOUR, MS, SECOND, Spec, choice, count, duration, share
 from loftweir.config.operator import convert_value
+from loftweir.config.spec import HOUR, MS, SECOND, Spec, choice, count, duration, share
 from loftweir.interface import Effect, RequestClass, Safety, Scope, Settings
 
 KINDS = (  # of injected faults
--- a/loftweir/partners/link.py
+++ b/loftweir/partners/link.py
@@ -17,7 +17,7 @@
 
 import h11
 
-from loftweir.config.model import REPLICATION_MARGIN
+from loftweir.config.contradictions import REPLICATION_MARGIN
 from loftweir.config.model import Partners as Options
 from loftweir.errors import LoftweirError
 from loftweir.http1.strict import H11Reader, fixed
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -10,8 +10,9 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from loftweir.config.model import MIB, Options
+from loftweir.config.model import Options
 from loftweir.config.platform import Platform
+from loftweir.config.spec import MIB
 from loftweir.core.host import Host
 from loftweir.core.life import TRAITS, LifecycleEvent, SidecarLifecycle, State
 from loftweir.http1.back import Backend
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -15,8 +15,10 @@
 from support import MS, SECOND
 
 from loftweir import listclock
-from loftweir.config.model import MINUTE, Options, contradictions
+from loftweir.config.contradictions import contradictions
 from loftweir.config.model import Discovery as DiscoveryOptions
+from loftweir.config.model import Options
+from loftweir.config.spec import MINUTE
 from loftweir.http1.discovery import Discovery
 from loftweir.http1.list_call import CallFailed
 from loftweir.interface import Outcome
--- a/tests/test_partner_parts.py
+++ b/tests/test_partner_parts.py
@@ -12,6 +12,7 @@
 
 from loftweir.catalog.providers import partner_endpoints
 from loftweir.config import model, operator
+from loftweir.config.contradictions import REPLICATION_MARGIN
 from loftweir.config.faults import Faulty
 from loftweir.interface import Effect, Endpoint, Lifecycle, MembershipUpdate, RequestClass, Scope, UpdateKind
 from loftweir.lease.duty import LeasedTask, NotActing
@@ -377,4 +378,4 @@
         operator.load(str(tmp_path / "loftweir.toml"), {})
     places = {fault.path for fault in caught.value.faults}
     assert places == {f"partners.{name}" for name in ("site", "file", "hold", "service", "listen")}
-    assert Timing(hold=model.Partners().hold - model.REPLICATION_MARGIN).quick_retry_timeout > 0
+    assert Timing(hold=model.Partners().hold - REPLICATION_MARGIN).quick_retry_timeout > 0
