The log tells what memory is used for, and why requests are refused and clients closed

New events: memory.limits at the start (limit, resident, budgets), memory.high near the limit (resident as the kernel counts it, connections by stage, what is left of the budgets), memory.short (what had no room), request.refused (status and reason), client.closed (reason and stage). No event or field that was there is changed.

--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -14,6 +14,7 @@
 import h11
 
 from loftweir.config.model import Options
+from loftweir.config.spec import KIB
 from loftweir.core.invocation import ProviderAttempt
 from loftweir.http1 import grammar
 from loftweir.http1.buffering import ResponseBuffering
@@ -39,6 +40,8 @@
     unacknowledged,
     unread_for,
 )
+from loftweir.telemetry.catalogue import MEMORY_SHORT
+from loftweir.telemetry.log import emit
 
 OnAttemptEnded = Callable[[ProviderAttempt, Outcome, Any], None]
 # The outcome of an attempt, the response with OK, and whether the connection can be used again; None: the response owns
@@ -203,7 +206,9 @@
             if self.pool.last_response_at.get(attempt.provider, 0) < attempt.started_at:
                 self.pool.close_idle(attempt.provider)
             return Outcome.TIMED_OUT, None, False
-        except TooLarge:
+        except TooLarge as error:
+            if isinstance(error, OutOfBudget):
+                emit(MEMORY_SHORT, of="answers", bytes=error.size, left_kb=self.budget.left // KIB)
             return Outcome.ERROR, None, False
         except (OSError, h11.RemoteProtocolError):
             return Outcome.RESET, None, False
--- a/loftweir/http1/client.py
+++ b/loftweir/http1/client.py
@@ -10,6 +10,7 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING, NamedTuple
 
+from loftweir.config.spec import KIB
 from loftweir.core.invocation import AnswerKind, FinalAnswer, Invocation
 from loftweir.http1.access_trace import CLIENT_GONE, AccessTrace
 from loftweir.http1.flow import Upload
@@ -29,7 +30,13 @@
 from loftweir.net.loop import HUNG_UP, MS, READABLE, SECOND, WOKEN, Coroutine, Task, Wait
 from loftweir.net.progress import ReadProgress, send_as_read
 from loftweir.net.stream import READ_SIZE, OutOfBudget, TimedOut, has_unacknowledged, hung_up, unread_for
-from loftweir.telemetry.catalogue import INVOCATION_BROKEN, INVOCATION_OVERDUE
+from loftweir.telemetry.catalogue import (
+    CLIENT_CLOSED,
+    INVOCATION_BROKEN,
+    INVOCATION_OVERDUE,
+    MEMORY_SHORT,
+    REQUEST_REFUSED,
+)
 from loftweir.telemetry.log import emit, traceback_location
 
 if TYPE_CHECKING:
@@ -172,6 +179,10 @@
                     return
                 left -= read
 
+    def log_closed(self, why: str) -> None:
+        """Log why the sidecar closes the connection, or gives it up."""
+        emit(CLIENT_CLOSED, why=why, stage=self.stage.name.lower(), connections=len(self.front.clients))
+
     def close(self) -> None:
         """Close the connection now: its descriptor is free when this returns.
 
@@ -202,8 +213,10 @@
         waits = False
         try:
             waits = yield from self._serve_requests()
-        except (TimedOut, OSError):
-            waits = False
+        except TimedOut:
+            self.log_closed("slow")
+        except OSError:
+            self.log_closed("reset")
         finally:
             self.task = None
             try:
@@ -301,11 +314,14 @@
         """
         limits = self.front.options.limits
         if isinstance(error, OutOfBudget):
+            emit(MEMORY_SHORT, of="requests", bytes=error.size, left_kb=self.front.budget.left // KIB)
+            emit(REQUEST_REFUSED, status=503, why="no memory")
             after = min(BODY_RETRY_AFTER, self.front.host.settings.max_retry_after)
             # Most clients read the response only once they have written the whole request.
             return Exchange(rejection(max(1, after // MS)), rest, limits.body)
         response = client_error(error, limits.body)
         if response is not None:
+            emit(REQUEST_REFUSED, status=response.status, why=str(error) or type(error).__name__)
             return Exchange(response, None, limits.linger_bytes)
         # A fault of this program: this request fails, and the process continues.
         emit(INVOCATION_BROKEN, error=repr(error), at=traceback_location(error))
--- a/loftweir/http1/connections.py
+++ b/loftweir/http1/connections.py
@@ -112,6 +112,7 @@
         """
         client = self._oldest_quiet() or self._oldest_begun() or next(iter(self.ending), None)
         if client is not None:
+            client.log_closed("room")
             client.close()
         return client is not None
 
--- a/loftweir/net/stream.py
+++ b/loftweir/net/stream.py
@@ -59,7 +59,11 @@
 
 
 class OutOfBudget(TooLarge):
-    """A body is within its limit, but the memory budget has too little left now."""
+    """A body is within its limit, but the memory budget has too little left now for `size` more bytes."""
+
+    def __init__(self, size: int = 0) -> None:
+        super().__init__()
+        self.size = size
 
 
 class ConnectError(Exception):
@@ -111,7 +115,7 @@
         additional = size - self.taken
         if additional > 0:
             if not self.budget.has_room(additional, self.taken):
-                raise OutOfBudget
+                raise OutOfBudget(additional)
             self.budget.left -= additional
             self.taken = size
 
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -20,6 +20,7 @@
 from loftweir.http1.front import Frontend
 from loftweir.interface import MembershipUpdate, Settings, UpdateKind
 from loftweir.listclock import SHORTEST_FRESH_TIMEOUT
+from loftweir.memory_watch import MemoryWatch
 from loftweir.net.loop import MS, READABLE, SECOND, WRITABLE, Coroutine, Loop, Task, Wait
 from loftweir.net.standing import StandingTask
 from loftweir.operations.address import DESCRIPTORS, Address
@@ -108,6 +109,7 @@
         bodies = int(memory * limits.requests_of_memory)
         self.front = Frontend(loop, self.host, self.life, options, platform.sockets, bodies)
         self.front.free_descriptor = self.back.connections.evict_idle
+        self.memory_watch = MemoryWatch(loop, self.front, self.back, memory)
         self.catalog: Hosts | None = None
         self.services_file = options.catalog.file  # another file is used only from the next start on
         if services is not None and self.partners is not None:
@@ -229,6 +231,8 @@
             self.fleet.start()
         StandingTask(self.loop, lambda: self._handle_signals(woken, wakes, received, reload))
         StandingTask(self.loop, self._keep_log)
+        self.memory_watch.log_limits()
+        StandingTask(self.loop, self.memory_watch.run)
 
     def _initial_list(
         self, platform_list: MembershipUpdate, addresses: dict[str, str]
--- a/loftweir/telemetry/catalogue.py
+++ b/loftweir/telemetry/catalogue.py
@@ -441,6 +441,49 @@
     "run more sidecars, or raise the limits",
     ("why",),
 )
+CLIENT_CLOSED = Event(
+    "client.closed",
+    INFO,
+    ("why", "stage", "connections"),
+    "a client's connection ended before its time: `why` is `room` (closed for a new connection), `slow` (the client "
+    "did not read or write in time) or `reset` (it broke, or the client left); `stage` is how far its request was, "
+    "`connections` how many are open",
+    "`room` or `slow` in number: look for clients that keep connections without using them",
+    ("why", "stage"),
+)
+REQUEST_REFUSED = Event(
+    "request.refused",
+    INFO,
+    ("status", "why"),
+    "a request was answered with an error before it was decided, as its head or body could not be taken",
+    "400 and its neighbours: correct the client; 503: see `memory.short`",
+    ("status",),
+)
+MEMORY_LIMITS = Event(
+    "memory.limits",
+    INFO,
+    ("limit_kb", "resident_kb", "requests_kb", "answers_kb", "connections"),
+    "how the platform's `memory_mb` is used: what is resident at the start, and the budgets of requests and of answers "
+    "beside `connections` clients",
+    distinguished_by=None,
+)
+MEMORY_HIGH = Event(
+    "memory.high",
+    WARNING,
+    ("resident_kb", "limit_kb", "connections", "begun", "busy", "requests_left_kb", "answers_left_kb"),
+    "the resident memory, as the kernel counts it, is near the platform's `memory_mb`: `begun` connections have sent a "
+    "part of a request, `busy` ones wait for their answer or read it",
+    "give it more memory or fewer descriptors; budgets that are not used up point to a fault of the program",
+)
+MEMORY_SHORT = Event(
+    "memory.short",
+    WARNING,
+    ("of", "bytes", "left_kb"),
+    "the budget of requests or answers had no room for so many more `bytes`: the request is rejected, the answer is "
+    "passed on as it arrives or, if only its head is too large, given up",
+    "many clients with long requests or slow readers: give it more memory",
+    ("of",),
+)
 CONNECT_NOT_BEGUN = Event(
     "connect.not_begun",
     WARNING,
