--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -24,18 +24,14 @@
 from loftweir.http1.strict import H11Reader, fixed
 from loftweir.interface import Lifecycle, MembershipUpdate, Outcome, Settings, UpdateKind
 from loftweir.net.loop import MS, READABLE, Coroutine, Loop, Wait
+from loftweir.net.memory import READ_SIZE, Body, MemoryBudget, OutOfBudget, TooLarge
 from loftweir.net.progress import ReadProgress, send_as_read
 from loftweir.net.standing import StandingTask
 from loftweir.net.stream import (
-    READ_SIZE,
     RETRY_WRITE,
-    Body,
     ConnectError,
     LocalError,
-    MemoryBudget,
-    OutOfBudget,
     TimedOut,
-    TooLarge,
     send,
     unacknowledged,
     unread_for,
--- a/loftweir/http1/client.py
+++ b/loftweir/http1/client.py
@@ -28,8 +28,9 @@
 )
 from loftweir.http1.stage import Stage
 from loftweir.net.loop import HUNG_UP, MS, READABLE, SECOND, WOKEN, Coroutine, Task, Wait
+from loftweir.net.memory import READ_SIZE, OutOfBudget
 from loftweir.net.progress import ReadProgress, send_as_read
-from loftweir.net.stream import READ_SIZE, OutOfBudget, TimedOut, has_unacknowledged, hung_up, unread_for
+from loftweir.net.stream import TimedOut, has_unacknowledged, hung_up, unread_for
 from loftweir.telemetry.catalogue import (
     CLIENT_CLOSED,
     INVOCATION_BROKEN,
--- a/loftweir/http1/flow.py
+++ b/loftweir/http1/flow.py
@@ -13,7 +13,8 @@
 
 from loftweir.http1.strict import H11Reader
 from loftweir.net.loop import MS, READABLE, Coroutine, Loop, Wait
-from loftweir.net.stream import SMALL, Body, MemoryBudget, TimedOut, TooLarge
+from loftweir.net.memory import SMALL, Body, MemoryBudget, TooLarge
+from loftweir.net.stream import TimedOut
 
 # A response of up to `SMALL` bytes counts by its last byte, and as lost if that comes LOST_AFTER past its deadline. One
 # of unknown length that may be so short is ended before that if it is silent for SILENT_LATE, and counts as failed.
--- a/loftweir/http1/front.py
+++ b/loftweir/http1/front.py
@@ -14,8 +14,9 @@
 from loftweir.http1.client import ClientConnection
 from loftweir.http1.connections import ClientConnections
 from loftweir.net.loop import EXCLUSIVE, MS, READABLE, Coroutine, Loop, Wait
+from loftweir.net.memory import MemoryBudget
 from loftweir.net.standing import StandingTask
-from loftweir.net.stream import MemoryBudget, prepare
+from loftweir.net.stream import prepare
 from loftweir.telemetry.catalogue import ACCEPT_FAILED, ACCEPT_NO_ROOM
 from loftweir.telemetry.log import emit
 
--- a/loftweir/http1/list_call.py
+++ b/loftweir/http1/list_call.py
@@ -16,7 +16,8 @@
 from loftweir.http1.strict import H11Reader, fixed
 from loftweir.interface import MembershipUpdate
 from loftweir.net.loop import Coroutine, Loop
-from loftweir.net.stream import TimedOut, TooLarge, send
+from loftweir.net.memory import TooLarge
+from loftweir.net.stream import TimedOut, send
 
 PATH = "/catalog/members"
 
--- a/loftweir/http1/request.py
+++ b/loftweir/http1/request.py
@@ -6,7 +6,7 @@
 from loftweir.http1.message import Fields, HttpRequest
 from loftweir.interface import RequestClass, Settings
 from loftweir.net.loop import MS
-from loftweir.net.stream import TooLarge
+from loftweir.net.memory import TooLarge
 
 # The fields that the sidecar itself interprets; none of them may occur twice.
 OWN_FIELDS = (b"req-id", b"req-kind", b"req-deadline-ms", b"idempotency-key")
--- a/loftweir/http1/request_reader.py
+++ b/loftweir/http1/request_reader.py
@@ -16,7 +16,8 @@
 from loftweir.http1.stage import Stage
 from loftweir.http1.strict import H11Reader, fixed
 from loftweir.net.loop import MS, READABLE, SECOND, Coroutine, Wait
-from loftweir.net.stream import READ_SIZE, Body, OutOfBudget, TimedOut, reserved
+from loftweir.net.memory import READ_SIZE, Body, OutOfBudget, reserved
+from loftweir.net.stream import TimedOut
 
 if TYPE_CHECKING:
     from loftweir.http1.client import ClientConnection
--- a/loftweir/http1/response.py
+++ b/loftweir/http1/response.py
@@ -12,8 +12,9 @@
 from loftweir.http1.message import BodyStream, HttpResponse, text_response
 from loftweir.http1.request import BadRequest
 from loftweir.net.loop import MS, Coroutine, Loop
+from loftweir.net.memory import TooLarge
 from loftweir.net.progress import ReadProgress, send_as_read
-from loftweir.net.stream import TimedOut, TooLarge
+from loftweir.net.stream import TimedOut
 
 BODY_RETRY_AFTER = 500 * MS  # when a client should retry a request for whose body there was no memory
 STATUSES = {AnswerKind.FAILED: 502, AnswerKind.LATE: 504, AnswerKind.BROKEN: 500}
--- a/loftweir/http1/strict.py
+++ b/loftweir/http1/strict.py
@@ -10,7 +10,8 @@
 import h11
 
 from loftweir.net.loop import READABLE, Coroutine, Wait
-from loftweir.net.stream import READ_SIZE, TimedOut, TooLarge
+from loftweir.net.memory import READ_SIZE, TooLarge
+from loftweir.net.stream import TimedOut
 
 PARTS_PER_TURN = 32  # parts of a body read without a pause: one in tiny chunks must not block the loop
 
--- a/loftweir/net/stream.py
+++ b/loftweir/net/stream.py
@@ -1,7 +1,4 @@
-"""TCP connections on the loop: opening them, writing whole messages with gathered writes, and querying their state.
-
-Also the memory budget for bodies, since each body that is read takes from it.
-"""
+"""TCP connections on the loop: opening them, writing whole messages with gathered writes, and querying their state."""
 
 from __future__ import annotations
 
@@ -21,13 +18,6 @@
 from loftweir.telemetry.catalogue import CONNECT_NOT_BEGUN
 from loftweir.telemetry.log import emit
 
-READ_SIZE = 64 * 1024  # bytes
-SMALL = 64 * 1024  # bytes: a body up to this size is buffered whole, and may use the whole memory budget
-SMALL_RESERVE = 4  # one part in so many of the budget is for small bodies only
-PIECES = 64  # pieces of long bodies in memory at a time, among which the budget is divided
-LEAST_PIECE = 4 * 1024  # bytes: the smallest piece of a long body to read at a time
-MERGED = 4 * 1024  # bytes: parts of a body that arrive in tiny pieces are joined up to this size
-BUDGET_RETRY = 10 * MS  # until it is checked again whether a body fits into the budget
 GATHER_LIMIT = 512  # parts in one write; the kernel takes up to 1,024
 # Errors of connect() before anything was sent: this machine lacks a port, a route, memory or the permission.
 NOT_BEGUN = (
@@ -54,18 +44,6 @@
     """The peer did not read or write in time."""
 
 
-class TooLarge(Exception):
-    """A body is larger than allowed, or than the memory budget has left."""
-
-
-class OutOfBudget(TooLarge):
-    """A body is within its limit, but the memory budget has too little left now for `size` more bytes."""
-
-    def __init__(self, size: int = 0) -> None:
-        super().__init__()
-        self.size = size
-
-
 class ConnectError(Exception):
     """A connection could not be opened. The `outcome` of the attempt proves that the request did not run."""
 
@@ -73,78 +51,6 @@
         self.outcome = outcome
 
 
-class MemoryBudget:
-    """The bytes that all bodies together may take at a time.
-
-    A part is for small bodies only: however many long ones there are, small requests are still served.
-    """
-
-    def __init__(self, size: int) -> None:
-        self.size = self.left = size
-
-    def has_room(self, additional: int, taken: int) -> bool:
-        """Whether a body that has taken `taken` bytes may take `additional` more."""
-        reserve = self.size // SMALL_RESERVE if additional + taken > SMALL else 0
-        return self.left - additional >= reserve
-
-    def most(self) -> int:
-        """Return the most bytes that one long body may take."""
-        return self.size - self.size // SMALL_RESERVE
-
-    def piece(self) -> int:
-        """Return how much of a long body to read at a time: the less of the budget is left, the less."""
-        return max(LEAST_PIECE, min(READ_SIZE, self.left // PIECES))
-
-
-class Body(list[bytes]):
-    """The parts of a body. They take from the memory budget until the object is freed.
-
-    Invariant: `taken` is the larger of the bytes that were reserved and the bytes that are stored.
-    """
-
-    __slots__ = ("budget", "size", "taken")
-
-    def __init__(self, budget: MemoryBudget) -> None:
-        super().__init__()
-        self.budget = budget
-        self.size = 0
-        self.taken = 0
-
-    def reserve(self, size: int) -> None:
-        """Take `size` bytes in all from the budget; raise `OutOfBudget` if it has too few left."""
-        additional = size - self.taken
-        if additional > 0:
-            if not self.budget.has_room(additional, self.taken):
-                raise OutOfBudget(additional)
-            self.budget.left -= additional
-            self.taken = size
-
-    def append(self, part: bytes) -> None:
-        """Add a part; raise `OutOfBudget` if the budget has too little left for it."""
-        self.reserve(self.size + len(part))
-        self.size += len(part)
-        if self and len(self[-1]) + len(part) <= MERGED:
-            self[-1] += part  # a bytes object of one byte takes forty times its size
-        else:
-            super().append(part)
-
-    def __del__(self) -> None:
-        self.budget.left += self.taken
-
-
-def reserved(loop: Loop, body: Body, size: int, within: int) -> Coroutine[None]:
-    """Reserve `size` bytes in all for a body; raise `OutOfBudget` if that is not possible within `within`."""
-    until = loop.time + within
-    while True:
-        try:
-            body.reserve(size)
-            return
-        except OutOfBudget:
-            if loop.time >= until or size > body.budget.size:
-                raise
-        yield Wait(None, 0, loop.time + BUDGET_RETRY)
-
-
 class LocalError(OSError):
     """An operation failed on this machine before anything was sent."""
 
--- a/loftweir/replication/line.py
+++ b/loftweir/replication/line.py
@@ -11,8 +11,9 @@
 
 from loftweir.interface import Outcome
 from loftweir.net.loop import READABLE, SECOND, WOKEN, WRITABLE, Coroutine, Loop, Task, Wait
+from loftweir.net.memory import READ_SIZE
 from loftweir.net.standing import StandingTask
-from loftweir.net.stream import READ_SIZE, ConnectError, TimedOut, connect
+from loftweir.net.stream import ConnectError, TimedOut, connect
 from loftweir.replication.wire import BadFrame, ConnectionRejected, Frame, FrameReader, Hello, TurnedAway, encode_frame
 
 GREETING_TIMEOUT = SECOND  # from the connection's start until both sides have sent a `Hello`
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -17,7 +17,8 @@
 from loftweir.http1.front import Frontend
 from loftweir.http1.stage import Stage
 from loftweir.net.loop import SECOND, Loop, Wait
-from loftweir.net.stream import Body, MemoryBudget, TimedOut
+from loftweir.net.memory import Body, MemoryBudget
+from loftweir.net.stream import TimedOut
 
 REQUEST = b"GET /api HTTP/1.1\r\nHost: h\r\nReq-Id: %s\r\nReq-Kind: status-read\r\n\r\n"
 LONG = bytes(range(256)) * 2048  # more than the machine of a slow client accepts at a time
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -24,7 +24,7 @@
 from loftweir.http1.pool import ProviderConnection
 from loftweir.interface import Outcome
 from loftweir.net.loop import Loop
-from loftweir.net.stream import Body, MemoryBudget
+from loftweir.net.memory import Body, MemoryBudget
 
 
 def reset(sock):
--- a/tests/test_pipelined_errors.py
+++ b/tests/test_pipelined_errors.py
@@ -44,7 +44,7 @@
 FAULT = f"""
 from loftweir.core import host
 from loftweir.http1 import request_reader
-from loftweir.net.stream import OutOfBudget
+from loftweir.net.memory import OutOfBudget
 
 real_accept, real_reserved = host.Host.accept, request_reader.reserved
 
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -19,8 +19,9 @@
 from loftweir.http1.request_reader import RequestReader
 from loftweir.net import progress as progress_module
 from loftweir.net.loop import Loop
+from loftweir.net.memory import Body, MemoryBudget
 from loftweir.net.progress import LONGEST_UNSEEN, LOWEST_READ_RATE, ReadProgress, send_as_read
-from loftweir.net.stream import Body, MemoryBudget, TimedOut
+from loftweir.net.stream import TimedOut
 
 KIB = 1024
 MIB = 1024 * KIB
