The parsed head of a request is not kept while its body is awaited and it is answered

What callers saw: the process was killed for memory under some hundreds of requests with heads of many short fields.

Cause: HttpRequest kept its fields twice, as pairs and by name, until its last attempt had ended. A field of eight bytes takes some 300 there, and no budget counts it: 33 kB of resident memory for a head of 7 kB, and 130 kB for 8 kB of the shortest fields.

Change: a request is kept as the lines that are forwarded, which are made when its head is admitted. RequestHead, as parsed, ends there.

Class: memory that a client chooses and no limit counts.

--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -348,9 +348,9 @@
         """Return the parts of the request as it is sent, without a body that is forwarded."""
         request = attempt.invocation.payload
         assert isinstance(request, HttpRequest)
-        method, target, pairs, fields, body = request
-        head = b"%s %s HTTP/1.1\r\n%s" % (method, target, end_to_end_lines(pairs, fields))
-        if b"host" not in fields:  # HTTP/1.0
+        method, target, lines, has_host, body = request
+        head = b"%s %s HTTP/1.1\r\n%s" % (method, target, lines)
+        if not has_host:  # HTTP/1.0
             head += b"Host: service.internal\r\n"
         if not isinstance(body, list):
             head += b"Content-Length: %d\r\n" % (body.length or 0)
--- a/loftweir/http1/client.py
+++ b/loftweir/http1/client.py
@@ -14,7 +14,7 @@
 from loftweir.core.invocation import AnswerKind, FinalAnswer, Invocation
 from loftweir.http1.access_trace import CLIENT_GONE, AccessTrace
 from loftweir.http1.flow import Upload
-from loftweir.http1.message import BodyStream, HttpRequest, HttpResponse, text_response
+from loftweir.http1.message import BodyStream, HttpResponse, RequestHead, text_response
 from loftweir.http1.request import BadRequest, check_length, is_health_check, to_invocation
 from loftweir.http1.request_reader import RequestReader, has_whole_request
 from loftweir.http1.response import (
@@ -363,16 +363,16 @@
 
     # ---- deciding -------------------------------------------------------------------------------
 
-    def admit(self, request: HttpRequest) -> Invocation | None:
+    def admit(self, head: RequestHead, body: list[bytes]) -> Invocation | None:
         """Check a request's head, so that nothing is read of a request that can't be served.
 
         Returns the invocation, or None for a health check.
         """
         options = self.front.options
-        check_length(request.fields, options.limits.body)
-        if is_health_check(request):
+        check_length(head.fields, options.limits.body)
+        if is_health_check(head):
             return None
-        return to_invocation(request, self.host.settings, options.log.access != "off")
+        return to_invocation(head, body, self.host.settings, options.log.access != "off")
 
     def has_left(self) -> bool:
         """Whether the client has disconnected."""
--- a/loftweir/http1/message.py
+++ b/loftweir/http1/message.py
@@ -41,13 +41,22 @@
     body: list[bytes] | BodyStream
 
 
-class HttpRequest(NamedTuple):
-    """A request as it arrived, which attempts forward."""
+class RequestHead(NamedTuple):
+    """The parsed head of a request. It takes many times the memory of its bytes, so it is not kept."""
 
     method: bytes
     target: bytes
     pairs: Pairs
     fields: Fields
+
+
+class HttpRequest(NamedTuple):
+    """A request as attempts forward it."""
+
+    method: bytes
+    target: bytes
+    lines: bytes  # its end-to-end fields, each ended by CR LF
+    has_host: bool  # whether they include Host
     body: list[bytes] | BodyStream
 
 
@@ -65,6 +74,12 @@
     return b"".join([b"%s: %s\r\n" % pair for pair in pairs if pair[0].lower() not in dropped])
 
 
+def forwardable(head: RequestHead, body: list[bytes] | BodyStream) -> HttpRequest:
+    """Return the request that is forwarded for a head and a body."""
+    lines = end_to_end_lines(head.pairs, head.fields)
+    return HttpRequest(head.method, head.target, lines, b"host" in head.fields, body)
+
+
 def text_response(status: int, text: str, *headers: tuple[str, str]) -> HttpResponse:
     """Return a plain-text response of the sidecar's own."""
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
--- a/loftweir/http1/named.py
+++ b/loftweir/http1/named.py
@@ -6,7 +6,7 @@
 
 from loftweir.core.invocation import Invocation
 from loftweir.http1.client import ClientConnection
-from loftweir.http1.message import HttpRequest
+from loftweir.http1.message import RequestHead
 from loftweir.http1.request import BadRequest
 
 if TYPE_CHECKING:
@@ -25,14 +25,14 @@
 
         __slots__ = ()
 
-        def admit(self, request: HttpRequest) -> Invocation | None:
+        def admit(self, head: RequestHead, body: list[bytes]) -> Invocation | None:
             """Check a request's head as the base class does, and select the host by its Host field."""
             self.host = self.front.host
-            invocation = super().admit(request)
+            invocation = super().admit(head, body)
             if invocation is not None:
-                if sum(name.lower() == b"host" for name, _ in request.pairs) > 1:
+                if sum(name.lower() == b"host" for name, _ in head.pairs) > 1:
                     raise BadRequest("Host comes twice")
-                self.host = hosts.admit(request.fields.get(b"host", b"").decode("latin-1"), invocation)
+                self.host = hosts.admit(head.fields.get(b"host", b"").decode("latin-1"), invocation)
             return invocation
 
     return ServiceClientConnection
--- a/loftweir/http1/request.py
+++ b/loftweir/http1/request.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from loftweir.core.invocation import InvalidRequest, Invocation, check
-from loftweir.http1.message import Fields, HttpRequest
+from loftweir.http1.message import BodyStream, Fields, RequestHead, forwardable
 from loftweir.interface import RequestClass, Settings
 from loftweir.net.loop import MS
 from loftweir.net.memory import TooLarge
@@ -36,7 +36,7 @@
         raise TooLarge
 
 
-def is_health_check(request: HttpRequest) -> bool:
+def is_health_check(request: RequestHead) -> bool:
     """Whether it is a health check of the sidecar itself; raise `BadRequest` for an unknown path or method."""
     path = request.target.partition(b"?")[0]
     if path == HEALTH_PATH:
@@ -48,10 +48,10 @@
     return False
 
 
-def to_invocation(request: HttpRequest, settings: Settings, traced: bool) -> Invocation:
-    """Return the invocation for a request, still without its body; raise `BadRequest` if it can't be taken."""
-    fields = request.fields
-    _check_repeated(request)
+def to_invocation(head: RequestHead, body: list[bytes] | BodyStream, settings: Settings, traced: bool) -> Invocation:
+    """Return the invocation for a request whose body may not have arrived; raise `BadRequest` if it can't be taken."""
+    fields = head.fields
+    _check_repeated(head)
     request_id, class_name = _text(fields, b"req-id"), _text(fields, b"req-kind", "utf-8")
     try:
         cls = check(settings.classes.get(class_name), class_name, bool(fields.get(b"idempotency-key")))
@@ -61,8 +61,8 @@
         request_id,
         cls,
         _time_left(fields, cls),
-        request,
-        write=request.method != b"GET",
+        forwardable(head, body),
+        write=head.method != b"GET",
         client_retry=fields.get(b"req-retry") == b"1",
         traced=traced,
         key=_routing_key(fields.get(b"req-key")),
@@ -78,7 +78,7 @@
     return slash + path if slash else b"/" + authority[len(authority.partition(b"?")[0]) :]
 
 
-def _check_repeated(request: HttpRequest) -> None:
+def _check_repeated(request: RequestHead) -> None:
     """Raise `BadRequest` if one of the sidecar's own fields occurs twice."""
     if len(request.fields) == len(request.pairs):
         return
--- a/loftweir/http1/request_reader.py
+++ b/loftweir/http1/request_reader.py
@@ -11,7 +11,7 @@
 from loftweir.core.invocation import Invocation
 from loftweir.http1 import grammar
 from loftweir.http1.flow import Upload
-from loftweir.http1.message import HttpRequest, by_name
+from loftweir.http1.message import RequestHead, by_name
 from loftweir.http1.request import BadRequest, origin_form
 from loftweir.http1.stage import Stage
 from loftweir.http1.strict import H11Reader, fixed
@@ -85,18 +85,21 @@
         end = head.end + head.length
         if len(data) >= end:
             self.rest = data[end:]
-        self.invocation = self.client.admit(HttpRequest(head.first, head.second, head.pairs, head.fields, body))
-        if self.invocation is not None and head.length > body.budget.most():
+        length = head.length
+        self.invocation = self.client.admit(RequestHead(head.first, head.second, head.pairs, head.fields), body)
+        if self.invocation is not None and length > body.budget.most():
             body.append(data[head.end : end])
-            self.upload = self._upload(self.invocation, body, head.length)
+            self.upload = self._upload(self.invocation, body, length)
             self.rest = None
             return True
-        if head.length:
-            yield from self._reserve(body, head.length)
-            body.append(data[head.end : end])
+        data = data[head.end : end]
+        del head  # it takes far more memory than its bytes
+        if length:
+            yield from self._reserve(body, length)
+            body.append(data)
         del data  # else its bytes are in memory twice while the rest is awaited
-        if body.size < head.length:
-            yield from self._fill(body, head.length)
+        if body.size < length:
+            yield from self._fill(body, length)
             self.rest = b""
         return True
 
@@ -134,30 +137,38 @@
 
     def _read_strictly(self, reader: H11Reader) -> Coroutine[bool]:
         """Read a request with h11; return False if the connection ended before one began."""
-        client = self.client
-        head = yield from reader.next_event(fixed(self.until))
-        if not isinstance(head, h11.Request):
+        body = Body(self.front.budget)
+        length = yield from self._strict_head(reader, body)
+        if length is None:
             return False
-        client.method, client.http_1_0 = head.method, head.http_version < b"1.1"
-        pairs = list(head.headers.raw_items())
-        request = HttpRequest(head.method, origin_form(head.target), pairs, by_name(pairs), [])
-        self.invocation = client.admit(request)
         if reader.http.they_are_waiting_for_100_continue and self.invocation is not None:
-            client.sock.send(CONTINUE)
+            self.client.sock.send(CONTINUE)
         try:
-            body = yield from self._strict_body(reader, int(request.fields.get(b"content-length", 0)))
+            yield from self._strict_body(reader, body, length)
         except OutOfBudget:
             self.rest = reader.rest_at_hand()
             raise
-        if self.invocation is not None:
-            self.invocation.payload = request._replace(body=body)
         self.rest = reader.rest() if reader.whole() else None
         self.ended = reader.http.trailing_data[1]
         return True
 
-    def _strict_body(self, reader: H11Reader, length: int) -> Coroutine[Body]:
+    def _strict_head(self, reader: H11Reader, body: Body) -> Coroutine[int | None]:
+        """Read a head with h11 and admit its request, whose body will be read into `body`.
+
+        Returns the length of the body that the head announces, 0 if none; None if the connection ended before a head.
+        """
+        head = yield from reader.next_event(fixed(self.until))
+        if not isinstance(head, h11.Request):
+            return None
+        client = self.client
+        client.method, client.http_1_0 = head.method, head.http_version < b"1.1"
+        pairs = list(head.headers.raw_items())
+        request = RequestHead(head.method, origin_form(head.target), pairs, by_name(pairs))
+        self.invocation = client.admit(request, body)
+        return int(request.fields.get(b"content-length", 0))
+
+    def _strict_body(self, reader: H11Reader, body: Body, length: int) -> Coroutine[None]:
         """Read a body with h11; `length`: what its head announces, 0 if nothing."""
-        body = Body(self.front.budget)
         yield from self._reserve(body, length)
 
         def keep(part: bytes) -> Coroutine[None]:
@@ -166,7 +177,6 @@
 
         self._begin_body()
         yield from reader.body(self._read_by, self.limits.body, keep)
-        return body
 
     # ---- memory and time ------------------------------------------------------------------------
 
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -88,8 +88,8 @@
 
     def begin(self):
         """Begin an attempt at the server."""
-        fields = {b"host": b"h", b"req-id": b"r%d" % len(self.ended_with)}
-        message = HttpRequest(b"POST", b"/api", list(fields.items()), fields, [b"{}"])
+        lines = b"host: h\r\nreq-id: r%d\r\n" % len(self.ended_with)
+        message = HttpRequest(b"POST", b"/api", lines, True, [b"{}"])
         invocation = Invocation("r", CLASSES[1], SECOND, message)
         invocation.deadline = self.loop.now() + 2 * SECOND
         self.back.begin(ProviderAttempt(invocation, "s", 0, self.loop.now()))
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -324,7 +324,7 @@
         connection.idle_since = idle_since = loop.time - 1000 * MS
         upload = Upload(loop, theirs, Body(MemoryBudget(1 << 20)), 9 << 20, 1000 * MS)
         upload.begun = True
-        request = HttpRequest(b"POST", b"/api", [], {}, upload)
+        request = HttpRequest(b"POST", b"/api", b"", False, upload)
         back.begin(ProviderAttempt(Invocation("r", settings().classes["push"], 1000 * MS, request), "s", 0, loop.time))
         self.assertEqual(outcomes, [Outcome.NOT_SENT])
         self.assertEqual([c.idle_since for c in back.pool.idle], [idle_since])
--- a/tests/test_request_key.py
+++ b/tests/test_request_key.py
@@ -2,15 +2,15 @@
 
 from support import settings
 
-from loftweir.http1.message import HttpRequest, by_name
+from loftweir.http1.message import RequestHead, by_name
 from loftweir.http1.request import to_invocation
 
 
 def key_of(*more):
     """The key of a request with these additional fields."""
     pairs = [(b"Req-Id", b"r1"), (b"Req-Kind", b"read"), *more]
-    message = HttpRequest(b"GET", b"/api", pairs, by_name(pairs), [])
-    return to_invocation(message, settings(), False).event(0.0).key
+    head = RequestHead(b"GET", b"/api", pairs, by_name(pairs))
+    return to_invocation(head, [], settings(), False).event(0.0).key
 
 
 def test_the_key_is_passed_on_and_a_missing_or_bad_one_is_none():
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -318,7 +318,7 @@
     cls = settings().classes["push"]
     front = SimpleNamespace(options=Options(), loop=None)
     reader = RequestReader(SimpleNamespace(front=front, sock=None), 0)
-    invocation = Invocation("r", cls, 3 * SECOND, HttpRequest(b"POST", b"/api", [], {}, []))
+    invocation = Invocation("r", cls, 3 * SECOND, HttpRequest(b"POST", b"/api", b"", False, []))
     reader._upload(invocation, Body(MemoryBudget(MIB)), length)
     takes = length * SECOND // 64_000
     assert invocation.time_left >= 3 * SECOND + takes
