What is in memory of an answer takes from the budget until its client has it

What callers saw: the process was killed for memory by clients that read long answers slowly, or answers with heads of very many fields. Beside them an answer of up to 64 KiB became a 502 although its server had given it.

Cause: the budget counted an answer only while it was buffered. A piece of a forwarded one (64 KiB for each of 500 clients), what h11 had read and not returned, and the parsed head were in none. And an answer for which the budget had no room was dropped.

Evidence: memory.high with answers_left_kb 4,096 of 4,096 at 40 MB resident.

Change: the piece that is being written and long heads are counted; answers are read in pieces that shrink with what is left (4 KiB at least); the parsed head ends when it is judged. Without room a short answer is forwarded as it arrives, like a long one.

--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -160,7 +160,7 @@
             if not (yield Wait(sock, READABLE, give_up_at)):
                 raise TimedOut
             try:
-                data = sock.recv(READ_SIZE)
+                data = sock.recv(self.budget.piece())
             except BlockingIOError:
                 return (yield from self._strictly(attempt, connection, None))
             if unacknowledged(sock):
@@ -169,20 +169,23 @@
             head = grammar.response(data)
             if head is None:
                 return (yield from self._strictly(attempt, connection, data))
-            limits = self.pool.options.limits
-            if head.length > limits.answer:
+            limits, length = self.pool.options.limits, head.length
+            if length > limits.answer:
                 return Outcome.ERROR, None, False  # its head tells its length: it is not read
             body = Body(self.budget)
             if len(data) > head.end:
-                body.append(data[head.end :])
-            if head.length > limits.held and body.size < head.length:
+                body.hold(data[head.end :])
+            outcome, response = self._outcome(int(head.first), head.second, head.pairs, head.fields, body)
+            del head  # it takes far more memory than its bytes
+            if body.size < length and (length > limits.held or not self._can_take(body, length + 1)):
                 if not body.size:
-                    buffering = ResponseBuffering(head.length, limits.held, self.loop.time, give_up_at)
+                    buffering = ResponseBuffering(length, limits.held, self.loop.time, give_up_at)
                     yield from self._await_body(sock, buffering.latest)
-                return self._forwarded(attempt, connection, int(head.first), head, body, head.length, None)
-            while body.size < head.length:
+                return self._forwarded(attempt, connection, outcome, response, body, length, None)
+            while body.size < length:
                 try:
-                    data = sock.recv(READ_SIZE)
+                    # One byte more, if there is one, tells that something follows the response.
+                    data = sock.recv(min(READ_SIZE, length - body.size + 1))
                 except BlockingIOError:
                     if not (yield Wait(sock, READABLE, give_up_at)):
                         raise TimedOut from None
@@ -191,10 +194,10 @@
                     return Outcome.RESET, None, False
                 body.append(data)
             # Data behind the response, a duplicate or garbage, would be taken for the next response.
-            whole = body.size == head.length
+            whole = body.size == length
             if not whole:
-                body[-1] = body[-1][: head.length - body.size]
-            return self._outcome(int(head.first), head.second, head.pairs, head.fields, body, whole)
+                body[-1] = body[-1][: length - body.size]
+            return outcome, response, whole
         except TimedOut:
             # A machine that vanished leaves its connections open and silent. Only a new connection can tell, and if it
             # fails, that proves that nothing ran. So the idle connections are closed, unless the provider has answered
@@ -214,9 +217,16 @@
     ) -> Coroutine[ExchangeResult]:
         """Read a response with h11, as it is not in the common form."""
         options, until = self.pool.options, attempt.give_up_at
-        reader = H11Reader(connection.sock, h11.CLIENT, data)
+        reader = H11Reader(connection.sock, h11.CLIENT, data, self.budget.piece())
+        del data
+        body = Body(self.budget)
+
+        def make_room(size: int) -> Coroutine[None]:
+            body.hold_head(size)
+            yield from ()
+
         for _ in range(options.providers.information + 1):
-            head = yield from reader.next_event(fixed(until))
+            head = yield from reader.next_event(fixed(until), make_room)
             if not isinstance(head, h11.InformationalResponse):
                 break
         if not isinstance(head, h11.Response):
@@ -229,24 +239,28 @@
         length = int(fields[b"content-length"]) if has_length else None
         if (length or 0) > options.limits.answer:
             return Outcome.ERROR, None, False
-        body = Body(self.budget)
+        outcome, response = self._outcome(head.status_code, head.reason, pairs, fields, body)
+        del head, pairs, fields  # they take far more memory than their bytes
         buffering = ResponseBuffering(length, options.limits.held, self.loop.time, until)
+        if not buffering.may_be_long() and not self._can_take(body, length or 0):
+            return self._forwarded(attempt, connection, outcome, response, body, length, reader)
         while part := (yield from self._part(reader, body, buffering, until)):
             body.append(part)
             buffering.add_part(self.loop.time)
             if buffering.is_begun(body.size, self.loop.time):
                 break
         if part or part is None:
-            read = grammar.Head(b"", head.reason, pairs, fields, 0, 0)
-            return self._forwarded(attempt, connection, head.status_code, read, body, length, reader)
-        reusable = reader.whole() and not reader.rest()
-        return self._outcome(head.status_code, head.reason, pairs, fields, body, reusable)
+            return self._forwarded(attempt, connection, outcome, response, body, length, reader)
+        return outcome, response, reader.whole() and not reader.rest()
 
     def _part(self, reader: H11Reader, body: Body, buffering: ResponseBuffering, until: int) -> Coroutine[bytes | None]:
         """Return the next part of a response; None if the response must not be buffered any longer."""
         if not buffering.may_be_long():
             return (yield from reader.part(fixed(until)))
-        if body.size > buffering.held and not self._can_buffer(body):
+        reader.read_size = self.budget.piece()
+        if body.size > buffering.held and self.budget.left < self.budget.size // 2:
+            return None  # half of the budget is left for other responses
+        if not self._can_take(body, body.size + reader.read_size):
             return None
         try:
             return (yield from reader.part(lambda: buffering.begin_by(body.size)))
@@ -262,16 +276,12 @@
             if not sock.recv(1, socket.MSG_PEEK):
                 raise ConnectionResetError("the provider closed the connection before the body of its response")
 
-    def _can_buffer(self, body: Body) -> bool:
-        """Whether a long response can be buffered further.
-
-        If so, memory for its next part is reserved, and half of the budget is left for other responses.
-        """
-        if self.budget.left < self.budget.size // 2:
-            return False
+    def _can_take(self, body: Body, size: int) -> bool:
+        """Reserve memory for `size` bytes of a response; without, it is forwarded as it arrives."""
         try:
-            body.reserve(body.size + READ_SIZE)
-        except OutOfBudget:
+            body.reserve(size)
+        except OutOfBudget as error:
+            emit(MEMORY_SHORT, of="answers", bytes=error.size, left_kb=self.budget.left // KIB)
             return False
         return True
 
@@ -279,14 +289,13 @@
         self,
         attempt: ProviderAttempt,
         connection: ProviderConnection,
-        status: int,
-        head: grammar.Head,
+        outcome: Outcome,
+        response: HttpResponse | None,
         body: Body,
         length: int | None,
         reader: H11Reader | None,
-    ) -> tuple[Outcome, HttpResponse | None, bool | None]:
+    ) -> ExchangeResult:
         """Return the result for a long response: its outcome is known, and the response owns the connection."""
-        outcome, response, _ = self._outcome(status, head.second, head.pairs, head.fields, body, False)
         if response is None:
             return outcome, None, False
         pool, limits = self.pool, self.pool.options.limits
@@ -315,18 +324,18 @@
 
     @staticmethod
     def _outcome(
-        status: int,
-        reason: bytes,
-        pairs: list[tuple[bytes, bytes]],
-        fields: dict[bytes, bytes],
-        body: list[bytes],
-        reusable: bool,
-    ) -> tuple[Outcome, HttpResponse | None, bool]:
-        """Return the outcome that a response means, the response with OK, and `reusable` as given."""
+        status: int, reason: bytes, pairs: list[tuple[bytes, bytes]], fields: dict[bytes, bytes], body: Body
+    ) -> tuple[Outcome, HttpResponse | None]:
+        """Return the outcome that a response means and, with OK, the response; its body may not have arrived.
+
+        Raises `OutOfBudget` if there is no memory for its fields.
+        """
         if status == 200:
-            return Outcome.OK, HttpResponse(200, reason, end_to_end_lines(pairs, fields), body), reusable
+            lines = end_to_end_lines(pairs, fields)
+            body.hold_head(len(lines))
+            return Outcome.OK, HttpResponse(200, reason, lines, body)
         declined = status in (503, 504) and fields.get(b"srv-declined") == b"1"
-        return Outcome.FULL if declined else Outcome.ERROR, None, reusable
+        return Outcome.FULL if declined else Outcome.ERROR, None
 
     def _forward_body(
         self, attempt: ProviderAttempt, connection: ProviderConnection, body: BodyStream
--- a/loftweir/http1/flow.py
+++ b/loftweir/http1/flow.py
@@ -52,6 +52,8 @@
         self.length = length
         self.reader = reader
         self.budget = budget
+        self.head_size = received.head_size
+        self.held = Held(budget)  # the piece that is being written, and the head
         self.silent_for = silent_for
         self.limit = limit
         self.deadline = deadline
@@ -66,6 +68,7 @@
             piece = b"".join(received)
         else:
             piece = yield from self._next()
+        self.held.replace(self.head_size + len(piece))
         self.returned += len(piece)
         if self.returned > self.limit:
             raise TooLarge
@@ -76,6 +79,7 @@
     def _next(self) -> Coroutine[bytes]:
         """Read the next piece from the connection."""
         if self.reader is not None:
+            self.reader.read_size = self.budget.piece()
             try:
                 return (yield from self.reader.part(self._silent_until))
             except h11.RemoteProtocolError as error:
@@ -109,6 +113,7 @@
         release, self.release = self.release, None
         if release is not None:
             self.received = None
+            self.held.replace(0)
             release(reusable)
 
     def __del__(self) -> None:
@@ -133,7 +138,7 @@
         self.length: int | None = length
         self.remaining = length - received.size
         self.silent_for = silent_for
-        self.piece = Held(self.budget)  # the piece that is being written
+        self.held = Held(self.budget)  # the piece that is being written
         self.begun = False
         self.over = False
         self.error: Exception | None = None  # why it failed, which is the client's fault
@@ -159,7 +164,7 @@
                 self._end(ConnectionResetError("the client closed the connection inside its body"))
                 continue
             self.remaining -= len(data)
-            self.piece.replace(len(data))
+            self.held.replace(len(data))
             return data
         if self.error is not None:
             raise UploadFailed
@@ -175,5 +180,5 @@
         """End it: nothing more is pulled."""
         if not self.over:
             self.over = True
-            self.piece.replace(0)
+            self.held.replace(0)
             self.on_over()
--- a/loftweir/http1/request_reader.py
+++ b/loftweir/http1/request_reader.py
@@ -101,7 +101,8 @@
             self.rest = data[end:]
         length = head.length
         self.invocation = self.client.admit(RequestHead(head.first, head.second, head.pairs, head.fields), body)
-        self._count_head(body, head.end)
+        if head.end > LEAST_READ:
+            body.head_size = head.end
         data = data[head.end : end]
         del head  # it takes far more memory than its bytes
         if self.invocation is not None and length > body.budget.most():
@@ -210,16 +211,10 @@
         self._begin_body()
         yield from reader.body(self._read_by, self.limits.body, keep, partial(self._make_room, body))
 
-    @staticmethod
-    def _count_head(body: Body, size: int) -> None:
-        """Have a head of `size` bytes count with its body; what fits into one small read is not counted."""
-        if size > LEAST_READ:
-            body.head_size = max(body.head_size, size)
-
     def _make_room(self, body: Body, size: int) -> Coroutine[None]:
         """Wait for memory for a head, or a trailer, of which `size` bytes have been read."""
-        self._count_head(body, size)
-        if body.head_size:
+        if size > max(LEAST_READ, body.head_size):
+            body.head_size = size
             yield from self._reserve(body, body.size)
 
     # ---- memory and time ------------------------------------------------------------------------
--- a/loftweir/http1/response.py
+++ b/loftweir/http1/response.py
@@ -83,6 +83,7 @@
             piece = yield from body.pull()
             whole = not piece
             parts = [b"%x\r\n" % len(piece), piece, b"\r\n"] if chunked else [piece]
+            del piece  # else it is in memory until the next one arrives
             yield from send_as_read(sock, parts, progress)
     except TooLarge:
         raise ConnectionAbortedError("the response is larger than limits.answer") from None
--- a/loftweir/net/memory.py
+++ b/loftweir/net/memory.py
@@ -87,6 +87,26 @@
     def append(self, part: bytes) -> None:
         """Add a part; raise `OutOfBudget` if the budget has too little left for it."""
         self.reserve(self.size + len(part))
+        self._store(part)
+
+    def hold(self, part: bytes) -> None:
+        """Add a part that is in memory already, whatever the budget has left."""
+        additional = max(0, self.size + len(part) + self.head_size - self.taken)
+        self.budget.left -= additional
+        self.taken += additional
+        self._store(part)
+
+    def hold_head(self, size: int) -> None:
+        """Count a head of `size` bytes that is in memory with the body; one small read is not counted.
+
+        Raises `OutOfBudget` if the budget has too little left for it.
+        """
+        if size > max(LEAST_READ, self.head_size):
+            self.head_size = size
+            self.reserve(self.size)
+
+    def _store(self, part: bytes) -> None:
+        """Store a part for which memory has been taken."""
         self.size += len(part)
         if self and len(self[-1]) + len(part) <= MERGED:
             self[-1] += part  # a bytes object of one byte takes forty times its size
