The memory budgets are fitted to what the limit leaves beside the process and its connections

Cause: the budgets were 25% and 12.5% of memory_mb, whatever the process takes itself: 20.7 MB at rest, and up to 14 KiB for each of 512 connections. Both budgets full and no connection at all make 33 MB.

Change: MemoryWatch.fit_budgets reads the resident memory, as the kernel counts it, before the first request, and makes both budgets smaller in the same ratio if the limit leaves too little. At 192 MB nothing changes. The keys' values are the most that the budgets may have. A limit that the process passes at rest can't be kept and changes nothing.

--- a/loftweir/memory_watch.py
+++ b/loftweir/memory_watch.py
@@ -1,4 +1,4 @@
-"""Logs how the process's memory is used: the budgets at the start, and a warning near the platform's limit."""
+"""Keeps the process within the platform's memory: fits the budgets to what is left, and warns near the limit."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 from loftweir.http1.front import Frontend
 from loftweir.http1.stage import Stage
 from loftweir.net.loop import MS, Coroutine, Loop, Wait
+from loftweir.net.memory import BudgetSizes
 from loftweir.telemetry.catalogue import MEMORY_HIGH, MEMORY_LIMITS
 from loftweir.telemetry.log import emit
 
@@ -29,7 +30,7 @@
 
 
 class MemoryWatch:
-    """Watches the resident memory of the process."""
+    """Fits the budgets to the limit, and watches the resident memory of the process."""
 
     def __init__(self, loop: Loop, front: Frontend, back: Backend, limit: int) -> None:
         """`limit`: the platform's, in bytes."""
@@ -38,12 +39,17 @@
         self.back = back
         self.limit = limit
 
-    def log_limits(self) -> None:
-        """Log the limit, what is resident now, and the budgets."""
+    def fit_budgets(self) -> None:
+        """Fit the budgets into what the limit leaves now, before any request, and log them."""
+        resident = resident_bytes()
+        sizes = BudgetSizes(self.front.budget.size, self.back.budget.size)
+        fitted = sizes.fitted(self.limit, resident, self.front.max_clients)
+        self.front.budget.resize(fitted.requests)
+        self.back.budget.resize(fitted.answers)
         emit(
             MEMORY_LIMITS,
             limit_kb=self.limit // KIB,
-            resident_kb=resident_bytes() // KIB,
+            resident_kb=resident // KIB,
             requests_kb=self.front.budget.size // KIB,
             answers_kb=self.back.budget.size // KIB,
             connections=self.front.max_clients,
--- a/loftweir/net/memory.py
+++ b/loftweir/net/memory.py
@@ -6,12 +6,16 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from loftweir.net.loop import MS, Coroutine, Loop, Wait
 
 KIB = 1024  # bytes
 READ_SIZE = 64 * KIB  # bytes: the most that is read at a time
 LEAST_READ = 4 * KIB  # bytes: the least that is read at a time, however little memory is left
 UNCOUNTED = 2 * LEAST_READ  # bytes of a client's connection: data of a request, and a piece of its answer
+CONNECTION_OBJECTS = 6 * KIB  # bytes: the objects of a client's connection with a request in flight
+MARGIN = 16  # one part in so many of the limit is left free, for freed memory that can't be used again
 SMALL = 64 * KIB  # bytes: a body up to this size is buffered whole, and may use the whole memory budget
 SMALL_RESERVE = 4  # one part in so many of the budget is for small bodies only
 PIECES = 64  # pieces of long bodies in memory at a time, among which the budget is divided
@@ -19,6 +23,25 @@
 BUDGET_RETRY = 10 * MS  # until it is checked again whether a body fits into the budget
 
 
+class BudgetSizes(NamedTuple):
+    """How much memory requests and answers may take, in bytes."""
+
+    requests: int
+    answers: int
+
+    def fitted(self, limit: int, resident: int, clients: int) -> BudgetSizes:
+        """Return sizes that keep the process within `limit` bytes: these, or both smaller in the same ratio.
+
+        `resident`: what the process takes at rest, in bytes; `clients`: the most connections of clients. A limit that
+        the process passes at rest can't be kept, and changes nothing.
+        """
+        if limit <= resident:
+            return self
+        free = limit - resident - clients * (UNCOUNTED + CONNECTION_OBJECTS) - limit // MARGIN
+        scale = min(1.0, max(free, limit // MARGIN) / (self.requests + self.answers))
+        return BudgetSizes(int(self.requests * scale), int(self.answers * scale))
+
+
 class TooLarge(Exception):
     """A body is larger than allowed, or than the memory budget has left."""
 
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -212,6 +212,7 @@
             # The sidecar counts as notified of what the agent has from its first moment on, and the platform's list is
             # older than that.
             self.front.opens_at = self.loop.now() + SHORTEST_FRESH_TIMEOUT
+        self.memory_watch.fit_budgets()
         if platform.listen_fd is None:
             self.front.listen(platform.listen)
         else:
@@ -231,7 +232,6 @@
             self.fleet.start()
         StandingTask(self.loop, lambda: self._handle_signals(woken, wakes, received, reload))
         StandingTask(self.loop, self._keep_log)
-        self.memory_watch.log_limits()
         StandingTask(self.loop, self.memory_watch.run)
 
     def _initial_list(
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -20,6 +20,8 @@
     short_fields,
 )
 
+from loftweir.net.memory import BudgetSizes
+
 MEGABYTE = 1_000_000  # bytes
 CLIENTS = 480
 WAVES = 2
@@ -194,3 +196,23 @@
     picture = PICTURES[name]._replace(answer=served_after(20.0))
     peak, _ = asyncio.run(play(picture, memory_mb=64, long_deadlines=True))
     assert peak < 64 * MEGABYTE
+
+
+@pytest.mark.parametrize(
+    ("limit", "resident", "clients"), [(32, 20, 512), (32, 20, 128), (32, 31, 512), (48, 40, 2048), (192, 24, 512)]
+)
+def test_the_budgets_leave_room_for_what_is_resident_and_for_each_connection(limit, resident, clients):
+    limit, resident = limit * MIB, resident * MIB
+    wanted = BudgetSizes(limit // 4, limit // 8)
+    fitted = wanted.fitted(limit, resident, clients)
+    assert 0 < fitted.requests <= wanted.requests and 0 < fitted.answers <= wanted.answers
+    in_no_budget = resident + clients * 14 * KIB
+    if in_no_budget + limit // 8 < limit:
+        assert in_no_budget + sum(fitted) < limit
+    if in_no_budget + sum(wanted) + limit // 8 < limit:
+        assert fitted == wanted
+
+
+def test_a_limit_below_what_the_program_takes_at_rest_changes_no_budget():
+    wanted = BudgetSizes(4 * MIB, 2 * MIB)
+    assert wanted.fitted(16 * MIB, 20 * MIB, 128) == wanted
