--- a/tests/test_flooding_client.py
+++ b/tests/test_flooding_client.py
@@ -33,6 +33,12 @@
     return head(None, "apply-submit", request_id=f"f{number}") + b"1\r\nx\r\n" * 20 + b"0\r\n\r\n"
 
 
+def endless_chunks(number):
+    if number % 100_000 == 0:
+        return head(None, "apply-submit", request_id=f"f{number}")
+    return b"1\r\nx\r\n"
+
+
 def new_field_names(number):
     return head(0, "status-read", method=b"GET", fields=b"x-%d: 1\r\n" % number, request_id=f"f{number}")
 
@@ -70,6 +76,7 @@
     health_checks,
     reads,
     small_chunks,
+    endless_chunks,
     new_field_names,
     new_keys,
     unknown_classes,
