A request that must run once runs once, though its id comes again or to another process

What callers saw: a client sent a request that must run once, left, and came again with the same id: it ran twice, once its first attempt had ended.

Cause: an id was known until nothing of its request was in flight, and only to the process that had it.

Repeatable requests are not concerned, and an id whose request is known not to have run is free again. New events: invocation.repeated, ids.not_shared.

Class: state of a request that ends with its connection or its process, though the work goes on.

--- a/loftweir/catalog/hosts.py
+++ b/loftweir/catalog/hosts.py
@@ -218,6 +218,7 @@
             self.loop, self._settings_for(service), self.seed ^ crc32(service.key.encode()), side, NoDiscovery()
         )
         host.invocations, host.overload = self.main_host.invocations, self.main_host.overload
+        host.sent_ids = self.main_host.sent_ids
         side.on_attempt_ended = host.attempt_ended
         balancer = self.service_balancers[service.key] = ServiceBalancer(host, ProviderFeed(self._grace()), service)
         self._update_balancer(service.key, balancer)
--- a/loftweir/core/host.py
+++ b/loftweir/core/host.py
@@ -14,8 +14,9 @@
 from loftweir.balance import Balancer
 from loftweir.core.invocation import BROKEN, FAILED, LATE, AnswerKind, FinalAnswer, Invocation, ProviderAttempt
 from loftweir.core.overload import Overload
+from loftweir.core.sent_ids import SentIds
 from loftweir.net.loop import Loop
-from loftweir.telemetry.catalogue import DECISION_BROKEN, DECISION_NOTE
+from loftweir.telemetry.catalogue import DECISION_BROKEN, DECISION_NOTE, INVOCATION_REPEATED
 from loftweir.telemetry.log import emit, traceback_location
 
 
@@ -59,6 +60,7 @@
         self.overload = Overload()
         self.back = back
         self.invocations: dict[str, Invocation] = {}
+        self.sent_ids = SentIds()  # of requests that must run once
         self.events: deque[api.Event] = deque()
         self.handling = False
         self.handlers: dict[type, Callable[[Any], None]] = {
@@ -147,7 +149,8 @@
         for attempt in invocation.attempts:
             if attempt.running is not None:
                 return
-        self.invocations.pop(invocation.id, None)
+        if self.invocations.pop(invocation.id, None) is not None and not invocation.may_have_run():
+            self.sent_ids.discard(invocation.id)
         invocation.attempts.clear()  # breaks the reference cycle, which would keep the response's memory in use
 
     def update_list(self, update: api.MembershipUpdate, addresses: dict[str, str]) -> None:
@@ -178,7 +181,7 @@
         Attempts begin only here, whether a request, the end of another attempt, a timer or a list caused the decision.
         """
         invocation = self.invocations[action.request_id]
-        if not invocation.is_wanted():
+        if not invocation.is_wanted() or not self._may_begin(invocation):
             number, none = len(invocation.attempts), api.Outcome.NOT_SENT
             self.handle(api.AttemptEnded(invocation.id, number, action.provider, none, 0, True))
             return
@@ -186,6 +189,17 @@
         invocation.attempts.append(attempt)
         self.back.begin(attempt)
 
+    def _may_begin(self, invocation: Invocation) -> bool:
+        """Whether an attempt may begin; closes an invocation that must run once and whose id was sent before."""
+        if invocation.attempts or invocation.cls.effect is api.Effect.REPEATABLE:
+            return True
+        if self.sent_ids.claim(invocation.id, self.loop.time):
+            return True
+        emit(INVOCATION_REPEATED, id=invocation.id, **{"class": invocation.cls.name})
+        invocation.repeated = True
+        invocation.close(FAILED)
+        return False
+
     def _timer(self, action: api.Timer) -> None:
         """Start a timer."""
         if action.request_id:
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -25,12 +25,14 @@
 from loftweir.net.standing import StandingTask
 from loftweir.operations.address import DESCRIPTORS, Address
 from loftweir.operations.command_handler import CommandHandler
+from loftweir.operations.shared_ids import SharedIds
 from loftweir.state.disk import Disk
 from loftweir.state.sealed import Damaged
 from loftweir.state.snapshot import ListSource, ListTracker, Snapshot, choose_list, without_removed
 from loftweir.telemetry import log
 from loftweir.telemetry.catalogue import (
     DISCOVERY_LIST,
+    IDS_NOT_SHARED,
     LIFE_CHANGED,
     STATE_DAMAGED,
     STATE_FAILED,
@@ -205,6 +207,7 @@
             signal.signal(number, record)
         if platform.operator:
             self.commands.begin(os.environ.get("TMPDIR"))
+            self._share_ids()
         if self.fleet is not None:
             self.fleet.recall()
         self.commands.update_list(known, addresses)
@@ -234,6 +237,16 @@
         StandingTask(self.loop, self._keep_log)
         StandingTask(self.loop, self.memory_watch.run)
 
+    def _share_ids(self) -> None:
+        """Show the ids of requests that must run once to a process that takes this one's place, or had it before."""
+        if self.commands.store is None:
+            return
+        folder = self.commands.store.path.parent
+        try:
+            self.host.sent_ids.others = SharedIds(folder)
+        except (OSError, ValueError) as error:
+            emit(IDS_NOT_SHARED, folder=str(folder), why=error)
+
     def _initial_list(
         self, platform_list: MembershipUpdate, addresses: dict[str, str]
     ) -> tuple[MembershipUpdate, dict[str, str]]:
--- a/loftweir/telemetry/catalogue.py
+++ b/loftweir/telemetry/catalogue.py
@@ -441,6 +441,22 @@
     "run more sidecars, or raise the limits",
     ("why",),
 )
+INVOCATION_REPEATED = Event(
+    "invocation.repeated",
+    WARNING,
+    ("id", "class"),
+    "a request that must run once has the id of an earlier one that was sent, by this process or another one of this "
+    "sidecar; it fails and is not sent",
+    "each request needs an id of its own, a client's retry too",
+)
+IDS_NOT_SHARED = Event(
+    "ids.not_shared",
+    ERROR,
+    ("folder", "why"),
+    "the ids of requests that must run once can't be written to `$TMPDIR`: during an upgrade a request whose id comes "
+    "to both processes runs twice",
+    "free space there, and start the process again",
+)
 CLIENT_CLOSED = Event(
     "client.closed",
     INFO,
