A client that closed behind much unread input gets no further attempt

What callers saw: a client that sent 2,000 requests at once and closed; up to 0.9 s later attempts for it began, 0.8 s over what is allowed.

Cause: the kernel reports a close only behind all that was sent before. With the receive window full it waits in the client's kernel, and hung_up can't see it.

Where it may still be hidden no further attempt begins: the request is rejected if nothing can have run, else it fails. A first attempt is rejected if nothing has shown for 80 ms that the client is there. On a connection that is to end nothing is read ahead.

--- a/loftweir/core/host.py
+++ b/loftweir/core/host.py
@@ -190,8 +190,16 @@
         self.back.begin(attempt)
 
     def _may_begin(self, invocation: Invocation) -> bool:
-        """Whether an attempt may begin; closes an invocation that must run once and whose id was sent before."""
-        if invocation.attempts or invocation.cls.effect is api.Effect.REPEATABLE:
+        """Whether an attempt may begin; otherwise the invocation is closed.
+
+        No further attempt begins for a client that may have gone unseen, and no first one for a request that must run
+        once and whose id was sent before.
+        """
+        if invocation.attempts:
+            if invocation.client_hidden():
+                invocation.close(FAILED if invocation.may_have_run() else FinalAnswer(AnswerKind.REJECTED))
+            return invocation.open
+        if invocation.cls.effect is api.Effect.REPEATABLE:
             return True
         if self.sent_ids.claim(invocation.id, self.loop.time):
             return True
--- a/loftweir/core/invocation.py
+++ b/loftweir/core/invocation.py
@@ -74,6 +74,7 @@
         "attempts",
         "on_closed",
         "client_left",
+        "client_hidden",
         "repeated",
         "traced",
         "attempt_records",
@@ -108,6 +109,8 @@
         self.on_closed: Callable[[], None] | None = None  # set by the frontend: called with the final answer in place
         self.client_left: Callable[[], bool] = lambda: False  # set by the frontend: whether the client has gone by now
         self.repeated = False  # its id is that of an earlier request, which may have run
+        # Set by the frontend: whether the client may have gone unseen.
+        self.client_hidden: Callable[[], bool] = lambda: False
         self.traced = traced  # whether an access line may be logged
         self.attempt_records: list[dict[str, Any]] = []  # the attempts as the access line has them, once it is closed
 
@@ -135,7 +138,7 @@
         return self.open
 
     def may_have_run(self) -> bool:
-        """Whether a provider may have run it, now that all its attempts have ended, or an earlier request of its id."""
+        """Whether a provider may have run it, or an earlier request of its id; attempts in flight may have run."""
         return self.repeated or any(
             attempt.sent_at and not (attempt.outcome is not None and attempt.outcome.never_ran)
             for attempt in self.attempts
--- a/loftweir/http1/client.py
+++ b/loftweir/http1/client.py
@@ -15,6 +15,7 @@
 from loftweir.http1.access_trace import CLIENT_GONE, AccessTrace
 from loftweir.http1.flow import Upload
 from loftweir.http1.message import BodyStream, HttpResponse, RequestHead, text_response
+from loftweir.http1.read_ahead import ReadAhead
 from loftweir.http1.request import BadRequest, check_length, is_health_check, to_invocation
 from loftweir.http1.request_reader import RequestReader, has_whole_request
 from loftweir.http1.response import (
@@ -30,7 +31,7 @@
 from loftweir.net.loop import HUNG_UP, MS, READABLE, SECOND, WOKEN, Coroutine, Task, Wait
 from loftweir.net.memory import LEAST_READ, READ_SIZE, OutOfBudget
 from loftweir.net.progress import ReadProgress, send_as_read
-from loftweir.net.stream import TimedOut, has_unacknowledged, hung_up, unread_for
+from loftweir.net.stream import TimedOut, has_unacknowledged, unread_for
 from loftweir.telemetry.catalogue import (
     CLIENT_CLOSED,
     INVOCATION_BROKEN,
@@ -45,6 +46,9 @@
 
 # Once connections are to end, for how long the rest of a request that was read in part behind another one is awaited.
 READS_ON_FOR = SECOND
+# A client whose end may be hidden counts as there if its last bytes arrived within this time; no attempt may begin over
+# 0.1 s after its end.
+UNSEEN_FOR = 80 * MS
 ACK_CHECK = 20 * MS  # between checks whether the client has acknowledged its last response, once lingering is over
 # The response to a client that is closed in the middle of sending a request.
 HALF_REQUEST_RESPONSE = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -76,6 +80,8 @@
         "free_at",
         "mask",
         "received",
+        "ahead",
+        "uploading",
         "method",
         "http_1_0",
         "trace",
@@ -92,6 +98,8 @@
         self.free_at = 0
         self.mask = READABLE
         self.received = b""  # data that is read and not yet parsed
+        self.ahead = ReadAhead(sock, front.budget)
+        self.uploading = False  # whether the body of its request is forwarded as it arrives
         self.method = b""
         self.http_1_0 = False  # whether its request is of HTTP/1.0
         self.trace: AccessTrace | None = None  # of the current invocation, if an access line may be logged
@@ -242,6 +250,8 @@
             exchange = yield from self._exchange_behind() if behind else self._exchange()
             if exchange is None:
                 return False
+            if exchange.rest is not None:
+                exchange = exchange._replace(rest=self.ahead.behind(exchange.rest))
             last = self._is_last(exchange)
             self.stage = Stage.BUSY
             yield from self._write(exchange.response, last)
@@ -374,10 +384,6 @@
             return None
         return to_invocation(head, body, self.host.settings, options.log.access != "off")
 
-    def has_left(self) -> bool:
-        """Whether the client has disconnected."""
-        return hung_up(self.sock)
-
     def _health_response(self) -> HttpResponse:
         """Return the response to a health check."""
         return text_response(200, "ready") if self.front.ready() else text_response(503, "not ready")
@@ -390,6 +396,9 @@
             # promise that nothing has run.
             raise BadRequest("Req-Id is in use")
         self.stage = Stage.BUSY
+        self.uploading = upload is not None
+        if upload is None and self._may_have_left_unseen():
+            return rejection(0)
         final: FinalAnswer | None = None
         try:
             self._submit(invocation, began, upload)
@@ -405,12 +414,32 @@
             raise ConnectionResetError("the client has gone")
         return final_response(final)
 
+    def _has_left(self) -> bool:
+        """Whether the client has disconnected.
+
+        On a connection that is to end nothing more is read, since what was read is answered. A forwarded body is read
+        by its upload.
+        """
+        return self.ahead.has_ended(may_read=not self.uploading and not self._is_ending())
+
+    def _may_have_left_unseen(self) -> bool:
+        """Whether the client may have gone a while ago: it sent so much, and nothing has shown since that it is there.
+
+        The machine of a client that has gone resets the connection when a response arrives.
+        """
+        unseen_for = min(unread_for(self.sock), self.front.loop.time - self.free_at)
+        if unseen_for < UNSEEN_FOR or not self.ahead.may_hide_end():
+            return False
+        return not self._has_left() and self.ahead.may_hide_end()
+
     def _submit(self, invocation: Invocation, began: int, upload: Upload | None) -> None:
         """Pass the invocation to the host, with the time that its request has been in the kernel unread."""
         front = self.front
         if front.ends_at:
             invocation.time_left = min(invocation.time_left, front.ends_at - front.loop.time)
-        invocation.client_left = self.has_left
+        invocation.client_left = self._has_left
+        if upload is None:
+            invocation.client_hidden = self.ahead.may_hide_end
         age = unread_for(self.sock) if upload is None else 0
         invocation.receive_time = max(0, front.loop.time - age - began)
         self.host.accept(invocation, age, min(age, front.loop.time - self.free_at))
--- a/loftweir/net/stream.py
+++ b/loftweir/net/stream.py
@@ -152,6 +152,15 @@
     return int(left)
 
 
+def unread_size(sock: socket.socket) -> int:
+    """Return how many bytes have arrived and were not read; 0 if that is not known."""
+    try:
+        (size,) = struct.unpack("=i", fcntl.ioctl(sock, termios.FIONREAD, bytes(4)))
+    except (OSError, ValueError):
+        return 0
+    return int(size)
+
+
 def send(
     loop: Loop, sock: socket.socket, parts: list[Any], until: int | None, breaks: int = 0, begins: bool = False
 ) -> Coroutine[None]:
--- a/loftweir/sidecar.py
+++ b/loftweir/sidecar.py
@@ -25,7 +25,6 @@
 from loftweir.net.standing import StandingTask
 from loftweir.operations.address import DESCRIPTORS, Address
 from loftweir.operations.command_handler import CommandHandler
-from loftweir.operations.shared_ids import SharedIds
 from loftweir.state.disk import Disk
 from loftweir.state.sealed import Damaged
 from loftweir.state.snapshot import ListSource, ListTracker, Snapshot, choose_list, without_removed
@@ -241,6 +240,9 @@
         """Show the ids of requests that must run once to a process that takes this one's place, or had it before."""
         if self.commands.store is None:
             return
+        # Imported here, so that a sidecar without an operators' address doesn't pay for the import.
+        from loftweir.operations.shared_ids import SharedIds
+
         folder = self.commands.store.path.parent
         try:
             self.host.sent_ids.others = SharedIds(folder)
