The answer to a large request counts from its client's last byte, not from its server's

What callers saw: the final answer to a request of 9 or 12 MB came up to 4.5 s after the last byte was written, where the client waits 2 s.

Cause: a forwarded body's deadline ran from when the provider had the last byte. If the provider reads slowly, that byte has been in the kernels' buffers for seconds.

Change: Upload notes the earliest time at which the client can have written its last byte: when what is missing fits into the unread input and the largest send buffer of this machine's kernel, and no earlier than the input was last found empty. The answer is due from then on, also while the provider still reads.

What it costs: such a request may be given up before its time by what the estimate of the buffer is too large.

--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -18,8 +18,8 @@
 from loftweir.core.invocation import ProviderAttempt
 from loftweir.http1 import grammar
 from loftweir.http1.buffering import ResponseBuffering
-from loftweir.http1.flow import ResponseStream, UploadFailed
-from loftweir.http1.message import BodyStream, HttpRequest, HttpResponse, by_name, end_to_end_lines
+from loftweir.http1.flow import ResponseStream, Upload, UploadFailed
+from loftweir.http1.message import HttpRequest, HttpResponse, by_name, end_to_end_lines
 from loftweir.http1.pool import Connections, Pool, ProviderConnection
 from loftweir.http1.strict import H11Reader, fixed
 from loftweir.interface import Lifecycle, MembershipUpdate, Outcome, Settings, UpdateKind
@@ -149,7 +149,7 @@
         try:
             if not (yield from self._send(attempt, connection)):
                 return Outcome.NOT_SENT, None, True
-            if not isinstance(body, list):
+            if isinstance(body, Upload):
                 give_up_at = yield from self._forward_body(attempt, connection, body)
         except (TimedOut, UploadFailed):
             return Outcome.NOT_SENT, None, False
@@ -337,21 +337,24 @@
         declined = status in (503, 504) and fields.get(b"srv-declined") == b"1"
         return Outcome.FULL if declined else Outcome.ERROR, None
 
-    def _forward_body(
-        self, attempt: ProviderAttempt, connection: ProviderConnection, body: BodyStream
-    ) -> Coroutine[int]:
-        """Forward a body as it arrives; return the attempt's new timeout, which runs from the body's last byte."""
+    def _forward_body(self, attempt: ProviderAttempt, connection: ProviderConnection, body: Upload) -> Coroutine[int]:
+        """Forward a body as it arrives; return the attempt's new timeout, which runs from the client's last byte.
+
+        The client may have written that byte long before a slow provider reads it.
+        """
+        time_left = attempt.invocation.time_after_body
         progress = ReadProgress(self.loop, connection.sock, self.pool.options.limits.silent_for)
         try:
             while piece := (yield from body.pull()):
                 if not connection.is_usable():
                     raise ConnectionResetError("the provider sent data before it had the whole request")
+                progress.latest = body.answer_due(time_left)
                 yield from send_as_read(connection.sock, [piece], progress, READABLE)
         finally:
             body.close()
-        invocation = attempt.invocation
-        invocation.deadline = attempt.give_up_at = self.loop.time + invocation.time_after_body
-        return attempt.give_up_at
+        due = body.answer_due(time_left) or self.loop.time + time_left
+        attempt.invocation.deadline = attempt.give_up_at = due
+        return due
 
     def message(self, attempt: ProviderAttempt) -> list[Any]:
         """Return the parts of the request as it is sent, without a body that is forwarded."""
--- a/loftweir/http1/flow.py
+++ b/loftweir/http1/flow.py
@@ -14,7 +14,7 @@
 from loftweir.http1.strict import H11Reader
 from loftweir.net.loop import MS, READABLE, Coroutine, Loop, Wait
 from loftweir.net.memory import SMALL, Body, Held, MemoryBudget, TooLarge
-from loftweir.net.stream import TimedOut
+from loftweir.net.stream import TimedOut, largest_send_buffer, unread_size
 
 # A response of up to `SMALL` bytes counts by its last byte, and as lost if that comes LOST_AFTER past its deadline. One
 # of unknown length that may be so short is ended before that if it is silent for SILENT_LATE, and counts as failed.
@@ -139,6 +139,7 @@
         self.remaining = length - received.size
         self.silent_for = silent_for
         self.held = Held(self.budget)  # the piece that is being written
+        self.written_from: int | None = None  # the earliest time at which the client may have written its last byte
         self.begun = False
         self.over = False
         self.error: Exception | None = None  # why it failed, which is the client's fault
@@ -151,11 +152,13 @@
             if self.received.size:  # none may have arrived with its head, and an empty piece would mean the end
                 return b"".join(self.received)  # they stay counted with `received`
         while self.remaining and self.error is None:
+            self._note_written()
             try:
                 data = self.sock.recv(min(self.remaining, self.budget.piece()))
             except BlockingIOError:
                 if not (yield Wait(self.sock, READABLE, self.loop.time + self.silent_for)):
                     self._end(TimedOut())
+                self.written_from = None  # all that the client had written has been read
                 continue
             except OSError as error:
                 self._end(error)
@@ -168,9 +171,22 @@
             return data
         if self.error is not None:
             raise UploadFailed
+        self._note_written()
         self._end(None)
         return b""
 
+    def _note_written(self) -> None:
+        """Note the time if the client may have written its last byte by now, and could not have before.
+
+        Its machine holds a part of the body that this one has no room for, as long as the provider reads slowly.
+        """
+        if self.written_from is None and self.remaining <= unread_size(self.sock) + largest_send_buffer():
+            self.written_from = self.loop.time
+
+    def answer_due(self, time_left: int) -> int | None:
+        """Return when the answer is due, if that is known; the client waits `time_left` ns from its last byte on."""
+        return None if self.written_from is None else self.written_from + time_left
+
     def _end(self, error: Exception | None) -> None:
         """End it; `error`: why it did not arrive whole, None if it did."""
         self.error = error
--- a/loftweir/net/progress.py
+++ b/loftweir/net/progress.py
@@ -28,7 +28,7 @@
     count.
     """
 
-    __slots__ = ("loop", "sock", "silent_for", "offered", "taken", "until")
+    __slots__ = ("loop", "sock", "silent_for", "offered", "taken", "until", "latest")
 
     def __init__(self, loop: Loop, sock: socket.socket, silent_for: int) -> None:
         """`silent_for`: ns."""
@@ -39,6 +39,7 @@
         # Bytes of them that are acknowledged, less those of earlier messages that are not; None: not looked at yet.
         self.taken: int | None = None
         self.until = 0
+        self.latest: int | None = None  # when the peer is given up although it reads; None: never
 
     def begin(self, parts: list[Any]) -> None:
         """Begin to wait for the peer to take these parts."""
@@ -47,7 +48,8 @@
 
     def next_check(self) -> int:
         """Return until when to wait before the next call of `is_over`."""
-        return min(self.until, self.loop.now() + CHECK_INTERVAL)
+        check_at = min(self.until, self.loop.now() + CHECK_INTERVAL)
+        return check_at if self.latest is None else min(check_at, self.latest)
 
     def is_over(self, parts: list[Any]) -> bool:
         """Whether the peer is to be given up; `parts`: what the kernel has not taken yet."""
@@ -59,7 +61,7 @@
             unseen = newly_taken * SECOND // LOWEST_READ_RATE
             silent_until = now + self.silent_for
             self.until = min(max(self.until, silent_until) + unseen, silent_until + LONGEST_UNSEEN)
-        return now >= self.until
+        return now >= self.until or (self.latest is not None and now >= self.latest)
 
 
 def send_as_read(sock: socket.socket, parts: list[Any], progress: ReadProgress, breaks: int = 0) -> Coroutine[None]:
--- a/loftweir/net/stream.py
+++ b/loftweir/net/stream.py
@@ -10,6 +10,8 @@
 import struct
 import termios
 from contextlib import suppress
+from functools import cache
+from pathlib import Path
 from typing import Any
 
 from loftweir.config.units import split_host_port
@@ -32,6 +34,7 @@
     errno.EACCES,
 )
 RETRY_CONNECT = 10 * MS  # until a connection that this machine could not begin is tried again
+LARGEST_SEND_BUFFER = 4 * 1024 * 1024  # bytes: Linux's default, where the kernel does not tell
 NO_BUFFER = (errno.ENOBUFS, errno.ENOMEM)  # errors of a write: the kernel has no memory for it at the moment
 RETRY_WRITE = 5 * MS  # until such a write is tried again
 # Of Linux's struct tcp_info (linux/tcp.h): `tcpi_last_data_recv`, the ms since the last bytes were received, follows 8
@@ -161,6 +164,15 @@
     return int(size)
 
 
+@cache
+def largest_send_buffer() -> int:
+    """Return how many bytes a peer of this machine may have written that have not arrived here."""
+    try:
+        return int(Path("/proc/sys/net/ipv4/tcp_wmem").read_text().split()[2])
+    except (OSError, ValueError, IndexError):
+        return LARGEST_SEND_BUFFER
+
+
 def send(
     loop: Loop, sock: socket.socket, parts: list[Any], until: int | None, breaks: int = 0, begins: bool = False
 ) -> Coroutine[None]:
