A long answer that its server writes slowly in even parts is not taken for one that ended

What callers saw: a chunked answer of 200 kB, written as 8 kB each 0.5 s, was reset 1.3 s after a request whose client waits 1.0 s.

Cause: an answer of unknown length with 64 KiB or less so far is ended if it is silent for 300 ms in the half second past its deadline, as it may be a short one, which would be lost. That it had paused as long before, and gone on, was not looked at.

The new test fails on the text before.

Change: the silence has to be longer than one and a half of the longest pause so far.

--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -17,7 +17,7 @@
 from loftweir.config.spec import KIB
 from loftweir.core.invocation import ProviderAttempt
 from loftweir.http1 import grammar
-from loftweir.http1.buffering import ResponseBuffering
+from loftweir.http1.buffering import PartTimes, ResponseBuffering
 from loftweir.http1.flow import ResponseStream, Upload, UploadFailed
 from loftweir.http1.message import HttpRequest, HttpResponse, by_name, end_to_end_lines
 from loftweir.http1.pool import Connections, Pool, ProviderConnection
@@ -250,7 +250,7 @@
             if buffering.is_begun(body.size, self.loop.time):
                 break
         if part or part is None:
-            return self._forwarded(attempt, connection, outcome, response, body, length, reader)
+            return self._forwarded(attempt, connection, outcome, response, body, length, reader, buffering.times)
         return outcome, response, reader.whole() and not reader.rest()
 
     def _part(self, reader: H11Reader, body: Body, buffering: ResponseBuffering, until: int) -> Coroutine[bytes | None]:
@@ -294,6 +294,7 @@
         body: Body,
         length: int | None,
         reader: H11Reader | None,
+        times: PartTimes | None = None,
     ) -> ExchangeResult:
         """Return the result for a long response: its outcome is known, and the response owns the connection."""
         if response is None:
@@ -319,6 +320,7 @@
             limits.answer,
             attempt.invocation.deadline,
             release,
+            times,
         )
         return outcome, response._replace(body=stream), None
 
--- a/loftweir/http1/buffering.py
+++ b/loftweir/http1/buffering.py
@@ -17,10 +17,26 @@
 BEGIN_MARGIN = 200 * MS  # a response is begun at least so long before its deadline: the process may be held up
 
 
+class PartTimes:
+    """When the parts of a response arrived: the last one, and the longest pause between two of them, in ns."""
+
+    __slots__ = ("last_at", "longest_pause")
+
+    def __init__(self) -> None:
+        self.last_at: int | None = None
+        self.longest_pause = 0
+
+    def add(self, now: int) -> None:
+        """Note that a part has arrived."""
+        if self.last_at is not None:
+            self.longest_pause = max(self.longest_pause, now - self.last_at)
+        self.last_at = now
+
+
 class ResponseBuffering:
     """Decides when one response is begun. Times are those of the loop, sizes are in bytes."""
 
-    __slots__ = ("length", "held", "latest", "first_part_at")
+    __slots__ = ("length", "held", "latest", "first_part_at", "times")
 
     def __init__(self, length: int | None, held: int, head_at: int, give_up_at: int) -> None:
         """`length` of the body, None if unknown; `held`: up to this size a response is buffered whole.
@@ -31,6 +47,7 @@
         self.held = held
         self.latest = give_up_at - min(BEGIN_MARGIN, max(0, give_up_at - head_at) // 2)
         self.first_part_at: int | None = None
+        self.times = PartTimes()
 
     def may_be_long(self) -> bool:
         """Whether the response is long, or may be."""
@@ -38,6 +55,7 @@
 
     def add_part(self, now: int) -> None:
         """Note that a part of the body has arrived."""
+        self.times.add(now)
         if self.first_part_at is None:
             self.first_part_at = now
 
--- a/loftweir/http1/flow.py
+++ b/loftweir/http1/flow.py
@@ -11,13 +11,15 @@
 
 import h11
 
+from loftweir.http1.buffering import PartTimes
 from loftweir.http1.strict import H11Reader
 from loftweir.net.loop import MS, READABLE, Coroutine, Loop, Wait
 from loftweir.net.memory import SMALL, Body, Held, MemoryBudget, TooLarge
 from loftweir.net.stream import TimedOut, largest_send_buffer, unread_size
 
 # A response of up to `SMALL` bytes counts by its last byte, and as lost if that comes LOST_AFTER past its deadline. One
-# of unknown length that may be so short is ended before that if it is silent for SILENT_LATE, and counts as failed.
+# of unknown length that may be so short is ended before that if it is silent for SILENT_LATE and for longer than its
+# provider has paused before, and counts as failed.
 SILENT_LATE = 300 * MS
 LOST_AFTER = 500 * MS
 
@@ -40,11 +42,13 @@
         limit: int,
         deadline: int,
         release: Callable[[bool], None],
+        times: PartTimes | None = None,
     ) -> None:
         """`received` is what has arrived so far. The body has `length` bytes, read from the socket, or `reader` reads
         it.
 
-        `deadline` is that of its request. `release` is called with whether the connection can be used again.
+        `deadline` is that of its request. `release` is called with whether the connection can be used again. `times`:
+        of the parts that have arrived so far.
         """
         self.loop = loop
         self.sock = sock
@@ -58,6 +62,7 @@
         self.limit = limit
         self.deadline = deadline
         self.release: Callable[[bool], None] | None = release
+        self.times = times or PartTimes()
         self.returned = 0
 
     def pull(self) -> Coroutine[bytes]:
@@ -81,7 +86,9 @@
         if self.reader is not None:
             self.reader.read_size = self.budget.piece()
             try:
-                return (yield from self.reader.part(self._silent_until))
+                part = yield from self.reader.part(self._silent_until)
+                self.times.add(self.loop.time)
+                return part
             except h11.RemoteProtocolError as error:
                 raise ConnectionResetError(str(error)) from None
         assert self.length is not None
@@ -103,7 +110,7 @@
         now = self.loop.time
         until = now + self.silent_for
         if self.length is None and self.returned <= SMALL:
-            ended_at = max(now, self.deadline) + SILENT_LATE
+            ended_at = max(now, self.deadline) + max(SILENT_LATE, self.times.longest_pause * 3 // 2)
             if ended_at <= self.deadline + LOST_AFTER:
                 until = min(until, ended_at)
         return until
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -502,6 +502,11 @@
         self.assertEqual((received.count(b"xxx"), received[-5:]), (10, b"0\r\n\r\n"))
         self.assertGreater(elapsed, 1)
 
+    def test_a_long_response_that_its_server_writes_slowly_in_even_parts_is_not_cut_off(self):
+        part = b"%x\r\n%s\r\n" % (8000, bytes(8000))
+        received, _ = self.receive_in_parts([CHUNKED + part] + [part] * 11 + [b"0\r\n\r\n"], 0.45, 1000)
+        self.assertEqual((received.count(bytes(8000)), received[-5:]), (12, b"0\r\n\r\n"))
+
 
 class SmallBufferLimitTest(SidecarTest):
     operator = '[limits]\nheld = "2B"\n'
