A small request does not wait for memory, and no request waits past half of its time

What callers saw: beside clients that stop half way through their bodies a request of two bytes got its answer 0.7 s after its time (deadline 0.79 s, 503 after 1.50).

Cause: with the budget of requests used up, a body waits 1.5 s for memory, though it has arrived whole and its client waits less. The comment there said that the request's time had not begun.

Change: a body that the first read returned whole is in memory already and is taken. Others wait for half of their client's time at most.

--- a/loftweir/http1/request_reader.py
+++ b/loftweir/http1/request_reader.py
@@ -23,7 +23,8 @@
 if TYPE_CHECKING:
     from loftweir.http1.client import ClientConnection
 
-BUDGET_WAIT = 1500 * MS  # how long a body waits for memory; its request's time has not begun by then
+# How long a body waits for memory, and half of its client's time at most: its last byte may have arrived already.
+BUDGET_WAIT = 1500 * MS
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -111,14 +112,15 @@
             self.upload = self._upload(self.invocation, body, length)
             self.rest = None
             return True
-        if length or body.head_size:
+        if len(data) < length or body.head_size:  # otherwise one small read has it all
             try:
                 yield from self._reserve(body, length)
             except OutOfBudget:
                 if self.rest is None:
                     self.rest = self._skip(length - len(data))
                 raise
-            body.append(data)
+        if data:
+            body.hold(data)
         del data  # else its bytes are in memory twice while the rest is awaited
         if body.size < length:
             yield from self._fill(body, length)
@@ -226,7 +228,10 @@
         not closed like one that has sent half a request.
         """
         self.client.stage = Stage.BUSY
-        yield from reserved(self.front.loop, body, size, BUDGET_WAIT)
+        within = BUDGET_WAIT
+        if self.invocation is not None:
+            within = min(within, self.invocation.time_left // 2)
+        yield from reserved(self.front.loop, body, size, within)
         self.client.stage = Stage.BEGUN
 
     def _begin_body(self) -> None:
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -17,7 +17,7 @@
 from loftweir.http1.front import Frontend
 from loftweir.http1.stage import Stage
 from loftweir.net.loop import SECOND, Loop, Wait
-from loftweir.net.memory import Body, MemoryBudget
+from loftweir.net.memory import LEAST_READ, Body, MemoryBudget
 from loftweir.net.stream import TimedOut
 
 REQUEST = b"GET /api HTTP/1.1\r\nHost: h\r\nReq-Id: %s\r\nReq-Kind: status-read\r\n\r\n"
@@ -253,10 +253,11 @@
 def test_a_whole_request_that_waits_for_memory_is_not_closed_as_half_a_request():
     setup = ClientOnLoop((), slow=False)
     front, client = setup.front, setup.client
-    front.budget = MemoryBudget(64)
+    size = 2 * LEAST_READ  # what one read returns does not wait
+    front.budget = MemoryBudget(size)
     taken = Body(front.budget)
-    taken.reserve(64)
-    setup.peer.send(b"POST /_health HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+    taken.reserve(size)
+    setup.peer.send(b"POST /_health HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s" % (size, bytes(size)))
     assert select.select([setup.near], [], [], 5)[0]
     setup.loop.unwatch(setup.near.fileno())
     client.begin()
@@ -269,6 +270,22 @@
     assert isinstance(received, bytes) and b"not ready" in received, received
 
 
+def test_a_request_that_one_read_returns_whole_does_not_wait_for_memory():
+    """Guards against a small request that is answered after its client's time while other bodies take all memory."""
+    setup = ClientOnLoop((), slow=False)
+    front = setup.front
+    front.budget = MemoryBudget(64)
+    taken = Body(front.budget)
+    taken.reserve(64)
+    front.host.balancer, front.accepting = SimpleNamespace(providers=[]), None
+    setup.peer.send(b"POST /_health HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+    assert select.select([setup.near], [], [], 5)[0]
+    setup.loop.unwatch(setup.near.fileno())
+    setup.client.begin()
+    assert b"not ready" in setup.peer.recv(4096, socket.MSG_DONTWAIT)
+    assert taken.taken == 64
+
+
 def test_a_response_without_length_that_is_cut_off_ends_in_a_reset():
     """Otherwise the client would take the end of the stream for the end of the response."""
     setup = ClientOnLoop((), slow=False)
