A connection to a process that the list has replaced gets no request

What callers saw: work went to the old process of a server after the list had told a new start under the same name and address, where the old one still held its connections (cut off, or hanging).

Cause: Pool.set_address looked at names and addresses only. A new start closed nothing, and a connection that was being opened counted for the new process.

Not found there: requests in flight at a process that ended, attempts that connect as the address changes hands, and idle connections that its end had reset.

Change: a connection knows the start that the list told before it was opened; it is used, or kept idle, only while that start is listed.

Class: an identity that is taken from an address.

--- a/loftweir/http1/back.py
+++ b/loftweir/http1/back.py
@@ -76,7 +76,7 @@
             self.pool.remove_provider(name)
         # If two endpoints have one address, it belongs to the one that started later.
         for endpoint in sorted(ready, key=lambda e: e.started_at):
-            self.pool.set_address(endpoint.address, addresses[endpoint.address])
+            self.pool.set_address(endpoint.address, addresses[endpoint.address], endpoint.started_at)
 
     def begin(self, attempt: ProviderAttempt) -> None:
         """Carry out an attempt; see `core.host.Backend.begin`."""
@@ -124,7 +124,7 @@
         Not if the provider has gone, drains or has another address by now, if the client has gone, if it is too late,
         or if another attempt has begun to forward its body.
         """
-        if connection.address != self.pool.addresses.get(attempt.provider):
+        if not self.pool.is_current(connection):
             return False
         begun = getattr(attempt.invocation.payload.body, "begun", False)
         return attempt.invocation.is_wanted() and not begun and self.loop.now() < attempt.send_by
--- a/loftweir/http1/pool.py
+++ b/loftweir/http1/pool.py
@@ -33,13 +33,17 @@
     While it is idle it watches itself: whatever arrives then, a close or unexpected data, ends it.
     """
 
-    __slots__ = ("pool", "sock", "name", "address", "slot", "idle_since", "mask")
+    __slots__ = ("pool", "sock", "name", "address", "started_at", "slot", "idle_since", "mask")
 
-    def __init__(self, pool: Pool, sock: socket.socket, name: str, address: str, slot: ConnectionSlot) -> None:
+    def __init__(
+        self, pool: Pool, sock: socket.socket, name: str, address: str, slot: ConnectionSlot, started_at: int = 0
+    ) -> None:
+        """`started_at`: when the provider's process had started, as the list told before the connection was opened."""
         self.pool = pool
         self.sock = sock
         self.name = name
         self.address = address
+        self.started_at = started_at
         self.slot = slot
         self.idle_since = 0
         self.mask = READABLE
@@ -148,6 +152,7 @@
         self.slots = slots or connections
         self.addresses: dict[str, str] = {}  # by name: of the providers to which requests may be sent
         self.names_by_address: dict[str, str] = {}
+        self.started_at: dict[str, int] = {}  # by name: when the provider's process started, as listed
         self.last_response_at: dict[str, int] = {}  # by name: when its last complete response was read
         self.idle_by_provider: dict[str, dict[ProviderConnection, None]] = {}
 
@@ -161,18 +166,22 @@
         """The options in force."""
         return self.connections.options
 
-    def set_address(self, name: str, address: str) -> None:
-        """Set a provider's address as listed.
+    def set_address(self, name: str, address: str, started_at: int = 0) -> None:
+        """Set a provider's address, and when its process started, as listed.
 
-        Connections to another address lead to a process that is gone, and so do those of another provider that had this
-        address. Both are closed.
+        Connections to another address or an earlier start lead to a process that is gone, and so do those of another
+        provider that had this address. All of them are closed.
         """
+        if self.started_at.get(name, started_at) != started_at:
+            self.close_idle(name)
+        self.started_at[name] = started_at
         other = self.names_by_address.get(address)
         if other == name:
             return
         if other is not None:
             self.remove_provider(other)
         self.remove_provider(name)
+        self.started_at[name] = started_at
         self.addresses[name] = address
         self.names_by_address[address] = name
 
@@ -181,6 +190,7 @@
         address = self.addresses.pop(name, None)
         if address is not None:
             del self.names_by_address[address]
+            self.started_at.pop(name, None)
         self.last_response_at.pop(name, None)
         self.close_idle(name)
 
@@ -189,13 +199,14 @@
         address = self.addresses.get(name)
         if address is None:  # gone since the attempt was decided
             raise ConnectError(Outcome.NOT_SENT)
+        started_at = self.started_at.get(name, 0)
         slot = self.slots.acquire_slot(self)
         try:
             sock = yield from connect(self.loop, address, self.settings.connect_timeout, until)
         except BaseException:
             slot.release()
             raise
-        connection = ProviderConnection(self, sock, name, address, slot)
+        connection = ProviderConnection(self, sock, name, address, slot, started_at)
         if not connection.is_usable():  # closed, or data arrived, before a request was sent: nothing ran
             self.close(connection)
             raise ConnectError(Outcome.CONNECT_FAILED)
@@ -206,6 +217,12 @@
         connection.slot.release()
         self.loop.close(connection.sock)
 
+    def is_current(self, connection: ProviderConnection) -> bool:
+        """Whether a connection leads to its provider's process as listed now."""
+        name = connection.name
+        at_address = connection.address == self.addresses.get(name)
+        return at_address and connection.started_at == self.started_at.get(name, 0)
+
     def evict_oldest(self) -> bool:
         """Close this pool's connection that has been idle for longest; return whether there was one."""
         idle = (connection for connections in self.idle_by_provider.values() for connection in connections)
@@ -240,9 +257,9 @@
         return None
 
     def release(self, connection: ProviderConnection) -> None:
-        """Make a connection idle after a complete response; close it if the provider is no longer at its address."""
+        """Make a connection idle after a complete response; close it if it leads to another process than the listed."""
         name = connection.name
-        if connection.address != self.addresses.get(name):
+        if not self.is_current(connection):
             self.close(connection)
             return
         self.last_response_at[name] = connection.idle_since = self.loop.time
