--- a/loftweir/net/stream.py
+++ b/loftweir/net/stream.py
@@ -148,17 +148,18 @@
 
 def unacknowledged(sock: socket.socket) -> int:
     """Return how many bytes written the peer's machine has not acknowledged; 0 if that is not known."""
-    try:
-        (left,) = struct.unpack("=i", fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))
-    except (OSError, ValueError):
-        return 0
-    return int(left)
+    return _queued_size(sock, termios.TIOCOUTQ)
 
 
 def unread_size(sock: socket.socket) -> int:
     """Return how many bytes have arrived and were not read; 0 if that is not known."""
+    return _queued_size(sock, termios.FIONREAD)
+
+
+def _queued_size(sock: socket.socket, queue: int) -> int:
+    """Return the size that the kernel tells for one of a socket's queues; 0 if it tells none."""
     try:
-        (size,) = struct.unpack("=i", fcntl.ioctl(sock, termios.FIONREAD, bytes(4)))
+        (size,) = struct.unpack("=i", fcntl.ioctl(sock, queue, bytes(4)))
     except (OSError, ValueError):
         return 0
     return int(size)
