A test that could hang takes the number that it needs, and test clients are closed

test_an_event_of_a_closed_socket_is_not_passed_to_the_next_one_with_its_number hung once, in a run of all tests with 8 workers: its assertion failed inside a coroutine, and the loop went on. Between the close and the next socket the garbage collector had closed another descriptor, left by test clients that were not closed.

It opens sockets until one has the number, what it checks of that one is the same, and an error ends it. The clients of the crowd's tests are closed.

Evidence: test_soak, test_crossings_servers and test_memory_limit pass; alone the test passed before, too.

--- a/tests/crowd_scene.py
+++ b/tests/crowd_scene.py
@@ -236,6 +236,7 @@
             with suppress(OSError):
                 await client.connect()
                 if await client.ask(b"GET /_health HTTP/1.1\r\nHost: h\r\n\r\n") == 200:
+                    client.close()
                     return
             client.close()
             await asyncio.sleep(0.05)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -58,21 +58,22 @@
     """Send one request after another on a connection for as long as it stays open, until SIGKILL."""
     loop = asyncio.get_running_loop()
     client, count = None, 0
-    while not play.killed:
-        if client is None:
-            if play.terminated_at and loop.time() > play.terminated_at + NEW_CONNECTIONS_FOR:
-                return
-            client = CrowdClient(sidecar.address)
-            try:
-                await client.connect()
-            except OSError:
-                client.close()
-                return
-        count += 1
-        client = await request_once(play, sidecar, client, dice, f"s{play.seed}-{number}-{count}")
-        await asyncio.sleep(dice.uniform(0.0, 0.1))
-    if client is not None:
-        client.close()
+    try:
+        while not play.killed:
+            if client is None:
+                if play.terminated_at and loop.time() > play.terminated_at + NEW_CONNECTIONS_FOR:
+                    return
+                client = CrowdClient(sidecar.address)
+                try:
+                    await client.connect()
+                except OSError:
+                    return
+            count += 1
+            client = await request_once(play, sidecar, client, dice, f"s{play.seed}-{number}-{count}")
+            await asyncio.sleep(dice.uniform(0.0, 0.1))
+    finally:
+        if client is not None:
+            client.close()
 
 
 async def request_once(play, sidecar, client, dice, request_id):
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -221,18 +221,25 @@
         number = closed.fileno()
         second.cancel()
         loop.close(closed)
-        fresh.extend(socket.socketpair())
-        assert fresh[0].fileno() == number
-        events.append((yield Wait(fresh[0], READABLE, loop.now() + 20 * MS)))
-        fresh[1].send(b"x")
-        events.append((yield Wait(fresh[0], READABLE, loop.now() + 5000 * MS)))
+        # Another number may be free too, where the garbage collector has just closed a socket of an earlier test.
+        while number not in [sock.fileno() for sock in fresh] and len(fresh) < 100:
+            fresh.extend(socket.socketpair())
+        index = [sock.fileno() for sock in fresh].index(number)
+        new, new_far = fresh[index], fresh[index ^ 1]
+        events.append((yield Wait(new, READABLE, loop.now() + 20 * MS)))
+        new_far.send(b"x")
+        events.append((yield Wait(new, READABLE, loop.now() + 5000 * MS)))
+        loop.stopped = True
+
+    def broken(error):
+        events.append(error)
         loop.stopped = True
 
     def waits():
         yield Wait(closed, READABLE, None)
         events.append("an event of the closed socket")
 
-    loop.start(first())
+    loop.start(first(), broken)
     second = loop.start(waits())
     far.send(b"x")
     closed_far.send(b"x")  # both events are in the kernel, so one poll returns both
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -143,23 +143,36 @@
     """Send small requests one after another; each must have its final answer in time."""
     loop = asyncio.get_running_loop()
     client = None
-    while loop.time() < until:
-        for _ in range(2):  # a close between requests may cross one: it is then sent once more
-            if client is None:
-                client = CrowdClient(sidecar.address)
-                await client.connect()
+    try:
+        while loop.time() < until:
+            status, client = await ask_once_more(sidecar, client)
+            statuses[status] += 1
+            await asyncio.sleep(0.1)
+    finally:
+        if client is not None:
+            client.close()
+
+
+async def ask_once_more(sidecar, client):
+    """Send a request, once more on a new connection if a close may have crossed it; return its status and connection."""
+    status = 0
+    for _ in range(2):
+        if client is None:
+            client = CrowdClient(sidecar.address)
+            await client.connect()
+        try:
+            request = head(deadline_ms=int(DEADLINE * 1000), kind="status-read", method=b"GET", length=0)
+            status = await asyncio.wait_for(client.ask(request), DEADLINE + LATE)
+        except (OSError, TimeoutError):
             status = 0
-            with suppress(OSError, TimeoutError):
-                request = head(deadline_ms=int(DEADLINE * 1000), kind="status-read", method=b"GET", length=0)
-                status = await asyncio.wait_for(client.ask(request), DEADLINE + LATE)
-            if status:
-                break
+        except BaseException:
             client.close()
-            client = None
-        statuses[status] += 1
-        await asyncio.sleep(0.1)
-    if client is not None:
+            raise
+        if status:
+            return status, client
         client.close()
+        client = None
+    return status, client
 
 
 async def play(picture, memory_mb, sockets=1024, **changes):
